Core: reducer, parts and the types of replicated groups

Cause: work side by side needs fixed types. Change: Reducer, Part, Output, the first events, effects, commands and peer messages. Conclusion: consensus, storage and transport can be written against them at the same time.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/Reducer.java
@@ -0,0 +1,62 @@
+package org.skylarkfork.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.event.Event;
+
+/** The one reducer of a daemon: passes each event to its parts in a fixed order. */
+public final class Reducer {
+
+  /** Time between two {@code Tick} events. */
+  public static final Duration TICK = Duration.ofMillis(20);
+
+  private final List<Part> parts;
+
+  /**
+   * Makes a reducer.
+   *
+   * @param parts the parts in the order in which they see each event
+   */
+  public Reducer(List<Part> parts) {
+    this.parts = List.copyOf(parts);
+  }
+
+  /**
+   * Applies an event and whatever events the parts raise because of it.
+   *
+   * @param event what happened
+   * @param now the present time
+   * @return what the runtime is to do, in order
+   */
+  public List<Effect> apply(Event event, Instant now) {
+    Collector collector = new Collector();
+    collector.raise(event);
+    while (!collector.events.isEmpty()) {
+      Event next = collector.events.removeFirst();
+      for (Part part : parts) {
+        part.apply(next, now, collector);
+      }
+    }
+    return collector.effects;
+  }
+
+  private static final class Collector implements Output {
+    private final Deque<Event> events = new ArrayDeque<>();
+    private final List<Effect> effects = new ArrayList<>();
+
+    @Override
+    public void effect(Effect effect) {
+      effects.add(effect);
+    }
+
+    @Override
+    public void raise(Event event) {
+      events.addLast(event);
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupId.java
@@ -0,0 +1,21 @@
+package org.skylarkfork.core.command;
+
+/**
+ * Names one replicated group.
+ *
+ * @param name the job of the group, such as {@code configuration}
+ * @param shard number of the shard, from 0
+ */
+public record GroupId(String name, int shard) {
+
+  /** The group that holds configuration, leases, orders and roll-outs. */
+  public static final GroupId CONFIGURATION = new GroupId("configuration", 0);
+
+  /** The first shard of the group that holds claims and bills. */
+  public static final GroupId LEDGER = new GroupId("ledger", 0);
+
+  @Override
+  public String toString() {
+    return name + "-" + shard;
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupState.java
@@ -0,0 +1,8 @@
+package org.skylarkfork.core.command;
+
+/** The whole state of a replicated group, as kept in a snapshot. */
+public sealed interface GroupState {
+
+  /** The state of a group that has applied nothing yet. */
+  record Empty() implements GroupState {}
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/HardState.java
@@ -0,0 +1,11 @@
+package org.skylarkfork.core.command;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a voter must remember through a crash besides its log.
+ *
+ * @param term newest term seen
+ * @param votedFor node that got this voter's vote in the term, or null for none
+ */
+public record HardState(long term, @Nullable String votedFor) {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/Effect.java
@@ -0,0 +1,4 @@
+package org.skylarkfork.core.effect;
+
+/** Something that the runtime is to do, in the order in which the reducer asked for it. */
+public sealed interface Effect permits StorageEffect, PeerEffect {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -0,0 +1,4 @@
+package org.skylarkfork.core.event;
+
+/** Something that happened, given to the reducer together with the present time. */
+public sealed interface Event permits StorageEvent, PeerEvent, LifecycleEvent {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/package-info.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder documentation of the module's root package. */
+/** The reducer, its parts and what they are given. */
 @NullMarked
 package org.skylarkfork.core;
 
