Core: the types of requests, upstreams, configuration and decisions

Cause: the parts of the core are written side by side. Change: events and effects for callers, upstreams, operators and traces, the configuration's records, and the interfaces between routing, quality, sessions, admission, ledger and attempts. Conclusion: each part can be written and tested alone.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Configuration.java
@@ -0,0 +1,86 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Everything that operators decide, at one revision. All lists but the rules are sorted by name.
+ *
+ * @param revision rises by one with each accepted change; 0 is the empty configuration
+ * @param teams the teams
+ * @param models the models with their versions
+ * @param services the plain services
+ * @param rules the rules in order
+ * @param rollOuts at most one roll-out a model
+ * @param withdrawn versions that get no new work
+ * @param drainedUpstreams ids of upstreams that get no new work
+ * @param drainedVms node names of entry VMs that take no new work
+ * @param operatorKeys keys for the admin API
+ * @param versionPolicy what happens with bad versions
+ */
+public record Configuration(
+    long revision,
+    List<Team> teams,
+    List<Model> models,
+    List<ServiceDefinition> services,
+    List<Rule> rules,
+    List<RollOut> rollOuts,
+    List<ModelVersion> withdrawn,
+    List<String> drainedUpstreams,
+    List<String> drainedVms,
+    List<OperatorKey> operatorKeys,
+    VersionPolicy versionPolicy) {
+
+  /** The configuration before the first change. */
+  public static final Configuration EMPTY =
+      new Configuration(
+          0,
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          List.of(),
+          VersionPolicy.DEFAULT);
+
+  /** Copies the lists. */
+  public Configuration {
+    teams = List.copyOf(teams);
+    models = List.copyOf(models);
+    services = List.copyOf(services);
+    rules = List.copyOf(rules);
+    rollOuts = List.copyOf(rollOuts);
+    withdrawn = List.copyOf(withdrawn);
+    drainedUpstreams = List.copyOf(drainedUpstreams);
+    drainedVms = List.copyOf(drainedVms);
+    operatorKeys = List.copyOf(operatorKeys);
+  }
+
+  /** Returns a team by name. */
+  public Optional<Team> team(String name) {
+    return teams.stream().filter(team -> team.name().equals(name)).findFirst();
+  }
+
+  /** Returns a model by name. */
+  public Optional<Model> model(String name) {
+    return models.stream().filter(model -> model.name().equals(name)).findFirst();
+  }
+
+  /** Returns a plain service by name. */
+  public Optional<ServiceDefinition> service(String name) {
+    return services.stream().filter(service -> service.name().equals(name)).findFirst();
+  }
+
+  /** Returns the roll-out of a model. */
+  public Optional<RollOut> rollOut(String model) {
+    return rollOuts.stream().filter(rollOut -> rollOut.model().equals(model)).findFirst();
+  }
+
+  /** Returns whether a version gets no new work. */
+  public boolean isWithdrawn(ModelVersion version) {
+    return withdrawn.contains(version);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/AttemptOutcome.java
@@ -0,0 +1,41 @@
+package org.skylarkfork.core.quality;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.ModelVersion;
+
+/**
+ * What came of one attempt at a draft.
+ *
+ * @param requestId request that it belongs to
+ * @param version model and version that ran
+ * @param team name of the team
+ * @param promptTokens length of the prompt in tokens
+ * @param ending how it ended
+ * @param rating rating of the answer, 0 to 1, or null if there is none yet
+ * @param firstTokenMillis time to the first token in milliseconds, or null if none came
+ * @param completionTokens tokens generated
+ */
+public record AttemptOutcome(
+    String requestId,
+    ModelVersion version,
+    String team,
+    int promptTokens,
+    Ending ending,
+    @Nullable Double rating,
+    @Nullable Long firstTokenMillis,
+    int completionTokens) {
+
+  /** How an attempt ended. */
+  public enum Ending {
+    /** With its final frame and some text. */
+    WHOLE,
+    /** With its final frame and no text. */
+    EMPTY,
+    /** Without its final frame. */
+    CUT,
+    /** With an error in place of an answer. */
+    ERROR,
+    /** A rating of an attempt whose end was told before. */
+    RATED_LATER
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/QualityBook.java
@@ -0,0 +1,38 @@
+package org.skylarkfork.core.quality;
+
+import java.time.Instant;
+import org.skylarkfork.core.configuration.ModelVersion;
+
+/** What is known of how good each version's answers are, over all entries. */
+public interface QualityBook {
+
+  /**
+   * Returns the chance that an answer of the version reaches a target, with its uncertainty.
+   *
+   * @param version the version
+   * @param team name of the team that asks
+   * @param promptTokens length of the prompt
+   * @param target wanted rating, 0 to 1
+   */
+  Estimate estimate(ModelVersion version, String team, int promptTokens, double target);
+
+  /** Returns whether the evidence shows the version to be bad, so that it gets no new sessions. */
+  boolean isSuspect(ModelVersion version);
+
+  /**
+   * Takes note of an attempt that ended.
+   *
+   * @param outcome what came of it
+   * @param now the present time
+   */
+  void record(AttemptOutcome outcome, Instant now);
+
+  /**
+   * A chance and how sure it is.
+   *
+   * @param mean expected chance, 0 to 1
+   * @param standardDeviation of that chance
+   * @param samples ratings that it rests on, decayed by age
+   */
+  record Estimate(double mean, double standardDeviation, double samples) {}
+}
