Runtime: one codec for wire, disk, golden files and time line

Cause: each part needs the same records as MessagePack and as JSON, and the core carries no annotations.

--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/RecordsOnly.java
@@ -0,0 +1,25 @@
+package org.skylarkfork.runtime.codec;
+
+import com.fasterxml.jackson.databind.BeanDescription;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.SerializationConfig;
+import com.fasterxml.jackson.databind.ser.BeanSerializerModifier;
+import com.fasterxml.jackson.databind.ser.std.BeanSerializerBase;
+
+/** Refuses classes that would be written but could not be read back. */
+final class RecordsOnly extends BeanSerializerModifier {
+
+  private static final long serialVersionUID = 1L;
+
+  @Override
+  public JsonSerializer<?> modifySerializer(
+      SerializationConfig config, BeanDescription description, JsonSerializer<?> serializer) {
+    if (serializer instanceof BeanSerializerBase && !description.getBeanClass().isRecord()) {
+      throw new CodecException(
+          CodecException.Kind.UNSUPPORTED,
+          description.getBeanClass().getName() + " is no record",
+          null);
+    }
+    return serializer;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/SealedTypeIntrospector.java
@@ -0,0 +1,45 @@
+package org.skylarkfork.runtime.codec;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.databind.cfg.MapperConfig;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Reads from sealed interfaces what annotations would say, so that the core needs none. */
+final class SealedTypeIntrospector extends JacksonAnnotationIntrospector {
+
+  /** Field that names the type; no record component can have this name. */
+  static final String TYPE_FIELD = "@type";
+
+  private static final long serialVersionUID = 1L;
+
+  @Override
+  public JsonTypeInfo.@Nullable Value findPolymorphicTypeInfo(
+      MapperConfig<?> config, Annotated annotated) {
+    if (annotated instanceof AnnotatedClass type
+        && SealedFamilies.belongsToFamily(type.getRawType())) {
+      return JsonTypeInfo.Value.construct(
+          JsonTypeInfo.Id.NAME, JsonTypeInfo.As.PROPERTY, TYPE_FIELD, null, false, null);
+    }
+    return null;
+  }
+
+  @Override
+  public @Nullable List<NamedType> findSubtypes(Annotated annotated) {
+    if (annotated instanceof AnnotatedClass type && type.getRawType().isSealed()) {
+      return SealedFamilies.members(type.getRawType());
+    }
+    return null;
+  }
+
+  @Override
+  public @Nullable String findTypeName(AnnotatedClass type) {
+    return SealedFamilies.belongsToFamily(type.getRawType())
+        ? SealedFamilies.typeName(type.getRawType())
+        : null;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/package-info.java
@@ -0,0 +1,5 @@
+/** Turns records into MessagePack or JSON and back. */
+@NullMarked
+package org.skylarkfork.runtime.codec;
+
+import org.jspecify.annotations.NullMarked;
