--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/Hashes.java
@@ -0,0 +1,43 @@
+package org.skylarkfork.core.membership;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/** Hashes that are the same on each daemon, and rendezvous order made of them. */
+public final class Hashes {
+
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private Hashes() {}
+
+  /** Returns the well mixed FNV-1a hash of a text's UTF-16 units. */
+  public static long of(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return mix(hash);
+  }
+
+  /** Spreads a number over all 64 bits (the finalizer of MurmurHash3). */
+  public static long mix(long value) {
+    long hash = value;
+    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+    hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return hash ^ (hash >>> 33);
+  }
+
+  /** Returns the weight of a candidate for a key; the candidate of highest weight comes first. */
+  public static long weight(String key, String candidate) {
+    return mix(of(key) ^ Long.rotateLeft(of(candidate), 31));
+  }
+
+  /** Returns candidates in rendezvous order for a key; each removal moves only its own keys. */
+  public static List<String> rendezvous(String key, Collection<String> candidates) {
+    Comparator<String> byWeight =
+        Comparator.comparingLong((String candidate) -> weight(key, candidate)).reversed();
+    return candidates.stream().sorted(byWeight.thenComparing(Comparator.naturalOrder())).toList();
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/DirectoryPartTest.java
@@ -0,0 +1,77 @@
+package org.skylarkfork.core.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.upstream.Announcement;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what one daemon's directory makes of announcements. */
+public final class DirectoryPartTest {
+
+  private final FixedConfiguration configuration = new FixedConfiguration();
+  private DirectoryPart directory;
+  private Reducer reducer;
+  private Instant now = Instant.EPOCH;
+
+  /** Starts each test with an empty directory. */
+  @BeforeMethod
+  public void start() {
+    directory = new DirectoryPart("entry-1", configuration, DirectorySettings.DEFAULT);
+    reducer = new Reducer(List.of(directory));
+  }
+
+  @Test
+  public void silentUpstreamIsOutAndBackOnceHeard() {
+    say(Announcements.engine("engine-1", 1, 7001));
+    assertEquals(engines(), List.of("engine-1"));
+    pass(4000);
+    assertEquals(engines(), List.of());
+    assertTrue(directory.find("engine-1").isEmpty());
+    say(Announcements.engine("engine-1", 1, 7001));
+    assertEquals(engines(), List.of("engine-1"));
+    configuration.set(List.of("engine-1"), List.of(), List.of());
+    assertEquals(engines(), List.of());
+    configuration.set(List.of(), List.of(), List.of());
+  }
+
+  /**
+   * A caller's request goes to an address where another process now listens, or to one that has
+   * ended: engine-2 ends and says so, a heartbeat of its comes late; then engine-3 starts at its
+   * address. The late heartbeat must not bring engine-2 back.
+   */
+  @Test
+  public void goneAndReplacedUpstreamsDoNotReturn() {
+    say(Announcements.engine("engine-2", 1, 7002));
+    say(Announcements.engine("engine-2", 1, 7002, false, true, 0));
+    say(Announcements.engine("engine-2", 1, 7002));
+    assertTrue(directory.find("engine-2").isEmpty());
+    say(Announcements.engine("engine-2", 2, 7002));
+    assertTrue(directory.find("engine-2").isPresent());
+    say(Announcements.engine("engine-3", 1, 7002));
+    assertTrue(directory.find("engine-2").isEmpty());
+    assertTrue(directory.find("engine-3").isPresent());
+    say(Announcements.engine("engine-3", 1, 7002, true, false, 3));
+    assertEquals(engines(), List.of());
+    assertEquals(directory.find("engine-3").orElseThrow().load().running(), 3);
+  }
+
+  private void say(Announcement announcement) {
+    reducer.apply(new UpstreamEvent.Announced(announcement), now);
+  }
+
+  private void pass(long millis) {
+    now = now.plusMillis(millis);
+    reducer.apply(new LifecycleEvent.Tick(), now);
+  }
+
+  private List<String> engines() {
+    return directory.engines(Announcements.RULING, now).stream().map(Announcement::id).toList();
+  }
+}
