--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/AttemptOutcome.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/AttemptOutcome.java
@@ -14,6 +14,7 @@
  * @param rating rating of the answer, 0 to 1, or null if there is none yet
  * @param firstTokenMillis time to the first token in milliseconds, or null if none came
  * @param completionTokens tokens generated
+ * @param totalMillis time to the end of the attempt in milliseconds, or null if it was told before
  */
 public record AttemptOutcome(
     String requestId,
@@ -23,7 +24,30 @@
     Ending ending,
     @Nullable Double rating,
     @Nullable Long firstTokenMillis,
-    int completionTokens) {
+    int completionTokens,
+    @Nullable Long totalMillis) {
+
+  /** Makes an outcome whose time to the end is not known. */
+  public AttemptOutcome(
+      String requestId,
+      ModelVersion version,
+      String team,
+      int promptTokens,
+      Ending ending,
+      @Nullable Double rating,
+      @Nullable Long firstTokenMillis,
+      int completionTokens) {
+    this(
+        requestId,
+        version,
+        team,
+        promptTokens,
+        ending,
+        rating,
+        firstTokenMillis,
+        completionTokens,
+        null);
+  }
 
   /** How an attempt ended. */
   public enum Ending {
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/RoutePlanner.java
@@ -0,0 +1,34 @@
+package org.skylarkfork.core.routing;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/** Plans as the rule's decision says. */
+public final class RoutePlanner implements Planner {
+
+  private final Planner cheapest;
+  private final Planner direct;
+  private final Planner cascade;
+
+  /**
+   * Makes a planner.
+   *
+   * @param cheapest plans routes of kind {@code CHEAPEST}
+   * @param direct plans routes of kind {@code DIRECT}
+   * @param cascade plans routes of kind {@code CASCADE}
+   */
+  public RoutePlanner(Planner cheapest, Planner direct, Planner cascade) {
+    this.cheapest = cheapest;
+    this.direct = direct;
+    this.cascade = cascade;
+  }
+
+  @Override
+  public Optional<Plan> plan(PlanQuery query, Instant now) {
+    return switch (query.route().plan()) {
+      case CHEAPEST -> cheapest.plan(query, now);
+      case DIRECT -> direct.plan(query, now);
+      case CASCADE -> cascade.plan(query, now);
+    };
+  }
+}
