--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupCommand.java
@@ -1,7 +1,5 @@
 package org.skylarkfork.core.command;
 
-import java.util.List;
-
 /** Commands that a group needs for itself, whatever state it replicates. */
 public sealed interface GroupCommand extends Command {
 
@@ -9,17 +7,28 @@
   record NoOperation() implements GroupCommand {}
 
   /**
-   * Replaces the group's members, one member at a time.
+   * Replaces the group's members; in force from the moment it is in a replica's log.
+   *
+   * <p>Only a leader makes it, from {@link AdmitMember}, {@link RemoveMember} or by itself, and
+   * never so that more than one voter changes at a time.
+   *
+   * @param members the members from now on
+   */
+  record ChangeMembers(Members members) implements GroupCommand {}
+
+  /**
+   * Asks the leader to take a node in as a learner and to make it a voter once it has caught up.
+   *
+   * <p>The leader answers it once the learner is in the log; it never enters the log itself.
    *
-   * @param voters node names that count for the quorum
-   * @param learners node names that copy the log without counting
+   * @param node name of a daemon that hosts the group
    */
-  record ChangeMembers(List<String> voters, List<String> learners) implements GroupCommand {
+  record AdmitMember(String node) implements GroupCommand {}
 
-    /** Copies both lists. */
-    public ChangeMembers {
-      voters = List.copyOf(voters);
-      learners = List.copyOf(learners);
-    }
-  }
+  /**
+   * Asks the leader to drop a member; it never enters the log itself.
+   *
+   * @param node name of the daemon; the leader's own name makes it step down after the commit
+   */
+  record RemoveMember(String node) implements GroupCommand {}
 }
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftSettings.java
@@ -0,0 +1,78 @@
+package org.skylarkfork.core.consensus;
+
+import java.time.Duration;
+
+/**
+ * Times and bounds of the replicated groups, the same on each daemon.
+ *
+ * @param electionMin least time without a leader before a voter campaigns
+ * @param electionMax greatest such time; each wait is drawn between the two
+ * @param heartbeat time between two signs of life of a leader
+ * @param lease time for which a majority's answers let the leader act alone, counted from the
+ *     sending of what they answer; must be less than {@code electionMin}
+ * @param storageStall time after which a leader whose disk doesn't sync gives up its office
+ * @param resend time after which an unanswered submission is sent again
+ * @param snapshotEntries applied entries after which a snapshot is taken
+ * @param keptEntries entries kept in memory behind a snapshot for replicas that lag a little
+ * @param appendEntries most entries in one message
+ * @param appendBytes most bytes of commands in one message, unless one command alone is larger
+ * @param windowEntries most entries sent to a replica beyond what it acknowledged
+ * @param chunkBytes most bytes of a snapshot in one message
+ * @param uncommittedEntries most entries that wait for a commit; submissions beyond are refused
+ * @param uncommittedBytes most bytes of commands that wait for a commit
+ * @param submissions most submissions of this daemon that wait for a result
+ */
+public record RaftSettings(
+    Duration electionMin,
+    Duration electionMax,
+    Duration heartbeat,
+    Duration lease,
+    Duration storageStall,
+    Duration resend,
+    int snapshotEntries,
+    int keptEntries,
+    int appendEntries,
+    int appendBytes,
+    int windowEntries,
+    int chunkBytes,
+    int uncommittedEntries,
+    int uncommittedBytes,
+    int submissions) {
+
+  /**
+   * Checks the times against each other.
+   *
+   * @throws IllegalArgumentException if two leaders could act at once or none could stay in office
+   */
+  public RaftSettings {
+    if (lease.compareTo(electionMin) >= 0) {
+      throw new IllegalArgumentException("raft: set lease below electionMin");
+    }
+    if (heartbeat.multipliedBy(2).compareTo(lease) > 0) {
+      throw new IllegalArgumentException("raft: set heartbeat to at most half of lease");
+    }
+    if (electionMax.compareTo(electionMin) <= 0) {
+      throw new IllegalArgumentException("raft: set electionMax above electionMin");
+    }
+  }
+
+  /** Returns settings for daemons a millisecond apart. */
+  public static RaftSettings defaults() {
+    return new RaftSettings(
+        Duration.ofMillis(300),
+        Duration.ofMillis(600),
+        Duration.ofMillis(80),
+        Duration.ofMillis(250),
+        Duration.ofSeconds(1),
+        Duration.ofMillis(400),
+        4096,
+        512,
+        256,
+        256 * 1024,
+        1024,
+        64 * 1024,
+        8192,
+        16 * 1024 * 1024,
+        16384);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -10,4 +10,5 @@
         OperatorEvent,
         AdmissionEvent,
         SessionEvent,
-        LedgerEvent {}
+        LedgerEvent,
+        ConsensusEvent {}
