--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Election.java
@@ -0,0 +1,158 @@
+package org.skylarkfork.core.consensus;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.skylarkfork.core.command.Member;
+import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.message.RaftMessage.VoteRequest;
+import org.skylarkfork.core.message.RaftMessage.VoteResponse;
+
+/** Finds a leader: pre-votes, votes and their count. */
+final class Election {
+
+  private final Replica replica;
+  private final Set<String> grants = new HashSet<>();
+
+  Election(Replica replica) {
+    this.replica = replica;
+  }
+
+  /** Campaigns if no leader was heard for the drawn time. */
+  void tick(Turn turn) {
+    if (replica.leads() || !replica.votes() || !replica.electionDue(turn.now())) {
+      return;
+    }
+    if (replica.durability.stalledSince(turn.now().minus(replica.settings.storageStall()))) {
+      return;
+    }
+    startPreVote(turn);
+  }
+
+  /**
+   * Asks whether a campaign could win, without taking a new term.
+   *
+   * <p>A voter cut off for a while would otherwise come back with a higher term and depose a
+   * working leader, so that callers see a pause though nothing but that voter failed.
+   */
+  private void startPreVote(Turn turn) {
+    replica.become(Role.PRE_CANDIDATE, null, turn);
+    replica.drawElectionDeadline(turn.now());
+    grants.clear();
+    grants.add(replica.node);
+    if (hasMajority()) {
+      campaign(turn);
+      return;
+    }
+    VoteRequest request = request(replica.term() + 1, true);
+    for (Member voter : replica.members.latest().voters()) {
+      if (!voter.node().equals(replica.node)) {
+        turn.send(voter.node(), request);
+      }
+    }
+  }
+
+  private void campaign(Turn turn) {
+    replica.adoptTerm(replica.term() + 1);
+    replica.voteFor(replica.node);
+    replica.become(Role.CANDIDATE, null, turn);
+    replica.drawElectionDeadline(turn.now());
+    grants.clear();
+    VoteRequest request = request(replica.term(), false);
+    for (Member voter : replica.members.latest().voters()) {
+      if (!voter.node().equals(replica.node)) {
+        replica.durability.afterHardState(voter.node(), replica.term(), request, turn);
+      }
+    }
+  }
+
+  private VoteRequest request(long term, boolean preVote) {
+    RaftLog log = replica.log;
+    return new VoteRequest(replica.group, term, log.lastIndex(), log.lastTerm(), preVote);
+  }
+
+  /** Returns whether the votes counted so far, the synced own one among them, are enough. */
+  boolean won() {
+    if (replica.role() != Role.CANDIDATE) {
+      return false;
+    }
+    if (replica.durability.hardStateSynced()) {
+      grants.add(replica.node);
+    }
+    return hasMajority();
+  }
+
+  private boolean hasMajority() {
+    Members members = replica.members.latest();
+    int count = 0;
+    for (Member voter : members.voters()) {
+      if (grants.contains(voter.node())) {
+        count++;
+      }
+    }
+    return count >= members.quorum();
+  }
+
+  void onRequest(String from, VoteRequest request, Turn turn) {
+    boolean newerTerm = request.term() > replica.term();
+    if (newerTerm && replica.leaseMayHold(turn.now())) {
+      respond(from, request, false, turn);
+      return;
+    }
+    if (request.preVote()) {
+      respond(from, request, newerTerm && upToDate(request), turn);
+      return;
+    }
+    if (newerTerm) {
+      replica.adoptTerm(request.term());
+      replica.become(Role.FOLLOWER, null, turn);
+    }
+    boolean free = replica.votedFor() == null || from.equals(replica.votedFor());
+    boolean granted = request.term() == replica.term() && free && upToDate(request);
+    if (granted) {
+      replica.voteFor(from);
+      replica.drawElectionDeadline(turn.now());
+    }
+    respond(from, request, granted, turn);
+  }
+
+  private boolean upToDate(VoteRequest request) {
+    RaftLog log = replica.log;
+    if (request.lastTerm() != log.lastTerm()) {
+      return request.lastTerm() > log.lastTerm();
+    }
+    return request.lastIndex() >= log.lastIndex();
+  }
+
+  private void respond(String from, VoteRequest request, boolean granted, Turn turn) {
+    long term = granted ? request.term() : replica.term();
+    VoteResponse response =
+        new VoteResponse(replica.group, term, replica.instance(), granted, request.preVote());
+    replica.durability.afterHardState(from, replica.term(), response, turn);
+  }
+
+  /** Counts a vote, unless the disk that gave it isn't the voter's. */
+  void onResponse(String from, VoteResponse response, Turn turn) {
+    if (!response.granted() && response.term() > replica.term()) {
+      replica.adoptTerm(response.term());
+      replica.become(Role.FOLLOWER, null, turn);
+      return;
+    }
+    if (!response.granted() || !replica.members.latest().votes(member(from, response))) {
+      return;
+    }
+    if (response.preVote() && replica.role() == Role.PRE_CANDIDATE) {
+      if (response.term() == replica.term() + 1) {
+        grants.add(from);
+      }
+      if (hasMajority()) {
+        campaign(turn);
+      }
+    } else if (!response.preVote() && response.term() == replica.term()) {
+      grants.add(from);
+    }
+  }
+
+  private static Member member(String from, VoteResponse response) {
+    return new Member(from, response.instance());
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/FollowerLog.java
@@ -0,0 +1,75 @@
+package org.skylarkfork.core.consensus;
+
+import java.util.List;
+import org.skylarkfork.core.Invariants;
+import org.skylarkfork.core.command.LogEntry;
+import org.skylarkfork.core.message.RaftMessage.AppendRequest;
+import org.skylarkfork.core.message.RaftMessage.AppendResponse;
+
+/** A follower's work: making its log agree with the leader's and acknowledging what is synced. */
+final class FollowerLog {
+
+  private final Replica replica;
+
+  FollowerLog(Replica replica) {
+    this.replica = replica;
+  }
+
+  /** Takes over entries of the present leader. */
+  void onAppend(String from, AppendRequest request, Turn turn) {
+    long previous = request.previousIndex();
+    if (previous > replica.log.lastIndex()) {
+      refuse(from, request, replica.log.lastIndex(), turn);
+      return;
+    }
+    boolean agreed = previous <= replica.commitIndex();
+    if (!agreed && replica.log.termAt(previous) != request.previousTerm()) {
+      refuse(from, request, replica.commitIndex(), turn);
+      return;
+    }
+    boolean appended = append(request.entries());
+    long matched = previous + request.entries().size();
+    long committed = Math.min(request.commitIndex(), matched);
+    if (committed > replica.commitIndex()) {
+      replica.commit(committed);
+    }
+    if (appended) {
+      replica.durability.afterAll(from, replica.term(), response(request, true, matched), turn);
+    } else {
+      long synced = Math.min(matched, replica.durability.syncedIndex());
+      replica.durability.afterHardState(
+          from, replica.term(), response(request, true, synced), turn);
+    }
+  }
+
+  private boolean append(List<LogEntry> entries) {
+    boolean appended = false;
+    for (LogEntry entry : entries) {
+      if (entry.index() <= replica.log.baseIndex()) {
+        continue;
+      }
+      long present = replica.log.termAt(entry.index());
+      if (present == entry.term()) {
+        continue;
+      }
+      if (present != RaftLog.UNKNOWN_TERM) {
+        Invariants.check(
+            entry.index() > replica.commitIndex(), "a leader has all committed entries");
+        replica.truncateFrom(entry.index());
+      }
+      replica.append(entry);
+      appended = true;
+    }
+    return appended;
+  }
+
+  /** Answers that the logs don't agree before the entries sent. */
+  void refuse(String from, AppendRequest request, long index, Turn turn) {
+    replica.durability.afterHardState(from, replica.term(), response(request, false, index), turn);
+  }
+
+  private AppendResponse response(AppendRequest request, boolean matched, long index) {
+    return new AppendResponse(
+        replica.group, replica.term(), replica.instance(), matched, index, request.sentAt());
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -0,0 +1,110 @@
+package org.skylarkfork.core.consensus;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.skylarkfork.core.command.GroupCommand;
+import org.skylarkfork.core.command.Member;
+import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.message.RaftMessage.FoundingRequest;
+import org.skylarkfork.core.message.RaftMessage.FoundingResponse;
+import org.skylarkfork.core.message.RaftMessage.JoinRequest;
+
+/**
+ * The way into a group for a replica with an empty disk: founding it or asking to join.
+ *
+ * <p>An empty disk may be a wiped one. A wiped voter that founded the group again would lose what
+ * the others hold, so the first voter in the settings founds only after each other one has said
+ * that its disk is empty as well.
+ */
+final class Founding {
+
+  private final Replica replica;
+  private final List<String> initialVoters;
+  private final Map<String, Long> emptyDisks = new HashMap<>();
+  private Instant nextRequest = Instant.EPOCH;
+
+  Founding(Replica replica, List<String> initialVoters) {
+    this.replica = replica;
+    this.initialVoters = initialVoters;
+  }
+
+  void tick(Turn turn) {
+    boolean member = replica.members.latest().all().contains(replica.self());
+    if (member && replica.leader() != null || turn.now().isBefore(nextRequest)) {
+      return;
+    }
+    nextRequest = turn.now().plus(replica.settings.resend());
+    if (mayFound()) {
+      askForFounding(turn);
+    } else {
+      askToJoin(turn);
+    }
+  }
+
+  private boolean mayFound() {
+    return replica.empty() && !initialVoters.isEmpty() && initialVoters.get(0).equals(replica.node);
+  }
+
+  private void askForFounding(Turn turn) {
+    for (String node : initialVoters) {
+      if (!node.equals(replica.node)) {
+        turn.send(node, new FoundingRequest(replica.group, replica.instance()));
+      }
+    }
+    foundIfAllEmpty(turn);
+  }
+
+  private void askToJoin(Turn turn) {
+    Set<String> nodes = new LinkedHashSet<>(initialVoters);
+    for (Member voter : replica.members.latest().voters()) {
+      nodes.add(voter.node());
+    }
+    nodes.remove(replica.node);
+    for (String node : nodes) {
+      turn.send(node, new JoinRequest(replica.group, replica.instance()));
+    }
+  }
+
+  void onRequest(String from, FoundingRequest request, Turn turn) {
+    turn.send(
+        from,
+        new FoundingResponse(
+            replica.group, request.instance(), replica.instance(), replica.empty()));
+  }
+
+  void onResponse(String from, FoundingResponse response, Turn turn) {
+    if (response.askedBy() != replica.instance()) {
+      return;
+    }
+    if (response.empty()) {
+      emptyDisks.put(from, response.instance());
+    } else {
+      emptyDisks.remove(from);
+    }
+    foundIfAllEmpty(turn);
+  }
+
+  private void foundIfAllEmpty(Turn turn) {
+    if (!mayFound()) {
+      return;
+    }
+    List<Member> voters = new ArrayList<>();
+    voters.add(replica.self());
+    for (String node : initialVoters.subList(1, initialVoters.size())) {
+      Long instance = emptyDisks.get(node);
+      if (instance == null) {
+        return;
+      }
+      voters.add(new Member(node, instance));
+    }
+    replica.adoptTerm(1);
+    Members members = new Members(voters, List.of());
+    replica.append(new GroupCommand.ChangeMembers(members), turn.now());
+    replica.campaignSoon(turn.now());
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/MemberChanges.java
@@ -0,0 +1,119 @@
+package org.skylarkfork.core.consensus;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.GroupCommand;
+import org.skylarkfork.core.command.Member;
+import org.skylarkfork.core.command.Members;
+
+/**
+ * A leader's decisions on members: one change at a time, a voter only once it has caught up.
+ *
+ * <p>Two changes at once could make two majorities without a common voter, and each could elect its
+ * own leader. While each change moves one voter and waits for the commit of the last one, any two
+ * majorities share a voter.
+ */
+final class MemberChanges {
+
+  private static final int MAX_JOINERS = 64;
+
+  private final Replica replica;
+  private final Replication replication;
+  private final Map<String, Long> joiners = new HashMap<>();
+
+  MemberChanges(Replica replica, Replication replication) {
+    this.replica = replica;
+    this.replication = replication;
+  }
+
+  void start() {
+    joiners.clear();
+  }
+
+  /** Takes note of a replica that waits to be taken in. */
+  void joining(String node, long instance) {
+    if (joiners.containsKey(node) || joiners.size() < MAX_JOINERS) {
+      joiners.put(node, instance);
+    }
+  }
+
+  /** Returns why no change can be made now, or null if one can. */
+  @Nullable String refusal() {
+    if (replica.log.termAt(replica.commitIndex()) != replica.term()) {
+      return "raft: the leader is new; submit again in a second";
+    }
+    if (replica.members.latestIndex() > replica.commitIndex()) {
+      return "raft: another change of members isn't committed yet; submit again once it is";
+    }
+    return null;
+  }
+
+  /** Returns why a node can't be taken in, or null if it can. */
+  @Nullable String refusalToAdmit(String node) {
+    Long instance = joiners.get(node);
+    if (instance == null) {
+      return "raft: " + node + " doesn't ask to join; start it with this group, then submit again";
+    }
+    if (replica.members.latest().all().contains(new Member(node, instance))) {
+      return "raft: " + node + " is a member already; nothing is to be done";
+    }
+    if (onlyVoter(node)) {
+      return "raft: " + node + " is the only voter; admit another node first";
+    }
+    return refusal();
+  }
+
+  GroupCommand.ChangeMembers admit(String node) {
+    Member learner = new Member(node, joiners.get(node));
+    return new GroupCommand.ChangeMembers(replica.members.latest().withLearner(learner));
+  }
+
+  /** Returns why a node can't be dropped, or null if it can. */
+  @Nullable String refusalToRemove(String node) {
+    if (replica.members.latest().find(node) == null) {
+      return "raft: " + node + " isn't a member; nothing is to be done";
+    }
+    if (onlyVoter(node)) {
+      return "raft: " + node + " is the only voter; admit another node first";
+    }
+    return refusal();
+  }
+
+  GroupCommand.ChangeMembers remove(String node) {
+    return new GroupCommand.ChangeMembers(replica.members.latest().without(node));
+  }
+
+  private boolean onlyVoter(String node) {
+    Members rest = replica.members.latest().without(node);
+    return rest.voters().isEmpty();
+  }
+
+  /** Returns a change that the leader makes by itself, or null if there is none. */
+  GroupCommand.@Nullable ChangeMembers next(Turn turn) {
+    if (refusal() != null) {
+      return null;
+    }
+    Member learner = replication.caughtUpLearner(turn.now());
+    if (learner != null) {
+      return new GroupCommand.ChangeMembers(replica.members.latest().withVoter(learner));
+    }
+    for (String node : joiners.keySet()) {
+      if (lostItsDisk(node) && refusalToAdmit(node) == null) {
+        return admit(node);
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Returns whether a member came back with another disk.
+   *
+   * <p>It has forgotten its votes and entries. Counted as the old voter it could help to elect a
+   * leader that lacks accepted entries, so it starts again as a learner.
+   */
+  private boolean lostItsDisk(String node) {
+    Member member = replica.members.latest().find(node);
+    return member != null && !member.node().equals(replica.node);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Proposals.java
@@ -0,0 +1,78 @@
+package org.skylarkfork.core.consensus;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.message.RaftMessage.SubmitAnswer;
+import org.skylarkfork.core.message.RaftMessage.SubmitRedirect;
+import org.skylarkfork.core.message.RaftMessage.SubmitRequest;
+
+/** Submissions that a leader has appended and whose results it owes. */
+final class Proposals {
+
+  private final Replica replica;
+  private final Map<Long, Submission> waiting = new HashMap<>();
+  private final Set<Submission> known = new HashSet<>();
+  private long uncommittedBytes;
+
+  Proposals(Replica replica) {
+    this.replica = replica;
+  }
+
+  /** Returns whether the submission was appended and isn't answered yet. */
+  boolean isWaiting(String from, SubmitRequest request) {
+    return known.contains(Submission.of(from, request));
+  }
+
+  /** Returns what stands against another entry, or null if there is room. */
+  @Nullable String refusal() {
+    RaftSettings settings = replica.settings;
+    long entries = replica.log.lastIndex() - replica.commitIndex();
+    if (entries >= settings.uncommittedEntries()
+        || uncommittedBytes >= settings.uncommittedBytes()) {
+      return "raft: " + replica.group + " is behind with its commits; submit again later";
+    }
+    return null;
+  }
+
+  void appended(String from, SubmitRequest request, long index) {
+    Submission submission = Submission.of(from, request);
+    waiting.put(index, submission);
+    known.add(submission);
+    uncommittedBytes += replica.log.sizeAt(index);
+  }
+
+  void applied(long index, CommandResult result, Turn turn) {
+    Submission submission = waiting.remove(index);
+    if (submission == null) {
+      return;
+    }
+    known.remove(submission);
+    uncommittedBytes -= replica.log.sizeAt(index);
+    turn.send(
+        submission.node,
+        new SubmitAnswer(replica.group, submission.session, submission.submissionId, result));
+  }
+
+  /** Sends all waiting submitters to the next leader; the entries may still be committed by it. */
+  void stop(Turn turn) {
+    for (Submission submission : waiting.values()) {
+      turn.send(
+          submission.node,
+          new SubmitRedirect(
+              replica.group, submission.session, submission.submissionId, replica.leader()));
+    }
+    waiting.clear();
+    known.clear();
+    uncommittedBytes = 0;
+  }
+
+  private record Submission(String node, long session, long submissionId) {
+    private static Submission of(String from, SubmitRequest request) {
+      return new Submission(from, request.session(), request.submissionId());
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
@@ -0,0 +1,272 @@
+package org.skylarkfork.core.consensus;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Invariants;
+import org.skylarkfork.core.command.LogEntry;
+import org.skylarkfork.core.command.Member;
+import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.command.Snapshot;
+import org.skylarkfork.core.message.RaftMessage.AppendRequest;
+import org.skylarkfork.core.message.RaftMessage.AppendResponse;
+import org.skylarkfork.core.message.RaftMessage.ChunkResponse;
+
+/** A leader's work: bringing its log to the other replicas, commits and its lease. */
+final class Replication {
+
+  private final Replica replica;
+  private final GroupCodec codec;
+  private final Map<String, Progress> progresses = new LinkedHashMap<>();
+  private Instant leadsSince = Instant.EPOCH;
+  private Instant nextHeartbeat = Instant.EPOCH;
+  private long encodedIndex;
+  private byte @Nullable [] encodedSnapshot;
+
+  Replication(Replica replica, GroupCodec codec) {
+    this.replica = replica;
+    this.codec = codec;
+  }
+
+  /** Starts a term of office; the first heartbeat goes out with the next {@link #replicate}. */
+  void start(Turn turn) {
+    progresses.clear();
+    leadsSince = turn.now();
+    nextHeartbeat = turn.now();
+    membersChanged();
+  }
+
+  void stop() {
+    progresses.clear();
+    encodedSnapshot = null;
+  }
+
+  /** Follows a change of members; a replica with another disk starts anew. */
+  void membersChanged() {
+    Members members = replica.members.latest();
+    List<Member> wanted = members.all();
+    progresses.values().removeIf(progress -> !wanted.contains(progress.member));
+    for (Member member : wanted) {
+      if (!member.node().equals(replica.node) && !progresses.containsKey(member.node())) {
+        progresses.put(member.node(), new Progress(member, replica.log.lastIndex() + 1));
+      }
+    }
+  }
+
+  /** Returns what is known of the replica, or null if the disk isn't that of a member. */
+  @Nullable Progress progress(String node, long instance) {
+    Progress progress = progresses.get(node);
+    if (progress == null || progress.member.instance() != instance) {
+      return null;
+    }
+    return progress;
+  }
+
+  /** Sends what each replica lacks, and signs of life when they are due. */
+  void replicate(Turn turn) {
+    boolean heartbeat = !turn.now().isBefore(nextHeartbeat);
+    if (heartbeat) {
+      nextHeartbeat = turn.now().plus(replica.settings.heartbeat());
+    }
+    for (Progress progress : progresses.values()) {
+      boolean sent = sendLacking(progress, turn);
+      if (heartbeat && !sent) {
+        sendHeartbeat(progress, turn);
+      } else if (!sent && progress.sentCommitIndex < replica.commitIndex() && !progress.probing) {
+        sendEntries(progress, List.of(), turn);
+      }
+    }
+  }
+
+  private void sendHeartbeat(Progress progress, Turn turn) {
+    SnapshotSender snapshot = progress.snapshot;
+    if (snapshot == null) {
+      sendEntries(progress, List.of(), turn);
+      return;
+    }
+    send(progress, replica.log.baseIndex(), List.of(), turn);
+    snapshot.resend(replica, progress.member.node(), turn);
+  }
+
+  private boolean sendLacking(Progress progress, Turn turn) {
+    if (progress.snapshot != null) {
+      return false;
+    }
+    if (progress.nextIndex <= replica.log.baseIndex()) {
+      startSnapshot(progress, turn);
+      return false;
+    }
+    if (progress.probing) {
+      return probe(progress, turn);
+    }
+    boolean sent = false;
+    long end =
+        Math.min(
+            replica.durability.issuedIndex(),
+            progress.matchIndex + replica.settings.windowEntries());
+    while (progress.nextIndex <= end) {
+      List<LogEntry> entries = batch(progress.nextIndex, end);
+      sendEntries(progress, entries, turn);
+      progress.nextIndex += entries.size();
+      sent = true;
+    }
+    return sent;
+  }
+
+  private boolean probe(Progress progress, Turn turn) {
+    if (progress.probeSent) {
+      return false;
+    }
+    progress.probeSent = true;
+    sendEntries(progress, List.of(), turn);
+    return true;
+  }
+
+  private List<LogEntry> batch(long from, long to) {
+    RaftSettings settings = replica.settings;
+    return replica.log.slice(from, to, settings.appendEntries(), settings.appendBytes());
+  }
+
+  private void sendEntries(Progress progress, List<LogEntry> entries, Turn turn) {
+    send(progress, progress.nextIndex - 1, entries, turn);
+  }
+
+  private void send(Progress progress, long previous, List<LogEntry> entries, Turn turn) {
+    progress.sentCommitIndex = replica.commitIndex();
+    turn.send(
+        progress.member.node(),
+        new AppendRequest(
+            replica.group,
+            replica.term(),
+            previous,
+            replica.log.termAt(previous),
+            entries,
+            replica.commitIndex(),
+            turn.now()));
+  }
+
+  private void startSnapshot(Progress progress, Turn turn) {
+    Snapshot snapshot = replica.snapshot();
+    Invariants.check(
+        snapshot != null && snapshot.index() >= replica.log.baseIndex(),
+        "a saved snapshot covers the dropped part of the log");
+    byte[] encoded = encodedSnapshot;
+    if (encoded == null || encodedIndex != snapshot.index()) {
+      encoded = codec.encode(snapshot);
+      encodedSnapshot = encoded;
+      encodedIndex = snapshot.index();
+    }
+    SnapshotSender sender = new SnapshotSender(snapshot.index(), encoded);
+    progress.snapshot = sender;
+    sender.send(replica, progress.member.node(), turn);
+  }
+
+  void onResponse(String from, AppendResponse response, Turn turn) {
+    Progress progress = progress(from, response.instance());
+    if (progress == null) {
+      return;
+    }
+    progress.answered(response.sentAt());
+    if (response.matched()) {
+      Invariants.check(
+          response.index() <= replica.log.lastIndex(), "replicas match only what the leader has");
+      progress.matched(response.index(), replica.log.baseIndex());
+    } else {
+      progress.refused(response.index(), response.sentAt(), turn.now());
+    }
+  }
+
+  void onChunkResponse(String from, ChunkResponse response, Turn turn) {
+    Progress progress = progress(from, response.instance());
+    if (progress == null) {
+      return;
+    }
+    progress.answered(response.sentAt());
+    SnapshotSender snapshot = progress.snapshot;
+    if (snapshot == null || snapshot.index() != response.index()) {
+      return;
+    }
+    snapshot.received(response.offset());
+    if (!snapshot.complete()) {
+      snapshot.send(replica, from, turn);
+    }
+  }
+
+  /**
+   * Commits what a majority has synced.
+   *
+   * <p>Only an entry of the own term is counted: one of an earlier term that a majority holds can
+   * still be replaced by a leader that lacks it, and an accepted change would be gone. Once an
+   * entry of this term is on a majority, no such leader can win.
+   */
+  void advanceCommit() {
+    Members members = replica.members.latest();
+    List<Long> synced = new ArrayList<>();
+    for (Member voter : members.voters()) {
+      synced.add(syncedIndex(voter));
+    }
+    if (synced.size() < members.quorum()) {
+      return;
+    }
+    synced.sort(Collections.reverseOrder());
+    long index = synced.get(members.quorum() - 1);
+    if (index > replica.commitIndex() && replica.log.termAt(index) == replica.term()) {
+      replica.commit(index);
+    }
+  }
+
+  private long syncedIndex(Member voter) {
+    if (voter.equals(replica.self())) {
+      return replica.durability.syncedIndex();
+    }
+    Progress progress = progress(voter.node(), voter.instance());
+    return progress == null ? 0 : progress.matchIndex;
+  }
+
+  /** Returns whether too long has passed since a majority answered. */
+  boolean lostMajority(Instant now) {
+    return !now.isBefore(answeredByMajority(now, leadsSince).plus(replica.settings.lease()));
+  }
+
+  /** Returns whether no other leader can exist yet, and all entries of earlier terms are known. */
+  boolean holdsLease(Instant now) {
+    Instant end = answeredByMajority(now, Instant.EPOCH).plus(replica.settings.lease());
+    return now.isBefore(end) && replica.log.termAt(replica.commitIndex()) == replica.term();
+  }
+
+  private Instant answeredByMajority(Instant now, Instant least) {
+    Members members = replica.members.latest();
+    List<Instant> answers = new ArrayList<>();
+    for (Member voter : members.voters()) {
+      Progress progress = progress(voter.node(), voter.instance());
+      if (voter.equals(replica.self())) {
+        answers.add(now);
+      } else if (progress == null || progress.lastAnsweredAt.isBefore(least)) {
+        answers.add(least);
+      } else {
+        answers.add(progress.lastAnsweredAt);
+      }
+    }
+    answers.sort(Collections.reverseOrder());
+    return answers.size() < members.quorum() ? least : answers.get(members.quorum() - 1);
+  }
+
+  /** Returns a learner that has all committed entries and answers, or null if there is none. */
+  @Nullable Member caughtUpLearner(Instant now) {
+    for (Member learner : replica.members.latest().learners()) {
+      Progress progress = progress(learner.node(), learner.instance());
+      if (progress == null || progress.matchIndex < replica.commitIndex()) {
+        continue;
+      }
+      Instant answering = progress.lastAnsweredAt.plus(replica.settings.electionMin());
+      if (now.isBefore(answering)) {
+        return learner;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SnapshotReceiver.java
@@ -0,0 +1,97 @@
+package org.skylarkfork.core.consensus;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.Snapshot;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.message.RaftMessage.AppendResponse;
+import org.skylarkfork.core.message.RaftMessage.ChunkResponse;
+import org.skylarkfork.core.message.RaftMessage.SnapshotChunk;
+
+/** Collects a snapshot sent by the leader and has it saved before it takes its place. */
+final class SnapshotReceiver {
+
+  private static final byte[] NOTHING = new byte[0];
+
+  private final Replica replica;
+  private final GroupCodec codec;
+  private long index;
+  private byte[] buffer = NOTHING;
+  private int received;
+  private @Nullable Snapshot saving;
+
+  SnapshotReceiver(Replica replica, GroupCodec codec) {
+    this.replica = replica;
+    this.codec = codec;
+  }
+
+  /** Returns whether a whole snapshot waits for the disk. */
+  boolean saving() {
+    return saving != null;
+  }
+
+  void onChunk(String from, SnapshotChunk chunk, Turn turn) {
+    if (chunk.index() <= replica.commitIndex()) {
+      long synced = Math.min(chunk.index(), replica.durability.syncedIndex());
+      AppendResponse response =
+          new AppendResponse(
+              replica.group, replica.term(), replica.instance(), true, synced, chunk.sentAt());
+      replica.durability.afterHardState(from, replica.term(), response, turn);
+      return;
+    }
+    if (saving == null) {
+      collect(chunk, turn);
+    }
+    int offset = chunk.index() == index ? received : 0;
+    ChunkResponse response =
+        new ChunkResponse(
+            replica.group,
+            replica.term(),
+            replica.instance(),
+            chunk.index(),
+            offset,
+            chunk.sentAt());
+    replica.durability.afterHardState(from, replica.term(), response, turn);
+  }
+
+  private void collect(SnapshotChunk chunk, Turn turn) {
+    if (chunk.index() != index || chunk.length() != buffer.length) {
+      index = chunk.index();
+      buffer = new byte[chunk.length()];
+      received = 0;
+    }
+    boolean fits = chunk.offset() + chunk.data().length <= buffer.length;
+    if (chunk.offset() != received || !fits) {
+      return;
+    }
+    System.arraycopy(chunk.data(), 0, buffer, received, chunk.data().length);
+    received += chunk.data().length;
+    if (received == buffer.length) {
+      save(turn);
+    }
+  }
+
+  private void save(Turn turn) {
+    Snapshot snapshot;
+    try {
+      snapshot = codec.decode(buffer);
+    } catch (IllegalArgumentException damaged) {
+      received = 0;
+      return;
+    }
+    saving = snapshot;
+    buffer = NOTHING;
+    turn.effect(new StorageEffect.SaveSnapshot(replica.group, snapshot));
+  }
+
+  /** Returns the snapshot if it is the one now on the disk, or null. */
+  @Nullable Snapshot saved(long savedIndex) {
+    Snapshot snapshot = saving;
+    if (snapshot == null || snapshot.index() != savedIndex) {
+      return null;
+    }
+    saving = null;
+    index = 0;
+    received = 0;
+    return snapshot;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/StorageEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/StorageEffect.java
@@ -17,7 +17,7 @@
    * @param sequence number that {@code StorageEvent.Persisted} repeats; rises by one a write
    * @param hardState new hard state, or null to leave it
    * @param truncateFrom first index to drop before the append, or 0 to drop none
-   * @param entries entries to append, without gaps
+   * @param entries entries to append, without gaps behind the newest snapshot or entry
    */
   record Persist(
       GroupId group,
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
@@ -10,6 +10,9 @@
 /** What the data folder answers. */
 public sealed interface StorageEvent extends Event {
 
+  /** Returns the group that the data is of. */
+  GroupId group();
+
   /**
    * What the data folder held at the start; comes once for each group before any other event of it.
    *
