Runtime: reducer loop and HTTP towards callers and upstreams

Cause: the thin path needs listeners and clients. Change: one thread feeds the reducer; callers' listener with bounded bodies and typed refusals; clients for engines, plain services, ratings and orders that note how far each attempt got. The HTTP client's own retry is off, since it would run requests twice.

--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerAnswer.java
@@ -0,0 +1,99 @@
+package org.skylarkfork.runtime.http;
+
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.effect.CallerEffect;
+import org.skylarkfork.core.request.AnswerFacts;
+import org.skylarkfork.core.request.CallerRequest;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/** One caller's answer on its way from the reducer to the connection. */
+final class CallerAnswer {
+
+  /**
+   * Most characters that may wait for a slow caller. A caller that reads slower than the engine
+   * writes would otherwise grow the daemon's memory without end; past the bound it is dropped.
+   */
+  static final long MAX_WAITING_CHARACTERS = 4L * 1024 * 1024;
+
+  private final CallerRequest request;
+  private final Instant created;
+  private final CompletableFuture<CallerEffect> head = new CompletableFuture<>();
+  private final Sinks.Many<String> frames = Sinks.many().unicast().onBackpressureBuffer();
+  private final AtomicLong waiting = new AtomicLong();
+  private @Nullable AnswerFacts facts;
+  private boolean ended;
+
+  CallerAnswer(CallerRequest request, Instant created) {
+    this.request = request;
+    this.created = created;
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  Instant created() {
+    return created;
+  }
+
+  /** Completes with the effect that decides status and headers. */
+  CompletableFuture<CallerEffect> head() {
+    return head;
+  }
+
+  /** Notes the facts of a stream that begins. */
+  void begin(CallerEffect.BeginStream effect) {
+    facts = effect.facts();
+    head.complete(effect);
+  }
+
+  /** Returns the facts told at the stream's begin. */
+  AnswerFacts facts() {
+    if (facts == null) {
+      throw new IllegalStateException("no stream was begun for " + request.requestId());
+    }
+    return facts;
+  }
+
+  /**
+   * Adds a frame.
+   *
+   * @return false if the caller reads too slowly and is to be dropped
+   */
+  boolean add(String frame) {
+    if (ended) {
+      return true;
+    }
+    if (waiting.addAndGet(frame.length()) > MAX_WAITING_CHARACTERS) {
+      ended = true;
+      frames.tryEmitError(new SlowCallerException(request.requestId()));
+      return false;
+    }
+    frames.tryEmitNext(frame);
+    return true;
+  }
+
+  /** Ends the stream. */
+  void end() {
+    ended = true;
+    frames.tryEmitComplete();
+  }
+
+  /** Returns the frames in order, for one subscriber. */
+  Flux<String> frames() {
+    return frames.asFlux().doOnNext(frame -> waiting.addAndGet(-frame.length()));
+  }
+
+  /** Tells that a caller read its answer too slowly. */
+  static final class SlowCallerException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    SlowCallerException(String requestId) {
+      super("the caller of " + requestId + " read too slowly", null, false, false);
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -0,0 +1,368 @@
+package org.skylarkfork.runtime.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import org.skylarkfork.core.effect.CallerEffect;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.event.CallerEvent;
+import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.request.AnswerFacts;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.request.Header;
+import org.skylarkfork.core.request.RequestKind;
+import org.skylarkfork.runtime.loop.ReducerLoop;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The listener for callers and for the announcements of upstreams. */
+public final class CallerServer implements AutoCloseable {
+
+  private static final String SERVICES = "/services/";
+  private static final String JSON_TYPE = "application/json";
+  private static final String NEXT_ANNOUNCEMENT = "{\"nextMillis\":1000}";
+
+  private final HttpSettings settings;
+  private final ReducerLoop loop;
+  private final EdgeQueries queries;
+  private final InstantSource clock;
+  private final Supplier<String> requestIds;
+  private final ObjectMapper json;
+  private final RequestParser parser;
+  private final AnnouncementParser announcements;
+  private final AnswerFormat format;
+  private final BodyReader bodies;
+  private final Map<String, CallerAnswer> answers = new ConcurrentHashMap<>();
+  private @Nullable DisposableServer server;
+
+  /**
+   * Makes a listener; {@link #start} opens it.
+   *
+   * @param settings address and bounds
+   * @param loop takes the events
+   * @param queries answers questions on the daemon's state
+   * @param clock the daemon's clock
+   * @param requestIds makes unique request ids
+   * @param json reads and writes JSON
+   */
+  public CallerServer(
+      HttpSettings settings,
+      ReducerLoop loop,
+      EdgeQueries queries,
+      InstantSource clock,
+      Supplier<String> requestIds,
+      ObjectMapper json) {
+    this.settings = settings;
+    this.loop = loop;
+    this.queries = queries;
+    this.clock = clock;
+    this.requestIds = requestIds;
+    this.json = json;
+    this.parser = new RequestParser(json, settings.defaultDeadline());
+    this.announcements = new AnnouncementParser(json);
+    this.format = new AnswerFormat(json);
+    this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
+  }
+
+  /** Opens the listener and returns its address. */
+  public InetSocketAddress start() {
+    DisposableServer bound =
+        HttpServer.create()
+            .host(settings.host())
+            .port(settings.port())
+            .httpRequestDecoder(
+                decoder ->
+                    decoder
+                        .maxInitialLineLength(settings.maxLineBytes())
+                        .maxHeaderSize(settings.maxHeaderBytes()))
+            .idleTimeout(settings.idleTimeout())
+            .handle(this::handle)
+            .bindNow();
+    server = bound;
+    return (InetSocketAddress) bound.address();
+  }
+
+  /** Carries an answer to its caller; ignored if the caller has left. */
+  public void carryOut(CallerEffect effect) {
+    CallerAnswer answer = answers.get(effect.requestId());
+    if (answer == null) {
+      return;
+    }
+    RequestKind kind = answer.request().kind();
+    if (effect instanceof CallerEffect.BeginStream begin) {
+      answer.begin(begin);
+    } else if (effect instanceof CallerEffect.SendTokens tokens) {
+      answer.add(format.chunk(kind, answer.facts(), answer.created(), tokens.text()));
+    } else if (effect instanceof CallerEffect.EndStream end) {
+      answer.add(
+          format.lastChunk(
+              kind, answer.facts(), answer.created(), end.finishReason(), end.usage()));
+      answer.add(comment(end.facts()) + AnswerFormat.DONE);
+      answer.end();
+    } else if (effect instanceof CallerEffect.BreakStream broken) {
+      answer.add(comment(broken.facts()) + format.errorFrame(broken.error()));
+      answer.end();
+    } else {
+      answer.head().complete(effect);
+    }
+  }
+
+  private static String comment(AnswerFacts facts) {
+    return ": attempts=" + facts.attempts() + " cost-micros=" + facts.costMicros() + "\n";
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    return route(request, response)
+        .onErrorResume(BadRequestException.class, refused -> refuse(response, refused.error()));
+  }
+
+  private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
+    if (request.fullPath().startsWith(SERVICES)) {
+      return call(request, response);
+    }
+    if (request.method().equals(HttpMethod.POST)) {
+      return post(request, response);
+    }
+    if (request.method().equals(HttpMethod.GET)) {
+      return get(request, response);
+    }
+    return noSuchPath(request, response);
+  }
+
+  private Mono<Void> post(HttpServerRequest request, HttpServerResponse response) {
+    return switch (request.fullPath()) {
+      case "/v1/chat/completions" -> draft(RequestKind.CHAT, request, response);
+      case "/v1/completions" -> draft(RequestKind.COMPLETION, request, response);
+      case "/v1/upstreams" -> announced(request, response);
+      default -> noSuchPath(request, response);
+    };
+  }
+
+  private Mono<Void> get(HttpServerRequest request, HttpServerResponse response) {
+    return switch (request.fullPath()) {
+      case "/v1/models" -> models(request, response);
+      case "/v1/entries" -> answer(response, queries.entries());
+      case "/healthz" -> sendJson(response, 200, "{\"status\":\"ok\"}");
+      case "/readyz" -> ready(response);
+      default -> noSuchPath(request, response);
+    };
+  }
+
+  private Mono<Void> noSuchPath(HttpServerRequest request, HttpServerResponse response) {
+    String what = request.method() + " " + request.fullPath();
+    return refuse(
+        response,
+        RoutingError.notRun(
+            ErrorKind.NOT_FOUND, "There is no " + what + ". See docs/CALLERS.md for the paths."));
+  }
+
+  private Mono<Void> draft(
+      RequestKind kind, HttpServerRequest request, HttpServerResponse response) {
+    RequestParser.keyHash(request.requestHeaders());
+    return bodies
+        .read(request)
+        .flatMap(
+            body ->
+                serve(
+                    parser.draft(
+                        requestIds.get(), kind, request.requestHeaders(), body, clock.instant()),
+                    response));
+  }
+
+  private Mono<Void> call(HttpServerRequest request, HttpServerResponse response) {
+    RequestParser.keyHash(request.requestHeaders());
+    String rest = request.uri().substring(request.uri().indexOf(SERVICES) + SERVICES.length());
+    int end = endOfName(rest);
+    String service = rest.substring(0, end);
+    String path =
+        rest.substring(end).startsWith("/") ? rest.substring(end) : "/" + rest.substring(end);
+    return bodies
+        .read(request)
+        .flatMap(
+            body ->
+                serve(
+                    parser.call(
+                        requestIds.get(),
+                        service,
+                        request.method().name(),
+                        path,
+                        request.requestHeaders(),
+                        body,
+                        clock.instant()),
+                    response));
+  }
+
+  private static int endOfName(String rest) {
+    for (int i = 0; i < rest.length(); i++) {
+      if (rest.charAt(i) == '/' || rest.charAt(i) == '?') {
+        return i;
+      }
+    }
+    return rest.length();
+  }
+
+  private Mono<Void> serve(CallerRequest request, HttpServerResponse response) {
+    String id = request.requestId();
+    CallerAnswer answer = new CallerAnswer(request, clock.instant());
+    answers.put(id, answer);
+    if (!loop.offer(new CallerEvent.RequestReceived(request))) {
+      answers.remove(id);
+      return refuse(
+          response,
+          RoutingError.notRunRetry(
+              ErrorKind.NO_CAPACITY, "This entry is overloaded. Use another entry.", 1000));
+    }
+    return Mono.fromFuture(answer.head(), true)
+        .flatMap(head -> write(answer, head, response))
+        .doOnSuccess(done -> finished(id, new CallerEvent.AnswerDelivered(id)))
+        .doOnError(failure -> finished(id, new CallerEvent.CallerLeft(id)))
+        .doOnCancel(() -> finished(id, new CallerEvent.CallerLeft(id)));
+  }
+
+  private void finished(String requestId, CallerEvent event) {
+    if (answers.remove(requestId) != null) {
+      loop.submit(event);
+    }
+  }
+
+  private Mono<Void> write(CallerAnswer answer, CallerEffect head, HttpServerResponse response) {
+    if (head instanceof CallerEffect.Refuse refused) {
+      facts(response, refused.facts());
+      return refuse(response, refused.error());
+    }
+    if (head instanceof CallerEffect.SendDraft draft) {
+      facts(response, draft.facts());
+      return sendJson(
+          response,
+          200,
+          format.whole(
+              answer.request().kind(),
+              draft.facts(),
+              answer.created(),
+              draft.text(),
+              draft.finishReason(),
+              draft.usage()));
+    }
+    if (head instanceof CallerEffect.SendServiceAnswer service) {
+      facts(response, service.facts());
+      response.status(service.status());
+      for (Header header : service.headers()) {
+        response.header(header.name(), header.value());
+      }
+      return response.sendByteArray(Mono.just(service.body().value())).then();
+    }
+    facts(response, answer.facts());
+    response.header("Content-Type", "text/event-stream; charset=utf-8");
+    response.header("Cache-Control", "no-cache");
+    return response
+        .send(
+            answer
+                .frames()
+                .map(
+                    frame ->
+                        response
+                            .alloc()
+                            .buffer()
+                            .writeBytes(frame.getBytes(StandardCharsets.UTF_8))),
+            flushed -> true)
+        .then();
+  }
+
+  private Mono<Void> announced(HttpServerRequest request, HttpServerResponse response) {
+    return bodies
+        .read(request)
+        .flatMap(
+            body -> {
+              loop.submit(new UpstreamEvent.Announced(announcements.parse(body)));
+              return sendJson(response, 200, NEXT_ANNOUNCEMENT);
+            });
+  }
+
+  private Mono<Void> models(HttpServerRequest request, HttpServerResponse response) {
+    return answer(response, queries.models(RequestParser.keyHash(request.requestHeaders())));
+  }
+
+  private Mono<Void> ready(HttpServerResponse response) {
+    return future(queries.readiness())
+        .flatMap(readiness -> sendJson(response, readiness.ready() ? 200 : 503, text(readiness)));
+  }
+
+  private <T> Mono<Void> answer(HttpServerResponse response, CompletableFuture<T> value) {
+    return future(value).flatMap(found -> sendJson(response, 200, text(found)));
+  }
+
+  private static <T> Mono<T> future(CompletableFuture<T> value) {
+    return Mono.fromFuture(value)
+        .onErrorMap(
+            CompletionException.class,
+            failure -> failure.getCause() == null ? failure : failure.getCause());
+  }
+
+  private Mono<Void> refuse(HttpServerResponse response, RoutingError error) {
+    response.header(HttpNames.RUN_STATE, error.runState().header());
+    @Nullable Long retryAfter = error.retryAfterMillis();
+    if (retryAfter != null) {
+      response.header("Retry-After", Long.toString((retryAfter + 999) / 1000));
+      response.header("Retry-After-Ms", Long.toString(retryAfter));
+    }
+    return sendJson(response, error.kind().status(), format.error(error));
+  }
+
+  private static void facts(HttpServerResponse response, AnswerFacts facts) {
+    response.header(HttpNames.REQUEST_ID, facts.requestId());
+    response.header(HttpNames.ATTEMPTS, Integer.toString(facts.attempts()));
+    response.header(HttpNames.COST_MICROS, Long.toString(facts.costMicros()));
+    optional(response, HttpNames.MODEL, facts.model());
+    optional(response, HttpNames.VERSION, facts.version());
+    optional(response, HttpNames.UPSTREAM, facts.upstream());
+    optional(response, HttpNames.SESSION_TOKEN, facts.sessionToken());
+    optional(response, HttpNames.NOTICE, facts.notice());
+  }
+
+  private static void optional(HttpServerResponse response, String name, @Nullable String value) {
+    if (value != null) {
+      response.header(name, value);
+    }
+  }
+
+  private static Mono<Void> sendJson(HttpServerResponse response, int status, String body) {
+    return response
+        .status(status)
+        .header("Content-Type", JSON_TYPE)
+        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)))
+        .then();
+  }
+
+  private String text(Object value) {
+    try {
+      return json.writeValueAsString(value);
+    } catch (JsonProcessingException impossible) {
+      throw new IllegalStateException("each answer is a plain record", impossible);
+    }
+  }
+
+  /** Closes the listener and its connections. */
+  @Override
+  public void close() {
+    DisposableServer open = server;
+    if (open != null) {
+      open.disposeNow();
+      Logger.info("http: The callers' listener is closed.");
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
@@ -0,0 +1,58 @@
+package org.skylarkfork.runtime.http;
+
+/** Names of the HTTP headers that skylarkfork reads and writes. */
+public final class HttpNames {
+
+  /** Id of the request; echoed by upstreams. */
+  public static final String REQUEST_ID = "X-Request-Id";
+
+  /** Caller's key for resends. */
+  public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+  /** Caller's session. */
+  public static final String SESSION = "Skylarkfork-Session";
+
+  /** Signed pin of a session, sent back by the caller. */
+  public static final String SESSION_TOKEN = "Skylarkfork-Session-Token";
+
+  /** Milliseconds from the arrival after which the caller gives up. */
+  public static final String DEADLINE_MILLIS = "Skylarkfork-Deadline-Millis";
+
+  /** Least wanted chance of a good answer, 0 to 1. */
+  public static final String QUALITY_TARGET = "Skylarkfork-Quality-Target";
+
+  /** Priority, 0 (most urgent) to 9. */
+  public static final String PRIORITY = "Skylarkfork-Priority";
+
+  /** Model that answered. */
+  public static final String MODEL = "Skylarkfork-Model";
+
+  /** Version that answered. */
+  public static final String VERSION = "Skylarkfork-Version";
+
+  /** Upstream that answered. */
+  public static final String UPSTREAM = "Skylarkfork-Upstream";
+
+  /** Number of attempts dispatched. */
+  public static final String ATTEMPTS = "Skylarkfork-Attempts";
+
+  /** Cost in millionths of the currency unit. */
+  public static final String COST_MICROS = "Skylarkfork-Cost-Micros";
+
+  /** Whether a refused request ran: {@code not-run}, {@code ran} or {@code unknown}. */
+  public static final String RUN_STATE = "Skylarkfork-Run-State";
+
+  /** Something that the caller should know. */
+  public static final String NOTICE = "Skylarkfork-Notice";
+
+  /** Priority towards engines, 0 to 9. */
+  public static final String ENGINE_PRIORITY = "X-Priority";
+
+  /** Tokens of the answer that are already there. */
+  public static final String RESUME_OFFSET = "X-Resume-Offset";
+
+  /** Set by an upstream on a refusal of a request that it did not start. */
+  public static final String NOT_STARTED = "X-Not-Started";
+
+  private HttpNames() {}
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamCall.java
@@ -0,0 +1,74 @@
+package org.skylarkfork.runtime.http;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.event.UpstreamEvent.Moment;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+
+/** One attempt on its way: how far it got, and that it ends exactly once. */
+final class UpstreamCall {
+
+  private final String attemptId;
+  private final Consumer<Event> events;
+  private final AtomicReference<Moment> moment = new AtomicReference<>(Moment.BEFORE_CONNECT);
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private final Disposable.Swap connection = Disposables.swap();
+
+  UpstreamCall(String attemptId, Consumer<Event> events) {
+    this.attemptId = attemptId;
+    this.events = events;
+  }
+
+  String attemptId() {
+    return attemptId;
+  }
+
+  /** Notes that the attempt got as far as this; it never goes back. */
+  void reached(Moment newMoment) {
+    moment.accumulateAndGet(newMoment, (old, next) -> next.ordinal() > old.ordinal() ? next : old);
+  }
+
+  /** Keeps what cancels the connection. */
+  void connection(Disposable disposable) {
+    connection.update(disposable);
+  }
+
+  /** Tells the reducer something of an attempt that goes on. */
+  void tell(UpstreamEvent event) {
+    if (!ended.get()) {
+      events.accept(event);
+    }
+  }
+
+  /** Tells the reducer how the attempt ended; only the first end counts. */
+  void end(UpstreamEvent event) {
+    if (ended.compareAndSet(false, true)) {
+      events.accept(event);
+    }
+  }
+
+  /** Ends the attempt as failed at the moment that it had reached. */
+  void fail(String detail) {
+    end(new UpstreamEvent.AttemptFailed(attemptId, moment.get(), detail));
+  }
+
+  /** Ends the attempt as failed at a moment that the upstream stated. */
+  void fail(Moment stated, String detail) {
+    end(new UpstreamEvent.AttemptFailed(attemptId, stated, detail));
+  }
+
+  /**
+   * Gives the attempt up without an event.
+   *
+   * @return false if it had ended before
+   */
+  boolean cancel() {
+    boolean first = ended.compareAndSet(false, true);
+    connection.dispose();
+    return first;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -0,0 +1,123 @@
+package org.skylarkfork.runtime.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ChannelOption;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.effect.UpstreamEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.UpstreamEvent;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Calls upstreams and supporting services over HTTP. */
+public final class UpstreamClient implements AutoCloseable {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1_000;
+
+  private final ConnectionProvider pool;
+  private final DraftClient drafts;
+  private final ServiceClient services;
+  private final ServiceClient servicesOnce;
+  private final SupportClient support;
+  private final Consumer<Event> events;
+  private final Map<String, Running> running = new ConcurrentHashMap<>();
+
+  /**
+   * Makes a client.
+   *
+   * @param json reads and writes JSON
+   * @param ratingAddress IP number and port of the rating service, or null if there is none
+   * @param events takes what comes of the calls
+   */
+  public UpstreamClient(ObjectMapper json, @Nullable String ratingAddress, Consumer<Event> events) {
+    this.events = events;
+    this.pool =
+        ConnectionProvider.builder("upstreams")
+            .maxConnections(MAX_CONNECTIONS_PER_UPSTREAM)
+            .pendingAcquireMaxCount(-1)
+            .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+            .maxIdleTime(Duration.ofSeconds(5))
+            .build();
+    HttpClient pooled = configured(HttpClient.create(pool));
+    HttpClient fresh = configured(HttpClient.newConnection());
+    this.drafts = new DraftClient(pooled, json);
+    this.services = new ServiceClient(pooled);
+    this.servicesOnce = new ServiceClient(fresh);
+    this.support = new SupportClient(pooled, json, ratingAddress, events);
+  }
+
+  /**
+   * Turns the client's own retry off. It sends a request again when a kept connection turns out to
+   * be closed, and the upstream may have read the first one: the request would run twice.
+   */
+  private static HttpClient configured(HttpClient client) {
+    return client
+        .disableRetry(true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+  }
+
+  /** Starts to carry an effect out. */
+  public void carryOut(UpstreamEffect effect) {
+    if (effect instanceof UpstreamEffect.DispatchDraft draft) {
+      UpstreamCall call = begin(draft.attemptId(), draft);
+      drafts.send(draft, call);
+    } else if (effect instanceof UpstreamEffect.DispatchCall call) {
+      dispatch(call);
+    } else if (effect instanceof UpstreamEffect.CancelAttempt cancel) {
+      cancel(cancel.attemptId());
+    } else if (effect instanceof UpstreamEffect.RequestRating rating) {
+      support.rate(rating);
+    } else if (effect instanceof UpstreamEffect.SendOrder order) {
+      support.order(order);
+    }
+  }
+
+  /**
+   * Uses a new connection for each method that changes something: a kept one may be closed by the
+   * upstream at any time, after which nobody can tell whether the request was read.
+   */
+  private void dispatch(UpstreamEffect.DispatchCall effect) {
+    UpstreamCall call = begin(effect.attemptId(), null);
+    boolean read =
+        effect.request().method().equals("GET") || effect.request().method().equals("HEAD");
+    (read ? services : servicesOnce).send(effect, call);
+  }
+
+  private UpstreamCall begin(String attemptId, UpstreamEffect.@Nullable DispatchDraft draft) {
+    UpstreamCall call = new UpstreamCall(attemptId, this::passOn);
+    running.put(attemptId, new Running(call, draft));
+    return call;
+  }
+
+  private void passOn(Event event) {
+    if (event instanceof UpstreamEvent.DraftFinished finished) {
+      running.remove(finished.attemptId());
+    } else if (event instanceof UpstreamEvent.ServiceAnswered answered) {
+      running.remove(answered.attemptId());
+    } else if (event instanceof UpstreamEvent.AttemptFailed failed) {
+      running.remove(failed.attemptId());
+    }
+    events.accept(event);
+  }
+
+  private void cancel(String attemptId) {
+    Running gone = running.remove(attemptId);
+    if (gone != null && gone.call().cancel() && gone.draft() != null) {
+      support.cancel(gone.draft());
+    }
+  }
+
+  /** Closes all connections. */
+  @Override
+  public void close() {
+    running.values().forEach(gone -> gone.call().cancel());
+    pool.dispose();
+  }
+
+  private record Running(UpstreamCall call, UpstreamEffect.@Nullable DispatchDraft draft) {}
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
@@ -0,0 +1,148 @@
+package org.skylarkfork.runtime.loop;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+
+/**
+ * The thread that applies events to the reducer, one after the other, and hands the effects on.
+ *
+ * <p>A failure of the reducer means that an invariant broke; the loop stops, since going on could
+ * run a request twice or show a wrong answer.
+ */
+public final class ReducerLoop implements AutoCloseable {
+
+  private static final int MAX_BACKLOG = 20_000;
+  private static final long TICK_NANOS = Reducer.TICK.toNanos();
+
+  private final Reducer reducer;
+  private final InstantSource clock;
+  private final EffectHandler handler;
+  private final Journal journal;
+  private final Consumer<Throwable> onFailure;
+  private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+  private final Thread thread;
+  private volatile boolean stopped;
+
+  /**
+   * Makes a loop; {@link #start} runs it.
+   *
+   * @param reducer what decides
+   * @param clock gives the present time; must never go back
+   * @param handler carries effects out
+   * @param journal sees every event
+   * @param onFailure told once if the reducer or the handler fails
+   */
+  public ReducerLoop(
+      Reducer reducer,
+      InstantSource clock,
+      EffectHandler handler,
+      Journal journal,
+      Consumer<Throwable> onFailure) {
+    this.reducer = reducer;
+    this.clock = clock;
+    this.handler = handler;
+    this.journal = journal;
+    this.onFailure = onFailure;
+    this.thread = new Thread(this::run, "reducer");
+    this.thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Adds an event whatever the backlog; ignored after the stop. */
+  public void submit(Event event) {
+    tasks.add(() -> apply(event));
+  }
+
+  /**
+   * Adds an event that brings new work.
+   *
+   * @return false if the backlog is full or the loop has stopped; the event is then dropped
+   */
+  public boolean offer(Event event) {
+    if (stopped || tasks.size() >= MAX_BACKLOG) {
+      return false;
+    }
+    submit(event);
+    return true;
+  }
+
+  /**
+   * Asks something of the parts' state on the reducer's thread.
+   *
+   * @param question reads state and must not change it
+   * @return the answer; fails with {@code RejectedExecutionException} after the stop
+   */
+  public <T> CompletableFuture<T> ask(Function<Instant, T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    tasks.add(() -> answer(question, answer));
+    if (stopped) {
+      answer.completeExceptionally(new RejectedExecutionException("the daemon has stopped"));
+    }
+    return answer;
+  }
+
+  private <T> void answer(Function<Instant, T> question, CompletableFuture<T> answer) {
+    try {
+      answer.complete(question.apply(clock.instant()));
+    } catch (RuntimeException failure) {
+      answer.completeExceptionally(failure);
+    }
+  }
+
+  private void run() {
+    long nextTick = System.nanoTime() + TICK_NANOS;
+    try {
+      while (!stopped) {
+        long wait = nextTick - System.nanoTime();
+        if (wait <= 0) {
+          apply(new LifecycleEvent.Tick());
+          nextTick = System.nanoTime() + TICK_NANOS;
+        } else {
+          runNext(wait);
+        }
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException | Error failure) {
+      stopped = true;
+      onFailure.accept(failure);
+    }
+  }
+
+  private void runNext(long waitNanos) throws InterruptedException {
+    Runnable task = tasks.poll(waitNanos, TimeUnit.NANOSECONDS);
+    if (task != null) {
+      task.run();
+    }
+  }
+
+  private void apply(Event event) {
+    Instant now = clock.instant();
+    List<Effect> effects = reducer.apply(event, now);
+    journal.applied(now, event, effects);
+    effects.forEach(handler::carryOut);
+  }
+
+  /** Stops the thread without applying what is left. */
+  @Override
+  public void close() {
+    stopped = true;
+    thread.interrupt();
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/package-info.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder documentation of the module's root package. */
+/** Carries the effects of the core out. */
 @NullMarked
 package org.skylarkfork.runtime;
 
