--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/NumberedBill.java
@@ -0,0 +1,9 @@
+package org.skylarkfork.core.ledger;
+
+/**
+ * A bill with the number that its entry gave it.
+ *
+ * @param number from 1, without gaps within one run of the entry and one ledger group
+ * @param bill the bill
+ */
+public record NumberedBill(long number, Bill bill) {}
