Configuration: validated changes, change ids and history as a replicated state machine

Cause: operators race with equal revisions and resend after lost answers, and a configuration must be right as a whole before any entry sees it.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ChangeApplier.java
@@ -0,0 +1,199 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+
+/** Applies a change to a configuration; the result still has to be validated as a whole. */
+final class ChangeApplier {
+
+  private final ConfigurationHistory history;
+
+  ChangeApplier(ConfigurationHistory history) {
+    this.history = history;
+  }
+
+  /**
+   * Returns the changed configuration under the next revision.
+   *
+   * @throws InapplicableChangeException if the change names something that isn't there or doesn't
+   *     fit the present state
+   */
+  Configuration apply(Configuration present, ConfigurationChange change)
+      throws InapplicableChangeException {
+    ConfigurationDraft draft = new ConfigurationDraft(present);
+    if (change instanceof ConfigurationChange.ReplaceAll replace) {
+      draft = new ConfigurationDraft(replace.configuration()).sort();
+    } else if (change instanceof ConfigurationChange.RestoreRevision restore) {
+      draft = new RevisionRestorer(history).restore(present, restore.revision());
+    } else if (!changeTeam(draft, change)
+        && !changeModel(draft, change)
+        && !changeRule(draft, change)
+        && !RollOutChanges.change(draft, change)) {
+      changeOther(draft, change);
+    }
+    return draft.build(present.revision() + 1);
+  }
+
+  private static boolean changeTeam(ConfigurationDraft draft, ConfigurationChange change)
+      throws InapplicableChangeException {
+    if (change instanceof ConfigurationChange.PutTeam put) {
+      draft.teams = ConfigurationDraft.with(draft.teams, put.team(), Team::name);
+    } else if (change instanceof ConfigurationChange.RemoveTeam remove) {
+      draft.teams = remove(draft.teams, remove.name(), Team::name, "team");
+    } else if (change instanceof ConfigurationChange.AddTeamKey add) {
+      Team team = present(draft.teams, add.team(), Team::name, "team");
+      List<Team.Key> keys = new ArrayList<>(team.keys());
+      keys.removeIf(key -> key.id().equals(add.key().id()));
+      keys.add(add.key());
+      draft.teams = ConfigurationDraft.with(draft.teams, withKeys(team, keys), Team::name);
+    } else if (change instanceof ConfigurationChange.RemoveTeamKey remove) {
+      Team team = present(draft.teams, remove.team(), Team::name, "team");
+      List<Team.Key> keys = new ArrayList<>(team.keys());
+      if (!keys.removeIf(key -> key.id().equals(remove.keyId()))) {
+        throw notFound("key of team " + team.name(), remove.keyId());
+      }
+      draft.teams = ConfigurationDraft.with(draft.teams, withKeys(team, keys), Team::name);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  /** Returns the team with other keys. */
+  static Team withKeys(Team team, List<Team.Key> keys) {
+    return new Team(
+        team.name(),
+        keys,
+        team.allowedModels(),
+        team.allowedServices(),
+        team.limits(),
+        team.weight());
+  }
+
+  private static boolean changeModel(ConfigurationDraft draft, ConfigurationChange change)
+      throws InapplicableChangeException {
+    if (change instanceof ConfigurationChange.PutModel put) {
+      draft.models = ConfigurationDraft.with(draft.models, put.model(), Model::name);
+      RollOutChanges.forgetMissingVersions(draft);
+    } else if (change instanceof ConfigurationChange.RemoveModel remove) {
+      draft.models = remove(draft.models, remove.name(), Model::name, "model");
+      RollOutChanges.forgetMissingVersions(draft);
+    } else if (change instanceof ConfigurationChange.PutService put) {
+      draft.services =
+          ConfigurationDraft.with(draft.services, put.service(), ServiceDefinition::name);
+    } else if (change instanceof ConfigurationChange.RemoveService remove) {
+      draft.services = remove(draft.services, remove.name(), ServiceDefinition::name, "service");
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private static boolean changeRule(ConfigurationDraft draft, ConfigurationChange change)
+      throws InapplicableChangeException {
+    if (change instanceof ConfigurationChange.PutRules put) {
+      draft.rules = put.rules();
+    } else if (change instanceof ConfigurationChange.PutRule put) {
+      List<Rule> rules = new ArrayList<>(draft.rules);
+      int old = indexOf(rules, put.rule().name());
+      if (old >= 0) {
+        rules.remove(old);
+      }
+      int place = old >= 0 ? old : rules.size();
+      Integer wanted = put.position();
+      rules.add(wanted == null ? place : place(wanted, rules, put.rule().name()), put.rule());
+      draft.rules = List.copyOf(rules);
+    } else if (change instanceof ConfigurationChange.RemoveRule remove) {
+      List<Rule> rules = new ArrayList<>(draft.rules);
+      rules.remove(presentIndex(rules, remove.name()));
+      draft.rules = List.copyOf(rules);
+    } else if (change instanceof ConfigurationChange.MoveRule move) {
+      List<Rule> rules = new ArrayList<>(draft.rules);
+      Rule rule = rules.remove(presentIndex(rules, move.name()));
+      rules.add(place(move.position(), rules, move.name()), rule);
+      draft.rules = List.copyOf(rules);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private static int place(int wanted, List<Rule> rules, String name)
+      throws InapplicableChangeException {
+    if (wanted < 0 || wanted > rules.size()) {
+      throw new InapplicableChangeException(
+          Kind.OUT_OF_RANGE,
+          "rule " + name,
+          "position " + wanted + " does not exist; use 0 to " + rules.size());
+    }
+    return wanted;
+  }
+
+  private static int presentIndex(List<Rule> rules, String name)
+      throws InapplicableChangeException {
+    int index = indexOf(rules, name);
+    if (index < 0) {
+      throw notFound("rule", name);
+    }
+    return index;
+  }
+
+  private static int indexOf(List<Rule> rules, String name) {
+    for (int index = 0; index < rules.size(); index++) {
+      if (rules.get(index).name().equals(name)) {
+        return index;
+      }
+    }
+    return -1;
+  }
+
+  private static void changeOther(ConfigurationDraft draft, ConfigurationChange change)
+      throws InapplicableChangeException {
+    Function<String, String> same = Function.identity();
+    if (change instanceof ConfigurationChange.DrainUpstream drain) {
+      draft.drainedUpstreams =
+          ConfigurationDraft.with(draft.drainedUpstreams, drain.upstream(), same);
+    } else if (change instanceof ConfigurationChange.UndrainUpstream undrain) {
+      draft.drainedUpstreams =
+          remove(draft.drainedUpstreams, undrain.upstream(), same, "drained upstream");
+    } else if (change instanceof ConfigurationChange.DrainVm drain) {
+      draft.drainedVms = ConfigurationDraft.with(draft.drainedVms, drain.vm(), same);
+    } else if (change instanceof ConfigurationChange.UndrainVm undrain) {
+      draft.drainedVms = remove(draft.drainedVms, undrain.vm(), same, "drained VM");
+    } else if (change instanceof ConfigurationChange.PutOperatorKey put) {
+      draft.operatorKeys = ConfigurationDraft.with(draft.operatorKeys, put.key(), OperatorKey::id);
+    } else if (change instanceof ConfigurationChange.RemoveOperatorKey remove) {
+      draft.operatorKeys = remove(draft.operatorKeys, remove.id(), OperatorKey::id, "operator key");
+    } else if (change instanceof ConfigurationChange.PutVersionPolicy put) {
+      draft.versionPolicy = put.policy();
+    } else {
+      throw new IllegalStateException("no applier for " + change.getClass().getSimpleName());
+    }
+  }
+
+  private static <T> List<T> remove(List<T> list, String name, Function<T, String> key, String what)
+      throws InapplicableChangeException {
+    present(list, name, key, what);
+    return ConfigurationDraft.without(list, name, key);
+  }
+
+  /** Returns the item of a key, or says that it isn't there. */
+  static <T> T present(List<T> list, String name, Function<T, String> key, String what)
+      throws InapplicableChangeException {
+    int place = ConfigurationDraft.find(list, name, key);
+    if (place < 0) {
+      throw notFound(what, name);
+    }
+    return list.get(place);
+  }
+
+  /** Makes the problem of something that isn't there. */
+  static InapplicableChangeException notFound(String what, String name) {
+    return new InapplicableChangeException(
+        Kind.NOT_FOUND,
+        what + " " + name,
+        "there is no " + what + " named " + name + "; read the configuration for the names");
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationDifference.java
@@ -0,0 +1,114 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One difference between two configurations, with what was there before, so that it can be applied
+ * in both directions and a wrong base is noticed.
+ */
+public sealed interface ConfigurationDifference {
+
+  /**
+   * A team differs.
+   *
+   * @param name name of the team
+   * @param before the old team, or null if it is new
+   * @param after the new team, or null if it is removed
+   */
+  record TeamDiffers(String name, @Nullable Team before, @Nullable Team after)
+      implements ConfigurationDifference {}
+
+  /**
+   * A model differs.
+   *
+   * @param name name of the model
+   * @param before the old model, or null if it is new
+   * @param after the new model, or null if it is removed
+   */
+  record ModelDiffers(String name, @Nullable Model before, @Nullable Model after)
+      implements ConfigurationDifference {}
+
+  /**
+   * A plain service differs.
+   *
+   * @param name name of the service
+   * @param before the old service, or null if it is new
+   * @param after the new service, or null if it is removed
+   */
+  record ServiceDiffers(
+      String name, @Nullable ServiceDefinition before, @Nullable ServiceDefinition after)
+      implements ConfigurationDifference {}
+
+  /**
+   * Neighbouring rules are replaced by others.
+   *
+   * @param position index of the first replaced rule
+   * @param before the old rules from there on, perhaps none
+   * @param after the rules in their place, perhaps none
+   */
+  record RulesDiffer(int position, List<Rule> before, List<Rule> after)
+      implements ConfigurationDifference {
+
+    /** Copies the rules. */
+    public RulesDiffer {
+      before = List.copyOf(before);
+      after = List.copyOf(after);
+    }
+  }
+
+  /**
+   * A roll-out differs.
+   *
+   * @param model name of its model
+   * @param before the old roll-out, or null if it is new
+   * @param after the new roll-out, or null if it is removed
+   */
+  record RollOutDiffers(String model, @Nullable RollOut before, @Nullable RollOut after)
+      implements ConfigurationDifference {}
+
+  /**
+   * A version was withdrawn or reinstated.
+   *
+   * @param version the version
+   * @param withdrawn whether it is withdrawn afterwards
+   */
+  record WithdrawalDiffers(ModelVersion version, boolean withdrawn)
+      implements ConfigurationDifference {}
+
+  /**
+   * An upstream was drained or isn't any more.
+   *
+   * @param upstream id of the upstream
+   * @param drained whether it is drained afterwards
+   */
+  record UpstreamDrainDiffers(String upstream, boolean drained)
+      implements ConfigurationDifference {}
+
+  /**
+   * An entry VM was drained or isn't any more.
+   *
+   * @param vm node name of the VM
+   * @param drained whether it is drained afterwards
+   */
+  record VmDrainDiffers(String vm, boolean drained) implements ConfigurationDifference {}
+
+  /**
+   * An operator's key differs.
+   *
+   * @param id id of the key
+   * @param before the old key, or null if it is new
+   * @param after the new key, or null if it is removed
+   */
+  record OperatorKeyDiffers(String id, @Nullable OperatorKey before, @Nullable OperatorKey after)
+      implements ConfigurationDifference {}
+
+  /**
+   * The policy for bad versions differs.
+   *
+   * @param before the old policy
+   * @param after the new policy
+   */
+  record VersionPolicyDiffers(VersionPolicy before, VersionPolicy after)
+      implements ConfigurationDifference {}
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationMachine.java
@@ -0,0 +1,143 @@
+package org.skylarkfork.core.configuration;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.ConfigurationCommand.SubmitChange;
+import org.skylarkfork.core.command.ConfigurationResult;
+import org.skylarkfork.core.command.ConfigurationState;
+import org.skylarkfork.core.command.GroupState;
+import org.skylarkfork.core.command.StateMachine;
+
+/** The replicated configuration with its change ids and its history. */
+public final class ConfigurationMachine implements StateMachine {
+
+  private final ChangeTable changes = new ChangeTable();
+  private final ConfigurationHistory history = new ConfigurationHistory();
+  private final ChangeApplier applier = new ChangeApplier(history);
+  private Configuration configuration = Configuration.EMPTY;
+
+  @Override
+  public CommandResult apply(long index, Instant stampedAt, Command command) {
+    if (!(command instanceof SubmitChange submitted)) {
+      return new CommandResult.Rejected("send this command to the group that it belongs to");
+    }
+    RememberedChange first = changes.find(submitted.changeId());
+    if (first != null) {
+      return isSame(first, submitted)
+          ? first.answer()
+          : new ConfigurationResult.ChangeIdReused(submitted.changeId());
+    }
+    ConfigurationResult answer = decide(submitted, stampedAt);
+    changes.add(
+        new RememberedChange(
+            submitted.changeId(), submitted.operator(), submitted.bodyHash(), stampedAt, answer));
+    return answer;
+  }
+
+  private static boolean isSame(RememberedChange first, SubmitChange submitted) {
+    return first.operator().equals(submitted.operator())
+        && first.bodyHash().equals(submitted.bodyHash());
+  }
+
+  private ConfigurationResult decide(SubmitChange submitted, Instant stampedAt) {
+    if (!mayChange(submitted)) {
+      return new ConfigurationResult.UnknownOperator();
+    }
+    Long expected = submitted.expectedRevision();
+    if (expected != null && expected != configuration.revision()) {
+      return new ConfigurationResult.RevisionConflict(expected, configuration.revision());
+    }
+    List<ConfigurationProblem> missing = missingValues(submitted.change());
+    if (!missing.isEmpty()) {
+      return new ConfigurationResult.Invalid(missing);
+    }
+    try {
+      Configuration next = applier.apply(configuration, submitted.change());
+      List<ConfigurationProblem> problems = ConfigurationValidator.problems(configuration, next);
+      if (!problems.isEmpty()) {
+        return new ConfigurationResult.Invalid(problems);
+      }
+      accept(submitted, next, stampedAt);
+      return new ConfigurationResult.Accepted(next.revision(), stampedAt);
+    } catch (InapplicableChangeException e) {
+      return new ConfigurationResult.Invalid(e.problems());
+    }
+  }
+
+  private static List<ConfigurationProblem> missingValues(ConfigurationChange change) {
+    return MissingValues.in((Record) change, "change").stream()
+        .map(
+            path ->
+                new ConfigurationProblem(
+                    ConfigurationProblem.Kind.MALFORMED,
+                    path,
+                    path + " is missing; give it a value"))
+        .toList();
+  }
+
+  /** Checks the key here too: it may have been removed by a change just before in the log. */
+  private boolean mayChange(SubmitChange submitted) {
+    String hash = submitted.operatorKeyHash();
+    return hash == null
+        || configuration.operatorKeys().isEmpty()
+        || configuration.operatorKeys().stream().anyMatch(key -> key.sha256().equals(hash));
+  }
+
+  private void accept(SubmitChange submitted, Configuration next, Instant stampedAt) {
+    history.add(
+        new RevisionEntry(
+            submitted.changeId(),
+            submitted.operator(),
+            stampedAt,
+            submitted.change().getClass().getSimpleName(),
+            ConfigurationStep.between(configuration, next)));
+    configuration = next;
+  }
+
+  @Override
+  public GroupState snapshot() {
+    return new ConfigurationState(
+        configuration, changes.accepted(), changes.refused(), history.entries());
+  }
+
+  @Override
+  public void restore(GroupState state) {
+    if (state instanceof ConfigurationState restored) {
+      configuration = restored.configuration();
+      changes.replace(restored.accepted(), restored.refused());
+      history.replace(restored.history());
+    } else {
+      configuration = Configuration.EMPTY;
+      changes.replace(List.of(), List.of());
+      history.replace(List.of());
+    }
+  }
+
+  /** Returns the newest configuration that is committed and applied here. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Returns the configuration at a revision, if the history still reaches back to it. */
+  public Optional<Configuration> at(long revision) {
+    return history.at(configuration, revision);
+  }
+
+  /** Returns the oldest revision that {@link #at} still gives. */
+  public long oldestRevision() {
+    return history.oldest(configuration);
+  }
+
+  /** Returns the newest accepted changes, oldest first. */
+  public List<RevisionEntry> history() {
+    return history.entries();
+  }
+
+  /** Returns the change that led to a revision, if the history still holds it. */
+  public Optional<RevisionEntry> entry(long revision) {
+    return history.entry(revision);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
@@ -0,0 +1,273 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+
+/** Checks a configuration as a whole before it may replace another. */
+public final class ConfigurationValidator {
+
+  static final int MOST_TEAMS = 10_000;
+  static final int MOST_TEAM_KEYS = 100;
+  static final int MOST_MODELS = 1000;
+  static final int MOST_VERSIONS = 200;
+  static final int MOST_SERVICES = 1000;
+  static final int MOST_RULES = 20_000;
+  static final int MOST_DRAINED = 20_000;
+  static final int MOST_OPERATOR_KEYS = 1000;
+  static final int MOST_STEPS = 100;
+  static final int MOST_WEIGHT = 1000;
+  static final int LONGEST_METHOD = 20;
+  static final long LONGEST_TIMEOUT_MILLIS = 3_600_000;
+  static final long HIGHEST_PRICE = 1_000_000_000_000L;
+
+  private final Configuration configuration;
+  private final Problems problems = new Problems();
+  private Map<String, Set<String>> versions = Map.of();
+  private Set<String> teams = Set.of();
+  private Set<String> services = Set.of();
+
+  private ConfigurationValidator(Configuration configuration) {
+    this.configuration = configuration;
+  }
+
+  /**
+   * Returns what keeps a configuration from following another; at most 20 problems.
+   *
+   * @param before the configuration in force
+   * @param after the configuration that a change would make
+   */
+  public static List<ConfigurationProblem> problems(Configuration before, Configuration after) {
+    ConfigurationValidator validator = new ConfigurationValidator(after);
+    if (after.operatorKeys().isEmpty() && !before.operatorKeys().isEmpty()) {
+      validator.problems.add(
+          Kind.LAST_OPERATOR_KEY,
+          "operator keys",
+          "nobody could make a change any more; add another operator key first");
+    }
+    validator.check();
+    return List.copyOf(validator.problems.found());
+  }
+
+  private void check() {
+    boolean bounded =
+        problems.size(configuration.teams(), MOST_TEAMS, "teams")
+            & problems.size(configuration.models(), MOST_MODELS, "models")
+            & problems.size(configuration.services(), MOST_SERVICES, "services")
+            & problems.size(configuration.rules(), MOST_RULES, "rules")
+            & problems.size(configuration.rollOuts(), MOST_MODELS, "roll-outs")
+            & problems.size(
+                configuration.withdrawn(), MOST_MODELS * MOST_VERSIONS, "withdrawn versions")
+            & problems.size(configuration.drainedUpstreams(), MOST_DRAINED, "drained upstreams")
+            & problems.size(configuration.drainedVms(), MOST_DRAINED, "drained VMs")
+            & problems.size(configuration.operatorKeys(), MOST_OPERATOR_KEYS, "operator keys");
+    if (!bounded) {
+      return;
+    }
+    teams = problems.unique(configuration.teams(), Team::name, "team");
+    services = problems.unique(configuration.services(), ServiceDefinition::name, "service");
+    problems.unique(configuration.models(), Model::name, "model");
+    versions = new HashMap<>();
+    configuration.models().forEach(this::checkModel);
+    configuration.services().forEach(this::checkService);
+    checkTeams();
+    checkWithdrawn();
+    problems.unique(configuration.rollOuts(), RollOut::model, "roll-out of model");
+    configuration.rollOuts().forEach(this::checkRollOut);
+    checkDrained();
+    checkPolicy();
+    new RuleValidator(problems, teams, versions.keySet(), services).check(configuration.rules());
+  }
+
+  private void checkModel(Model model) {
+    String subject = "model " + model.name();
+    problems.name(model.name(), subject);
+    problems.require(
+        !model.versions().isEmpty(),
+        Kind.OUT_OF_RANGE,
+        subject,
+        "it has no version; give it at least one");
+    if (!problems.size(model.versions(), MOST_VERSIONS, subject + " versions")) {
+      return;
+    }
+    Set<String> names = problems.unique(model.versions(), Model.Version::name, "version");
+    versions.put(model.name(), names);
+    problems.known(names, model.current(), "version", subject);
+    for (Model.Version version : model.versions()) {
+      String versionSubject = subject + " version " + version.name();
+      problems.name(version.name(), versionSubject);
+      problems.share(version.priorQuality(), versionSubject + " priorQuality");
+      Price price = version.price();
+      problems.range(
+          price.promptMicrosPerThousand(), 0, HIGHEST_PRICE, versionSubject + " prompt price");
+      problems.range(
+          price.completionMicrosPerThousand(),
+          0,
+          HIGHEST_PRICE,
+          versionSubject + " completion price");
+    }
+  }
+
+  private void checkService(ServiceDefinition service) {
+    String subject = "service " + service.name();
+    problems.name(service.name(), subject);
+    problems.range(service.timeoutMillis(), 1, LONGEST_TIMEOUT_MILLIS, subject + " timeoutMillis");
+    problems.range(service.callMicros(), 0, HIGHEST_PRICE, subject + " callMicros");
+    if (problems.size(service.nonIdempotentMethods(), LONGEST_METHOD, subject + " methods")) {
+      for (String method : service.nonIdempotentMethods()) {
+        problems.require(
+            method.matches("[A-Z]{1,20}"),
+            Kind.MALFORMED,
+            subject,
+            Problems.quote(method) + " is no HTTP method; write it like POST");
+      }
+    }
+  }
+
+  private void checkTeams() {
+    Set<String> hashes = new HashSet<>();
+    for (OperatorKey key : configuration.operatorKeys()) {
+      checkKey(hashes, key.id(), key.sha256(), "operator key " + key.id());
+    }
+    problems.unique(configuration.operatorKeys(), OperatorKey::id, "operator key");
+    for (Team team : configuration.teams()) {
+      checkTeam(team, hashes);
+    }
+  }
+
+  private void checkTeam(Team team, Set<String> hashes) {
+    String subject = "team " + team.name();
+    problems.name(team.name(), subject);
+    problems.range(team.weight(), 1, MOST_WEIGHT, subject + " weight");
+    checkLimits(team.limits(), subject);
+    if (problems.size(team.keys(), MOST_TEAM_KEYS, subject + " keys")) {
+      problems.unique(team.keys(), Team.Key::id, "key of " + subject);
+      team.keys().forEach(key -> checkKey(hashes, key.id(), key.sha256(), subject));
+    }
+    if (problems.size(team.allowedServices(), MOST_SERVICES, subject + " allowedServices")) {
+      team.allowedServices()
+          .forEach(service -> problems.known(services, service, "service", subject));
+    }
+    if (!problems.size(team.allowedModels(), MOST_MODELS, subject + " allowedModels")) {
+      return;
+    }
+    for (Team.AllowedModel allowed : team.allowedModels()) {
+      problems.known(versions.keySet(), allowed.model(), "model", subject);
+      Set<String> known = versions.getOrDefault(allowed.model(), Set.of());
+      if (!known.isEmpty()) {
+        allowed.versions().forEach(version -> problems.known(known, version, "version", subject));
+      }
+    }
+  }
+
+  private void checkKey(Set<String> hashes, String id, String sha256, String subject) {
+    problems.name(id, subject + " key id");
+    problems.hash(sha256, subject + " key " + id);
+    problems.require(
+        hashes.add(sha256),
+        Kind.DUPLICATE,
+        subject + " key " + id,
+        "another team or operator has the same key; make a new key for one of them");
+  }
+
+  private void checkLimits(Limits limits, String subject) {
+    double perSecond = limits.requestsPerSecond();
+    problems.require(
+        perSecond >= 0 && Double.isFinite(perSecond),
+        Kind.OUT_OF_RANGE,
+        subject + " requestsPerSecond",
+        perSecond + " is out of range; use 0 for no limit, or a positive number");
+    problems.range(
+        limits.concurrentRequests(), 0, Integer.MAX_VALUE, subject + " concurrentRequests");
+    problems.range(limits.tokensPerMinute(), 0, Long.MAX_VALUE, subject + " tokensPerMinute");
+  }
+
+  private void checkWithdrawn() {
+    Set<ModelVersion> seen = new HashSet<>();
+    for (ModelVersion version : configuration.withdrawn()) {
+      String subject = "withdrawn version " + version;
+      problems.require(seen.add(version), Kind.DUPLICATE, subject, "it comes twice; remove one");
+      problems.known(versions.keySet(), version.model(), "model", subject);
+      problems.known(
+          versions.getOrDefault(version.model(), Set.of()), version.version(), "version", subject);
+    }
+  }
+
+  private void checkRollOut(RollOut rollOut) {
+    String subject = "roll-out of model " + rollOut.model();
+    Set<String> known = versions.getOrDefault(rollOut.model(), Set.of());
+    problems.known(versions.keySet(), rollOut.model(), "model", subject);
+    problems.known(known, rollOut.from(), "version", subject);
+    problems.known(known, rollOut.to(), "version", subject);
+    problems.require(
+        !rollOut.from().equals(rollOut.to()),
+        Kind.OUT_OF_RANGE,
+        subject,
+        "it goes from a version to itself; name another version");
+    problems.require(
+        !rollOut.steps().isEmpty(),
+        Kind.OUT_OF_RANGE,
+        subject,
+        "it has no step; give it at least one");
+    problems.range(rollOut.step(), 0, rollOut.steps().size(), subject + " step");
+    if (problems.size(rollOut.steps(), MOST_STEPS, subject + " steps")) {
+      rollOut.steps().forEach(step -> checkStep(step, subject));
+    }
+    if (RollOutChanges.isOpen(rollOut)) {
+      checkOpenRollOut(rollOut, subject);
+    }
+  }
+
+  private void checkStep(RollOut.Step step, String subject) {
+    problems.range(step.percent(), 0, 100, subject + " percent");
+    if (problems.size(step.teams(), MOST_TEAMS, subject + " teams")) {
+      step.teams().forEach(team -> problems.known(teams, team, "team", subject));
+    }
+    if (problems.size(step.zones(), MOST_MODELS, subject + " zones")) {
+      step.zones().forEach(zone -> problems.name(zone, subject + " zone"));
+    }
+  }
+
+  private void checkOpenRollOut(RollOut rollOut, String subject) {
+    ModelVersion target = new ModelVersion(rollOut.model(), rollOut.to());
+    problems.require(
+        !configuration.withdrawn().contains(target),
+        Kind.WITHDRAWN,
+        subject,
+        "version " + target + " is withdrawn; reinstate it first, or roll out another");
+    boolean startsAtCurrent =
+        configuration
+            .model(rollOut.model())
+            .map(model -> model.current().equals(rollOut.from()))
+            .orElse(true);
+    problems.require(
+        startsAtCurrent,
+        Kind.WRONG_STATE,
+        subject,
+        "version "
+            + rollOut.from()
+            + " is not the model's current one; roll out from the current one, or abort first");
+  }
+
+  private void checkDrained() {
+    problems.unique(configuration.drainedUpstreams(), Function.identity(), "drained upstream");
+    problems.unique(configuration.drainedVms(), Function.identity(), "drained VM");
+    configuration.drainedUpstreams().forEach(id -> problems.address(id, "drained upstream"));
+    configuration.drainedVms().forEach(id -> problems.address(id, "drained VM"));
+  }
+
+  private void checkPolicy() {
+    VersionPolicy policy = configuration.versionPolicy();
+    problems.share(policy.tolerance(), "versionPolicy tolerance");
+    problems.share(policy.falseAlarmRate(), "versionPolicy falseAlarmRate");
+    problems.require(
+        policy.falseAlarmRate() != 0,
+        Kind.OUT_OF_RANGE,
+        "versionPolicy falseAlarmRate",
+        "no test can rule out every false alarm; use a small value such as 0.01");
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Problems.java
@@ -0,0 +1,140 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+
+/** Collects problems and holds the checks that every kind of object needs. */
+final class Problems {
+
+  /** Most problems told at once; the rest come to light after these are mended. */
+  static final int MOST_TOLD = 20;
+
+  private static final int MOST_SHOWN = 80;
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/@+-]{0,127}");
+  private static final Pattern TITLE =
+      Pattern.compile("[\\p{L}\\p{N}][\\p{L}\\p{N} ._/@+:,-]{0,127}");
+  private static final Pattern ADDRESS =
+      Pattern.compile("[A-Za-z0-9\\[][A-Za-z0-9._/@+:\\[\\]-]{0,255}");
+  private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+
+  private final List<ConfigurationProblem> found = new ArrayList<>();
+
+  List<ConfigurationProblem> found() {
+    return found;
+  }
+
+  void add(Kind kind, String subject, String message) {
+    if (found.size() < MOST_TOLD) {
+      found.add(new ConfigurationProblem(kind, subject, message));
+    }
+  }
+
+  void require(boolean holds, Kind kind, String subject, String message) {
+    if (!holds) {
+      add(kind, subject, message);
+    }
+  }
+
+  /** Checks the name of a team, model, version, service, zone or key. */
+  void name(String name, String subject) {
+    require(
+        NAME.matcher(name).matches(),
+        Kind.MALFORMED,
+        subject,
+        quote(name) + " is no name; use 1 to 128 letters, digits and . _ / @ + -");
+  }
+
+  /** Checks the name of a rule, which may have spaces and letters of any language. */
+  void title(String name, String subject) {
+    require(
+        TITLE.matcher(name).matches(),
+        Kind.MALFORMED,
+        subject,
+        quote(name) + " is no rule name; use 1 to 128 letters, digits, spaces and . _ / @ + : , -");
+  }
+
+  /** Checks the id of an upstream or VM. */
+  void address(String id, String subject) {
+    require(
+        ADDRESS.matcher(id).matches(),
+        Kind.MALFORMED,
+        subject,
+        quote(id) + " is no id; use up to 256 letters, digits and . _ / @ + : [ ] -");
+  }
+
+  void hash(String sha256, String subject) {
+    require(
+        HASH.matcher(sha256).matches(),
+        Kind.MALFORMED,
+        subject,
+        "the key's hash must be SHA-256 in 64 lower-case hex digits; hash the key before sending");
+  }
+
+  void text(String text, int most, String subject) {
+    require(
+        text.length() <= most,
+        Kind.TOO_LARGE,
+        subject,
+        "the text has " + text.length() + " characters; shorten it to " + most);
+  }
+
+  /** Checks the number of something; returns whether it is within the bound. */
+  boolean size(List<?> list, int most, String subject) {
+    boolean fits = list.size() <= most;
+    require(fits, Kind.TOO_LARGE, subject, "there are " + list.size() + "; keep at most " + most);
+    return fits;
+  }
+
+  void share(double value, String subject) {
+    require(
+        value >= 0 && value <= 1,
+        Kind.OUT_OF_RANGE,
+        subject,
+        value + " is out of range; use a value from 0 to 1");
+  }
+
+  void range(long value, long least, long most, String subject) {
+    require(
+        value >= least && value <= most,
+        Kind.OUT_OF_RANGE,
+        subject,
+        value + " is out of range; use a value from " + least + " to " + most);
+  }
+
+  /** Collects the keys of a list and tells of those that come twice. */
+  <T> Set<String> unique(List<T> list, Function<T, String> key, String what) {
+    Set<String> seen = new HashSet<>(list.size() * 2);
+    for (T item : list) {
+      String name = key.apply(item);
+      require(
+          seen.add(name),
+          Kind.DUPLICATE,
+          what + " " + name,
+          "the " + what + " comes twice; rename or remove one");
+    }
+    return seen;
+  }
+
+  void known(Set<String> names, String name, String what, String subject) {
+    if (!names.contains(name)) {
+      add(
+          Kind.UNKNOWN_REFERENCE,
+          subject,
+          "there is no "
+              + what
+              + " "
+              + quote(name)
+              + "; add it first, or take it out of "
+              + subject);
+    }
+  }
+
+  static String quote(String text) {
+    return "'" + (text.length() <= MOST_SHOWN ? text : text.substring(0, MOST_SHOWN) + "…") + "'";
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RevisionRestorer.java
@@ -0,0 +1,80 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+
+/**
+ * Makes a draft with the content of an old revision.
+ *
+ * <p>What protects against harm stays as it is now: withdrawals, drained upstreams and VMs,
+ * operator keys and the keys of teams that still exist. Otherwise a return to older rules would
+ * give a bad version new work and a revoked key its rights back. Roll-outs that were running come
+ * back paused.
+ */
+final class RevisionRestorer {
+
+  private final ConfigurationHistory history;
+
+  RevisionRestorer(ConfigurationHistory history) {
+    this.history = history;
+  }
+
+  ConfigurationDraft restore(Configuration present, long revision)
+      throws InapplicableChangeException {
+    Optional<Configuration> old = history.at(present, revision);
+    if (old.isEmpty()) {
+      throw new InapplicableChangeException(
+          Kind.NOT_FOUND,
+          "revision " + revision,
+          "the history holds revisions "
+              + history.oldest(present)
+              + " to "
+              + present.revision()
+              + "; choose one of these");
+    }
+    ConfigurationDraft draft = new ConfigurationDraft(old.get());
+    draft.drainedUpstreams = present.drainedUpstreams();
+    draft.drainedVms = present.drainedVms();
+    draft.operatorKeys = present.operatorKeys();
+    keepTeamKeys(draft, present);
+    TreeSet<ModelVersion> withdrawn = new TreeSet<>(old.get().withdrawn());
+    withdrawn.addAll(present.withdrawn());
+    draft.withdrawn = List.copyOf(withdrawn);
+    pauseRollOuts(draft);
+    RollOutChanges.forgetMissingVersions(draft);
+    return draft;
+  }
+
+  private static void keepTeamKeys(ConfigurationDraft draft, Configuration present) {
+    List<Team> teams = new ArrayList<>();
+    for (Team team : draft.teams) {
+      int place = ConfigurationDraft.find(present.teams(), team.name(), Team::name);
+      teams.add(place < 0 ? team : ChangeApplier.withKeys(team, present.teams().get(place).keys()));
+    }
+    draft.teams = List.copyOf(teams);
+  }
+
+  private static void pauseRollOuts(ConfigurationDraft draft) {
+    List<RollOut> rollOuts = new ArrayList<>();
+    for (RollOut rollOut : draft.rollOuts) {
+      RollOut.State state = rollOut.state();
+      if (RollOutChanges.isOpen(rollOut)) {
+        boolean withdrawn =
+            draft.withdrawn.contains(new ModelVersion(rollOut.model(), rollOut.to()));
+        state = withdrawn ? RollOut.State.ABORTED : RollOut.State.PAUSED;
+      }
+      rollOuts.add(
+          new RollOut(
+              rollOut.model(),
+              rollOut.from(),
+              rollOut.to(),
+              rollOut.steps(),
+              rollOut.step(),
+              state));
+    }
+    draft.rollOuts = List.copyOf(rollOuts);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RuleValidator.java
@@ -0,0 +1,105 @@
+package org.skylarkfork.core.configuration;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+
+/** Checks the rules of a configuration. */
+final class RuleValidator {
+
+  static final int MOST_VALUES = 1000;
+  static final int MOST_HEADERS = 20;
+  static final int LONGEST_TEXT = 500;
+  static final int LEAST_URGENT = 9;
+  static final int MINUTES_OF_DAY = 1440;
+
+  private final Problems problems;
+  private final Set<String> teams;
+  private final Set<String> models;
+  private final Set<String> services;
+
+  RuleValidator(Problems problems, Set<String> teams, Set<String> models, Set<String> services) {
+    this.problems = problems;
+    this.teams = teams;
+    this.models = models;
+    this.services = services;
+  }
+
+  void check(List<Rule> rules) {
+    problems.unique(rules, Rule::name, "rule");
+    rules.forEach(this::check);
+  }
+
+  private void check(Rule rule) {
+    String subject = "rule " + rule.name();
+    problems.title(rule.name(), subject);
+    checkCondition(rule.when(), subject);
+    if (rule.then() instanceof Rule.Decision.Route route) {
+      checkRoute(route, subject);
+    } else if (rule.then() instanceof Rule.Decision.Refuse refuse) {
+      problems.text(refuse.reason(), LONGEST_TEXT, subject + " reason");
+    }
+  }
+
+  private void checkCondition(Rule.Condition when, String subject) {
+    if (problems.size(when.teams(), MOST_VALUES, subject + " teams")) {
+      when.teams().forEach(team -> problems.known(teams, team, "team", subject));
+    }
+    if (problems.size(when.services(), MOST_VALUES, subject + " services")) {
+      when.services().forEach(service -> problems.known(services, service, "service", subject));
+    }
+    // A caller may ask for a name that is no model, so any text may be matched here.
+    if (problems.size(when.models(), MOST_VALUES, subject + " models")) {
+      when.models().forEach(model -> problems.text(model, LONGEST_TEXT, subject + " models"));
+    }
+    if (problems.size(when.headers(), MOST_HEADERS, subject + " headers")) {
+      when.headers()
+          .forEach(
+              header -> {
+                problems.text(header.name(), LONGEST_TEXT, subject + " header");
+                problems.text(header.value(), LONGEST_TEXT, subject + " header");
+              });
+    }
+    checkBound(when.minPromptTokens(), Integer.MAX_VALUE, subject + " minPromptTokens");
+    checkBound(when.maxPromptTokens(), Integer.MAX_VALUE, subject + " maxPromptTokens");
+    checkBound(when.maxPriority(), LEAST_URGENT, subject + " maxPriority");
+    checkBound(when.fromMinute(), MINUTES_OF_DAY - 1, subject + " fromMinute");
+    checkBound(when.toMinute(), MINUTES_OF_DAY, subject + " toMinute");
+    Integer least = when.minPromptTokens();
+    Integer most = when.maxPromptTokens();
+    problems.require(
+        least == null || most == null || least <= most,
+        Kind.OUT_OF_RANGE,
+        subject,
+        "minPromptTokens is above maxPromptTokens, so it never holds; swap them");
+  }
+
+  private void checkBound(@Nullable Integer value, int most, String subject) {
+    if (value != null) {
+      problems.range(value, 0, most, subject);
+    }
+  }
+
+  private void checkRoute(Rule.Decision.Route route, String subject) {
+    problems.require(
+        !route.models().isEmpty(),
+        Kind.OUT_OF_RANGE,
+        subject,
+        "it names no model; name at least one");
+    if (problems.size(route.models(), MOST_VALUES, subject + " models")) {
+      Set<String> seen = new HashSet<>();
+      for (String model : route.models()) {
+        problems.known(models, model, "model", subject);
+        problems.require(
+            seen.add(model),
+            Kind.DUPLICATE,
+            subject,
+            "model " + model + " comes twice; remove one");
+      }
+    }
+    problems.share(route.qualityTarget(), subject + " qualityTarget");
+    checkBound(route.priority(), LEAST_URGENT, subject + " priority");
+  }
+}
