--- /dev/null
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/BoundServer.java
@@ -0,0 +1,53 @@
+package org.skylarkfork.standin.http;
+
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.function.Consumer;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** An HTTP server that can be closed with all its connections. */
+public final class BoundServer implements AutoCloseable {
+
+  private final ChannelGroup connections;
+  private final DisposableServer server;
+
+  private BoundServer(ChannelGroup connections, DisposableServer server) {
+    this.connections = connections;
+    this.server = server;
+  }
+
+  /**
+   * Binds an HTTP server.
+   *
+   * @param host the IP number to listen on
+   * @param port the port, or 0 for a free one
+   * @param routes registers the handlers
+   * @return the bound server
+   */
+  public static BoundServer bind(String host, int port, Consumer<HttpServerRoutes> routes) {
+    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    DisposableServer server =
+        HttpServer.create().host(host).port(port).channelGroup(connections).route(routes).bindNow();
+    return new BoundServer(connections, server);
+  }
+
+  /**
+   * Gives the bound address in the form that announcements carry.
+   *
+   * @return the IP number and the port, with a colon between
+   */
+  public String address() {
+    return server.host() + ":" + server.port();
+  }
+
+  /** Closes the port and cuts all connections. */
+  @Override
+  public void close() {
+    server.channel().close();
+    connections.close().awaitUninterruptibly();
+    server.disposeNow();
+  }
+}
--- /dev/null
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -0,0 +1,243 @@
+package org.skylarkfork.standin.service;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.standin.announce.Announcement;
+import org.skylarkfork.standin.announce.Announcer;
+import org.skylarkfork.standin.announce.EngineRole;
+import org.skylarkfork.standin.announce.LoadReport;
+import org.skylarkfork.standin.announce.UpstreamKind;
+import org.skylarkfork.standin.fault.Fault;
+import org.skylarkfork.standin.fault.FaultKind;
+import org.skylarkfork.standin.fault.Faults;
+import org.skylarkfork.standin.http.BoundServer;
+import org.skylarkfork.standin.http.Exchange;
+import org.skylarkfork.standin.http.Headers;
+import org.skylarkfork.standin.http.Json;
+import org.skylarkfork.standin.http.RunLog;
+import org.tinylog.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** A plain service in this process; it counts the runs of each request, so that doubles show. */
+public final class StandInService implements AutoCloseable {
+
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final ServiceSettings settings;
+  private final long incarnation = Clock.systemUTC().millis();
+  private final Faults faults;
+  private final RunLog runs = new RunLog();
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicLong serial = new AtomicLong();
+  private final CompletableFuture<Void> idle = new CompletableFuture<>();
+  private final Announcer announcer;
+  private volatile boolean leaving;
+  private volatile @Nullable BoundServer server;
+
+  /**
+   * Makes a service that listens to nothing before it is started.
+   *
+   * @param settings its settings
+   */
+  public StandInService(ServiceSettings settings) {
+    this.settings = settings;
+    faults = new Faults(settings.seed());
+    announcer = new Announcer(settings.announce(), this::announcement);
+  }
+
+  /**
+   * Binds the port and begins to announce.
+   *
+   * @return the bound IP number and port, with a colon between
+   */
+  public String start() {
+    server = BoundServer.bind(settings.host(), settings.port(), this::routes);
+    announcer.start();
+    Logger.info("service: {} listens on {}", settings.id(), address());
+    return address();
+  }
+
+  /**
+   * Gives the bound address.
+   *
+   * @return the IP number and port, with a colon between
+   * @throws NullPointerException if the service was not started
+   */
+  public String address() {
+    return Objects.requireNonNull(server, "Start the service first.").address();
+  }
+
+  /**
+   * Puts a fault in force, as the control call does.
+   *
+   * @param fault the fault
+   */
+  public void fault(Fault fault) {
+    faults.set(fault);
+  }
+
+  /**
+   * Reports the runs, as the control call does.
+   *
+   * @return the number of runs and the doubles
+   */
+  public RunLog.Report runs() {
+    return runs.report();
+  }
+
+  /**
+   * Ends gracefully: announces leaving, refuses new work, finishes what runs, says that it is gone
+   * and closes.
+   *
+   * @return completes once all is closed
+   */
+  public CompletableFuture<Void> stop() {
+    leaving = true;
+    completeIfIdle();
+    return announcer.leave(idle).whenComplete((done, error) -> close());
+  }
+
+  /** Ends at once, as a crash would: running answers are cut and nothing is announced. */
+  @Override
+  public void close() {
+    announcer.close();
+    BoundServer bound = server;
+    if (bound != null) {
+      bound.close();
+    }
+  }
+
+  private void routes(HttpServerRoutes routes) {
+    routes
+        .post("/control/fault", this::setFault)
+        .get("/control/runs", (in, out) -> Exchange.json(out, OK, runs.report()))
+        .route(request -> true, this::call);
+  }
+
+  private Mono<Void> setFault(HttpServerRequest request, HttpServerResponse response) {
+    return Exchange.withBody(
+        request,
+        response,
+        Fault.class,
+        fault -> {
+          faults.set(fault);
+          return Exchange.json(response, OK, faults.present());
+        });
+  }
+
+  private Mono<Void> call(HttpServerRequest request, HttpServerResponse response) {
+    String requestId = Exchange.text(request, Headers.REQUEST_ID, "none");
+    response.header(Headers.REQUEST_ID, requestId);
+    // Counted before the check, so that a call which passes it is never missed by a stop.
+    int present = running.incrementAndGet();
+    Mono<Void> answer =
+        refuses(requestId, present)
+            ? Exchange.refuse(response, UNAVAILABLE, "Ask another upstream.", "not_taken")
+            : Exchange.body(request).flatMap(body -> run(request, response, requestId, body));
+    return answer.doFinally(
+        signal -> {
+          running.decrementAndGet();
+          completeIfIdle();
+        });
+  }
+
+  private boolean refuses(String requestId, int present) {
+    return leaving
+        || present > settings.capacity()
+        || faults.active(FaultKind.LEAVING)
+        || strikes(FaultKind.FULL, requestId);
+  }
+
+  private Mono<Void> run(
+      HttpServerRequest request, HttpServerResponse response, String requestId, String body) {
+    if (strikes(FaultKind.SILENCE, requestId)) {
+      return Mono.never();
+    }
+    String key = Exchange.text(request, Headers.IDEMPOTENCY_KEY, requestId);
+    Echo echo =
+        new Echo(
+            settings.service(),
+            settings.id(),
+            request.method().name(),
+            request.uri(),
+            answeredId(response, requestId),
+            body,
+            runs.record(key),
+            serial.incrementAndGet());
+    return Mono.delay(latency(requestId)).then(Mono.defer(() -> send(response, requestId, echo)));
+  }
+
+  private String answeredId(HttpServerResponse response, String requestId) {
+    if (!strikes(FaultKind.CROSSED_ANSWERS, requestId)) {
+      return requestId;
+    }
+    String other = "other-" + requestId;
+    response.header(Headers.REQUEST_ID, other);
+    return other;
+  }
+
+  private Duration latency(String requestId) {
+    Duration late =
+        strikes(FaultKind.LATE_ANSWERS, requestId)
+            ? faults.delay(FaultKind.LATE_ANSWERS)
+            : Duration.ZERO;
+    return settings.latency().plus(late).plus(faults.delay(FaultKind.SLOW));
+  }
+
+  private Mono<Void> send(HttpServerResponse response, String requestId, Echo echo) {
+    if (!strikes(FaultKind.CUT_STREAM, requestId)) {
+      return Exchange.json(response, OK, echo);
+    }
+    String whole = Json.write(echo);
+    Mono<String> half = Mono.just(whole.substring(0, whole.length() / 2));
+    return response
+        .sendString(Flux.concat(half, Mono.error(new IllegalStateException("cut by a fault"))))
+        .then();
+  }
+
+  private boolean strikes(FaultKind kind, String requestId) {
+    return faults.strikes(kind, settings.service(), requestId);
+  }
+
+  private void completeIfIdle() {
+    if (leaving && running.get() == 0) {
+      idle.complete(null);
+    }
+  }
+
+  private Optional<Announcement> announcement() {
+    if (faults.active(FaultKind.SILENCE)) {
+      return Optional.empty();
+    }
+    int present = running.get();
+    return Optional.of(
+        new Announcement(
+            Announcement.PROTOCOL,
+            settings.id(),
+            incarnation,
+            address(),
+            settings.zone(),
+            UpstreamKind.SERVICE,
+            settings.service(),
+            List.of(),
+            EngineRole.MIXED,
+            settings.capacity(),
+            new LoadReport(present, 0, 0, 0),
+            false,
+            leaving || faults.active(FaultKind.LEAVING),
+            false,
+            List.of()));
+  }
+}
