--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -11,4 +11,5 @@
         AdmissionEvent,
         SessionEvent,
         LedgerEvent,
+        MembershipEvent,
         ConsensusEvent {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/LifecycleEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/LifecycleEvent.java
@@ -11,4 +11,7 @@
 
   /** The operator or the system asked the daemon to stop gracefully. */
   record StopRequested() implements LifecycleEvent {}
+
+  /** All requests are done and the daemon ends; what parts send now is sent before it does. */
+  record Ending() implements LifecycleEvent {}
 }
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/Dissemination.java
@@ -0,0 +1,71 @@
+package org.skylarkfork.core.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/** News of members that still have to be passed on, each a bounded number of times. */
+final class Dissemination {
+
+  private static final int REPEAT_FACTOR = 3;
+
+  private final Map<String, Item> items = new LinkedHashMap<>();
+  private final int updatesPerMessage;
+
+  Dissemination(int updatesPerMessage) {
+    this.updatesPerMessage = updatesPerMessage;
+  }
+
+  boolean isEmpty() {
+    return items.isEmpty();
+  }
+
+  /** Adds news, which replaces older news of the same member. */
+  void add(MemberUpdate update) {
+    items.put(update.name(), new Item(update));
+  }
+
+  /**
+   * Takes news for one message, the least told first.
+   *
+   * @param first name of a member whose news go first, such as the receiver's own suspicion
+   * @param members number of live members, by which the number of repeats grows
+   */
+  List<MemberUpdate> take(@Nullable String first, int members) {
+    int repeats = REPEAT_FACTOR * (Long.SIZE - Long.numberOfLeadingZeros(members));
+    List<Item> chosen =
+        items.values().stream()
+            .sorted(Comparator.comparingInt((Item item) -> item.rank(first)))
+            .limit(updatesPerMessage)
+            .toList();
+    List<MemberUpdate> updates = new ArrayList<>(chosen.size());
+    Set<String> finished = new TreeSet<>();
+    for (Item item : chosen) {
+      updates.add(item.update);
+      item.told++;
+      if (item.told >= repeats) {
+        finished.add(item.update.name());
+      }
+    }
+    items.keySet().removeAll(finished);
+    return updates;
+  }
+
+  private static final class Item {
+    private final MemberUpdate update;
+    private int told;
+
+    private Item(MemberUpdate update) {
+      this.update = update;
+    }
+
+    private int rank(@Nullable String first) {
+      return update.name().equals(first) ? -1 : told;
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/FailureDetector.java
@@ -0,0 +1,176 @@
+package org.skylarkfork.core.membership;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/** Probes contacts one after the other and says which of them did not answer. */
+final class FailureDetector {
+
+  private final String self;
+  private final MembershipSettings settings;
+  private final MemberTable table;
+  private final LocalHealth health;
+  private final UniformRandomProvider random;
+  private final Messenger messenger;
+  private final Map<Long, Probe> probes = new TreeMap<>();
+  private List<String> round = List.of();
+  private int position;
+  private long lastSequence;
+  private Instant nextProbe = Instant.MIN;
+
+  FailureDetector(
+      String self,
+      MembershipSettings settings,
+      MemberTable table,
+      LocalHealth health,
+      UniformRandomProvider random,
+      Messenger messenger) {
+    this.self = self;
+    this.settings = settings;
+    this.table = table;
+    this.health = health;
+    this.random = random;
+    this.messenger = messenger;
+  }
+
+  /** How the detector speaks with others. */
+  interface Messenger {
+
+    void ping(String node, long sequence);
+
+    void askToPing(String helper, String target, long sequence);
+
+    void ack(String node, long sequence);
+
+    void nack(String node, long sequence);
+  }
+
+  /** Starts what is due and returns the daemons whose probes failed for good. */
+  List<String> tick(Instant now) {
+    List<String> silent = new ArrayList<>();
+    for (Iterator<Probe> it = probes.values().iterator(); it.hasNext(); ) {
+      Probe probe = it.next();
+      if (probe.origin != null) {
+        dropIfLate(probe, it, now);
+      } else if (!now.isBefore(probe.start.plus(health.stretch(settings.probeDeadline())))) {
+        it.remove();
+        failed(probe, silent);
+      } else if (!probe.indirect
+          && !now.isBefore(probe.start.plus(health.stretch(settings.probeTimeout())))) {
+        probeIndirectly(probe);
+      }
+    }
+    if (!now.isBefore(nextProbe)) {
+      nextProbe = now.plus(health.stretch(settings.probeEvery()));
+      probeNext(now);
+    }
+    return silent;
+  }
+
+  /** Probes a daemon out of turn, such as one held dead; its silence has no consequence. */
+  void probeOnce(String node) {
+    messenger.ping(node, ++lastSequence);
+  }
+
+  void relay(String origin, long originSequence, String target, Instant now) {
+    start(new Probe(++lastSequence, target, now, origin, originSequence));
+  }
+
+  void acked(long sequence) {
+    Probe probe = probes.remove(sequence);
+    if (probe == null) {
+      return;
+    }
+    if (probe.origin != null) {
+      messenger.ack(probe.origin, probe.originSequence);
+    } else {
+      health.better();
+    }
+  }
+
+  void nacked(long sequence) {
+    Probe probe = probes.get(sequence);
+    if (probe != null && probe.origin == null) {
+      probe.nacksMissing--;
+    }
+  }
+
+  private void dropIfLate(Probe probe, Iterator<Probe> it, Instant now) {
+    if (!now.isBefore(probe.start.plus(settings.probeTimeout()))) {
+      it.remove();
+      messenger.nack(String.valueOf(probe.origin), probe.originSequence);
+    }
+  }
+
+  private void failed(Probe probe, List<String> silent) {
+    // A helper that neither reached the target nor said so is a sign that this daemon is cut off.
+    health.worse(probe.helpers == 0 ? 1 : Math.max(0, probe.nacksMissing));
+    silent.add(probe.target);
+  }
+
+  private void probeIndirectly(Probe probe) {
+    probe.indirect = true;
+    List<String> helpers = new ArrayList<>(table.contacts(self));
+    helpers.remove(probe.target);
+    Shuffle.inPlace(helpers, random);
+    for (String helper : helpers.subList(0, Math.min(settings.indirectProbes(), helpers.size()))) {
+      probe.helpers++;
+      probe.nacksMissing++;
+      messenger.askToPing(helper, probe.target, probe.sequence);
+    }
+    // The first ping may have been lost alone.
+    messenger.ping(probe.target, probe.sequence);
+  }
+
+  private void probeNext(Instant now) {
+    if (position >= round.size()) {
+      List<String> next = new ArrayList<>(table.contacts(self));
+      Shuffle.inPlace(next, random);
+      round = next;
+      position = 0;
+    }
+    while (position < round.size()) {
+      String target = round.get(position++);
+      if (table.isLive(target) && !isProbed(target)) {
+        start(new Probe(++lastSequence, target, now, null, 0));
+        return;
+      }
+    }
+  }
+
+  private void start(Probe probe) {
+    probes.put(probe.sequence, probe);
+    messenger.ping(probe.target, probe.sequence);
+  }
+
+  private boolean isProbed(String target) {
+    return probes.values().stream()
+        .anyMatch(probe -> probe.origin == null && probe.target.equals(target));
+  }
+
+  private static final class Probe {
+    private final long sequence;
+    private final String target;
+    private final Instant start;
+    private final @Nullable String origin;
+    private final long originSequence;
+    private boolean indirect;
+    private int helpers;
+    private int nacksMissing;
+
+    private Probe(
+        long sequence, String target, Instant start, @Nullable String origin, long originSequence) {
+      this.sequence = sequence;
+      this.target = target;
+      this.start = start;
+      this.origin = origin;
+      this.originSequence = originSequence;
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/MembershipPart.java
@@ -0,0 +1,496 @@
+package org.skylarkfork.core.membership;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.configuration.ConfigurationView;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.MembershipEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.MembershipMessage;
+import org.skylarkfork.core.message.PeerMessage;
+
+/**
+ * Finds the other daemons, watches them and spreads who is there.
+ *
+ * <p>The published SWIM rules with Lifeguard's extensions: probes, indirect probes, suspicions that
+ * their subject can refute, and timeouts that grow while this daemon itself seems at fault.
+ */
+public final class MembershipPart implements Part, Members {
+
+  private static final int PAGE = 64;
+  private static final int JOIN_TARGETS = 3;
+
+  private final ConfigurationView configuration;
+  private final List<Seed> seeds;
+  private final MembershipSettings settings;
+  private final UniformRandomProvider random;
+  private final MemberTable table = new MemberTable();
+  private final LocalHealth health = new LocalHealth();
+  private final Dissemination news;
+  private final FailureDetector detector;
+  private final Map<String, Suspicion> suspicions = new TreeMap<>();
+  private final Map<String, Instant> forgetAt = new TreeMap<>();
+  private final Map<String, Long> warnedOf = new TreeMap<>();
+  private Member self;
+  private boolean superseded;
+  private boolean left;
+  private Instant nextGossip = Instant.MIN;
+  private Instant nextSync = Instant.MIN;
+  private Instant nextJoin = Instant.MIN;
+  private Output out = new Discard();
+
+  /**
+   * Makes a part that knows only itself.
+   *
+   * @param self this daemon; its incarnation must be above those of its earlier processes, such as
+   *     the time of start
+   * @param seeds daemons to ask for the others; this one may be among them
+   * @param configuration says whether this daemon holds the configuration lease
+   * @param settings how daemons watch each other
+   * @param seed seed of the random choices
+   */
+  public MembershipPart(
+      Member self,
+      List<Seed> seeds,
+      ConfigurationView configuration,
+      MembershipSettings settings,
+      long seed) {
+    this.self = self;
+    this.seeds = seeds.stream().filter(other -> !other.node().equals(self.name())).toList();
+    this.configuration = configuration;
+    this.settings = settings;
+    random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    news = new Dissemination(settings.updatesPerMessage());
+    detector =
+        new FailureDetector(self.name(), settings, table, health, random, new PeerMessenger());
+    table.put(alive(self));
+  }
+
+  @Override
+  public void apply(Event event, Instant now, Output output) {
+    out = output;
+    if (event instanceof LifecycleEvent lifecycle) {
+      lifecycle(lifecycle, now);
+    } else if (event instanceof PeerEvent.MessageReceived received
+        && received.message() instanceof MembershipMessage message) {
+      received(received.node(), message, now);
+    }
+    out = new Discard();
+  }
+
+  @Override
+  public Member self() {
+    return self;
+  }
+
+  @Override
+  public List<Member> live() {
+    return table.live();
+  }
+
+  @Override
+  public List<Member> liveIn(String zone) {
+    return table.live().stream().filter(member -> member.zone().equals(zone)).toList();
+  }
+
+  @Override
+  public Optional<Member> find(String name) {
+    MemberUpdate update = table.get(name);
+    boolean live = update != null && update.status().isLive();
+    return live ? Optional.of(update.member()) : Optional.empty();
+  }
+
+  @Override
+  public boolean isSuspected(String name) {
+    MemberUpdate update = table.get(name);
+    return update != null && update.status() == MemberStatus.SUSPECTED;
+  }
+
+  @Override
+  public boolean isSuperseded() {
+    return superseded;
+  }
+
+  private void lifecycle(LifecycleEvent event, Instant now) {
+    if (event instanceof LifecycleEvent.Started) {
+      seeds.forEach(seed -> learn(seed.node(), seed.host(), seed.port()));
+      join(now);
+    } else if (event instanceof LifecycleEvent.Tick && !left) {
+      tick(now);
+    } else if (event instanceof LifecycleEvent.StopRequested) {
+      renew(ServingState.LEAVING);
+      tellContacts();
+    } else if (event instanceof LifecycleEvent.Ending) {
+      leave();
+    }
+  }
+
+  private void tick(Instant now) {
+    followLease(now);
+    if (!superseded) {
+      detector.tick(now).forEach(node -> suspect(node, self.name(), now));
+      if (!news.isEmpty() && !now.isBefore(nextGossip)) {
+        nextGossip = now.plus(settings.gossipEvery());
+        gossip();
+      }
+    }
+    if (!now.isBefore(nextSync)) {
+      nextSync = now.plus(settings.syncEvery());
+      randomContacts(1)
+          .forEach(
+              node ->
+                  send(node, new MembershipMessage.StateHash(self.incarnation(), table.hash())));
+    }
+    if (!now.isBefore(nextJoin)) {
+      join(now);
+    }
+    endSuspicions(now);
+    forgetDead(now);
+  }
+
+  private void followLease(Instant now) {
+    if (self.serving() == ServingState.LEAVING) {
+      return;
+    }
+    boolean serves = configuration.mayServe(now);
+    ServingState state = serves ? ServingState.SERVING : ServingState.NOT_SERVING;
+    if (self.serving() != state) {
+      renew(state);
+    }
+  }
+
+  /** Speaks to seeds and to daemons held dead, so that separated groups find each other again. */
+  private void join(Instant now) {
+    nextJoin = now.plus(settings.joinEvery());
+    List<String> missing = new ArrayList<>();
+    for (Seed seed : seeds) {
+      if (!table.isLive(seed.node())) {
+        missing.add(seed.node());
+      }
+    }
+    Shuffle.inPlace(missing, random);
+    for (String seed : missing.subList(0, Math.min(JOIN_TARGETS, missing.size()))) {
+      send(seed, new MembershipMessage.FullState(self.incarnation(), List.of(alive(self)), true));
+    }
+    List<String> dead = new ArrayList<>();
+    for (MemberUpdate update : table.all()) {
+      if (update.status() == MemberStatus.DEAD) {
+        dead.add(update.name());
+      }
+    }
+    if (!dead.isEmpty()) {
+      String target = dead.get(random.nextInt(dead.size()));
+      news.add(update(target));
+      detector.probeOnce(target);
+    }
+  }
+
+  private void received(String node, MembershipMessage message, Instant now) {
+    if (isOfReplacedProcess(node, message)) {
+      return;
+    }
+    if (message instanceof MembershipMessage.Ping ping) {
+      merge(ping.updates(), now);
+      send(node, new MembershipMessage.Ack(self.incarnation(), ping.sequence(), take(node)));
+      askUnknown(node);
+    } else if (message instanceof MembershipMessage.Ack ack) {
+      merge(ack.updates(), now);
+      detector.acked(ack.sequence());
+    } else if (message instanceof MembershipMessage.Nack nack) {
+      detector.nacked(nack.sequence());
+    } else if (message instanceof MembershipMessage.PingRequest request) {
+      detector.relay(node, request.sequence(), request.target(), now);
+    } else if (message instanceof MembershipMessage.Gossip gossip) {
+      merge(gossip.updates(), now);
+    } else if (message instanceof MembershipMessage.StateHash state) {
+      if (state.hash() != table.hash()) {
+        sendFullState(node, true);
+      }
+    } else if (message instanceof MembershipMessage.FullState state) {
+      merge(state.updates(), now);
+      if (state.wantAnswer()) {
+        sendFullState(node, false);
+      }
+    }
+  }
+
+  /**
+   * Returns whether the sender's name belongs to a newer process by now.
+   *
+   * <p>Answers to the old process go to the newer one's address. So it sees all others silent and
+   * would spread their deaths; without its messages it only loses its lease and refuses new work.
+   */
+  private boolean isOfReplacedProcess(String node, MembershipMessage message) {
+    MemberUpdate known = table.get(node);
+    if (known == null || message.incarnation() >= known.member().incarnation()) {
+      return false;
+    }
+    // If it is the newer process and its clock was set back, it takes a higher number on this news.
+    news.add(known);
+    out.effect(new TraceEffect.Count("membership_replaced_senders", "", 1));
+    if (!Long.valueOf(message.incarnation()).equals(warnedOf.put(node, message.incarnation()))) {
+      String what = "has replaced a process that still runs; stop the older one";
+      MembershipNotices.log(known.member(), what, true, out);
+    }
+    return true;
+  }
+
+  private void askUnknown(String node) {
+    if (!table.isLive(node) && !left) {
+      // It holds this daemon to be there while it was forgotten or is held dead here.
+      sendFullState(node, true);
+    }
+  }
+
+  private void sendFullState(String node, boolean wantAnswer) {
+    List<MemberUpdate> all = List.copyOf(table.all());
+    for (int from = 0; from < all.size(); from += PAGE) {
+      int to = Math.min(from + PAGE, all.size());
+      boolean last = to == all.size();
+      send(
+          node,
+          new MembershipMessage.FullState(
+              self.incarnation(), all.subList(from, to), last && wantAnswer));
+    }
+  }
+
+  private void merge(List<MemberUpdate> updates, Instant now) {
+    for (MemberUpdate update : updates) {
+      if (update.name().equals(self.name())) {
+        mergeSelf(update);
+      } else {
+        mergeOther(update, now);
+      }
+    }
+  }
+
+  private void mergeOther(MemberUpdate update, Instant now) {
+    MemberUpdate known = table.get(update.name());
+    if (known == null && !update.status().isLive()) {
+      return;
+    }
+    if (known != null && !update.prevailsOver(known)) {
+      confirm(update, known);
+      return;
+    }
+    table.put(update);
+    news.add(update);
+    followAddress(update.member(), known);
+    suspicions.remove(update.name());
+    forgetAt.remove(update.name());
+    if (update.status() == MemberStatus.SUSPECTED) {
+      suspicions.put(update.name(), new Suspicion(settings, now, update.accuser()));
+    } else if (!update.status().isLive()) {
+      forgetAt.put(update.name(), now.plus(settings.forgetAfter()));
+    }
+    MembershipNotices.raise(update, known, out);
+    if (update.status() == MemberStatus.LEFT) {
+      forgetPeer(update.name());
+    }
+  }
+
+  private void confirm(MemberUpdate update, MemberUpdate known) {
+    Suspicion suspicion = suspicions.get(update.name());
+    boolean same = update.status() == known.status() && update.member().equals(known.member());
+    if (suspicion != null && same && suspicion.confirm(update.accuser())) {
+      news.add(update);
+    }
+  }
+
+  private void followAddress(Member member, @Nullable MemberUpdate known) {
+    if (known == null || !known.status().isLive() || !known.member().sameAddress(member)) {
+      learn(member.name(), member.host(), member.framePort());
+    }
+  }
+
+  private void mergeSelf(MemberUpdate update) {
+    Member said = update.member();
+    if (left || said.incarnation() < self.incarnation()) {
+      return;
+    }
+    boolean ended = !update.status().isLive();
+    if (said.incarnation() > self.incarnation()) {
+      if (ended || said.sameAddress(self)) {
+        // An earlier process of this daemon had the higher number, since the clock was set back.
+        renumber(said.incarnation() + 1);
+      } else {
+        supersede(said);
+      }
+    } else if (!said.sameAddress(self) && !ended) {
+      if (said.address().compareTo(self.address()) > 0) {
+        supersede(said);
+      }
+    } else if (update.status() != MemberStatus.ALIVE && said.revision() >= self.revision()) {
+      superseded = false;
+      health.worse(1);
+      out.effect(new TraceEffect.Count("membership_refutations", "", 1));
+      self = self.with(self.incarnation(), said.revision(), self.serving());
+      renew(self.serving());
+    }
+  }
+
+  private void renumber(long incarnation) {
+    superseded = false;
+    self = self.with(incarnation, 0, self.serving());
+    renew(self.serving());
+  }
+
+  private void supersede(Member other) {
+    if (!superseded) {
+      superseded = true;
+      String sentence =
+          "a newer process at %s has the name %s, so this one takes no new work; stop one of them"
+              .formatted(other.address(), self.name());
+      out.effect(new TraceEffect.LogLine(true, "membership", sentence));
+      out.effect(new TraceEffect.Count("membership_superseded", "", 1));
+    }
+  }
+
+  private void suspect(String node, String accuser, Instant now) {
+    MemberUpdate known = table.get(node);
+    if (known != null && known.status().isLive()) {
+      merge(List.of(new MemberUpdate(known.member(), MemberStatus.SUSPECTED, accuser)), now);
+    }
+  }
+
+  private void endSuspicions(Instant now) {
+    List<String> due = new ArrayList<>();
+    suspicions.forEach(
+        (node, suspicion) -> {
+          if (!now.isBefore(suspicion.deadline(health))) {
+            due.add(node);
+          }
+        });
+    for (String node : due) {
+      MemberUpdate known = update(node);
+      merge(List.of(new MemberUpdate(known.member(), MemberStatus.DEAD, known.accuser())), now);
+    }
+  }
+
+  private void forgetDead(Instant now) {
+    for (Iterator<Map.Entry<String, Instant>> it = forgetAt.entrySet().iterator(); it.hasNext(); ) {
+      Map.Entry<String, Instant> entry = it.next();
+      if (!now.isBefore(entry.getValue())) {
+        it.remove();
+        table.remove(entry.getKey());
+        warnedOf.remove(entry.getKey());
+        forgetPeer(entry.getKey());
+      }
+    }
+  }
+
+  /** Gives this daemon a new revision and tells the others of it. */
+  private void renew(ServingState state) {
+    self = self.with(self.incarnation(), self.revision() + 1, state);
+    table.put(alive(self));
+    news.add(alive(self));
+    out.raise(new MembershipEvent.MemberChanged(self));
+  }
+
+  private void leave() {
+    left = true;
+    MemberUpdate update = new MemberUpdate(self, MemberStatus.LEFT, "");
+    news.add(update);
+    tellContacts();
+  }
+
+  private void tellContacts() {
+    if (!superseded) {
+      for (String node : table.contacts(self.name())) {
+        send(node, new MembershipMessage.Gossip(self.incarnation(), take(self.name())));
+      }
+    }
+  }
+
+  private void gossip() {
+    for (String node : randomContacts(settings.gossipFanout())) {
+      List<MemberUpdate> updates = take(node);
+      if (!updates.isEmpty()) {
+        send(node, new MembershipMessage.Gossip(self.incarnation(), updates));
+      }
+    }
+  }
+
+  private List<MemberUpdate> take(String first) {
+    return superseded ? List.of() : news.take(first, table.live().size());
+  }
+
+  private List<String> randomContacts(int count) {
+    List<String> contacts = new ArrayList<>(table.contacts(self.name()));
+    Shuffle.inPlace(contacts, random);
+    return contacts.subList(0, Math.min(count, contacts.size()));
+  }
+
+  private MemberUpdate update(String node) {
+    MemberUpdate known = table.get(node);
+    if (known == null) {
+      throw new IllegalStateException(node + " is timed but unknown");
+    }
+    return known;
+  }
+
+  private static MemberUpdate alive(Member member) {
+    return new MemberUpdate(member, MemberStatus.ALIVE, "");
+  }
+
+  private void send(String node, PeerMessage message) {
+    out.effect(new PeerEffect.SendToPeer(node, message));
+  }
+
+  private void learn(String node, String host, int port) {
+    out.effect(new PeerEffect.LearnPeer(node, host, port));
+  }
+
+  private void forgetPeer(String node) {
+    // A seed's address stays known, or nobody could reach it before it speaks itself.
+    if (seeds.stream().noneMatch(seed -> seed.node().equals(node))) {
+      out.effect(new PeerEffect.ForgetPeer(node));
+    }
+  }
+
+  private final class PeerMessenger implements FailureDetector.Messenger {
+
+    @Override
+    public void ping(String node, long sequence) {
+      send(node, new MembershipMessage.Ping(self.incarnation(), sequence, take(node)));
+    }
+
+    @Override
+    public void askToPing(String helper, String target, long sequence) {
+      send(helper, new MembershipMessage.PingRequest(self.incarnation(), sequence, target));
+    }
+
+    @Override
+    public void ack(String node, long sequence) {
+      send(node, new MembershipMessage.Ack(self.incarnation(), sequence, take(node)));
+    }
+
+    @Override
+    public void nack(String node, long sequence) {
+      send(node, new MembershipMessage.Nack(self.incarnation(), sequence));
+    }
+  }
+
+  private static final class Discard implements Output {
+
+    @Override
+    public void effect(Effect effect) {}
+
+    @Override
+    public void raise(Event event) {}
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/TestNetwork.java
@@ -0,0 +1,161 @@
+package org.skylarkfork.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+
+/** Several daemons in virtual time, with seeded delay and loss, silent cuts and slow processes. */
+final class TestNetwork {
+
+  static final Instant START = Instant.parse("2026-01-05T08:00:00Z");
+  static final List<String> ZONES = List.of("utrecht-a", "utrecht-b", "amersfoort");
+
+  final List<TestDaemon> daemons = new ArrayList<>();
+  final UniformRandomProvider random;
+  Instant now = START;
+  double loss;
+  private final Set<String> cut = new HashSet<>();
+  private final PriorityQueue<Delivery> queue =
+      new PriorityQueue<>(Comparator.comparing(Delivery::at).thenComparingLong(Delivery::order));
+  private long order;
+
+  TestNetwork(long seed) {
+    random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+  }
+
+  /** Starts entries 1 to n, of which the first two are seeds, and lets them find each other. */
+  TestNetwork with(int count) {
+    for (int i = 1; i <= count; i++) {
+      start(i, 1);
+    }
+    run(Duration.ofSeconds(15));
+    return this;
+  }
+
+  TestDaemon start(int number, long incarnation) {
+    return start("entry-" + number, "127.0.0." + number, number, incarnation);
+  }
+
+  TestDaemon start(String name, String host, int number, long incarnation) {
+    String zone = ZONES.get(number % ZONES.size());
+    List<String> roles = List.of(Member.ENTRY);
+    Member self =
+        new Member(
+            name,
+            host,
+            7000,
+            8080,
+            9090,
+            zone,
+            "nl-mid",
+            roles,
+            1,
+            incarnation,
+            0,
+            ServingState.NOT_SERVING);
+    List<Seed> seeds =
+        List.of(new Seed("entry-1", "127.0.0.1", 7000), new Seed("entry-2", "127.0.0.2", 7000));
+    TestDaemon daemon = new TestDaemon(self, seeds, random.nextLong());
+    daemons.add(daemon);
+    apply(daemon, new LifecycleEvent.Started());
+    return daemon;
+  }
+
+  /** Ends a process at once, without a word. */
+  void kill(TestDaemon daemon) {
+    daemon.running = false;
+    daemons.remove(daemon);
+  }
+
+  /** Loses all that goes to and from a host, without an error at either end. */
+  void cut(String host, boolean isCut) {
+    if (isCut) {
+      cut.add(host);
+    } else {
+      cut.remove(host);
+    }
+  }
+
+  void run(Duration time) {
+    Instant end = now.plus(time);
+    while (now.isBefore(end)) {
+      Instant next = now.plus(Reducer.TICK);
+      while (!queue.isEmpty() && !queue.peek().at().isAfter(next)) {
+        Delivery delivery = queue.poll();
+        now = delivery.at().isAfter(now) ? delivery.at() : now;
+        deliver(delivery);
+      }
+      now = next;
+      for (TestDaemon daemon : List.copyOf(daemons)) {
+        if (!now.isBefore(daemon.stuckUntil)) {
+          apply(daemon, new LifecycleEvent.Tick());
+        }
+      }
+    }
+  }
+
+  void apply(TestDaemon daemon, Event event) {
+    if (!daemon.running) {
+      return;
+    }
+    for (Effect effect : daemon.reducer.apply(event, now)) {
+      carryOut(daemon, effect);
+    }
+  }
+
+  private void carryOut(TestDaemon daemon, Effect effect) {
+    if (effect instanceof PeerEffect.LearnPeer learn) {
+      daemon.addressBook.put(learn.node(), learn.host());
+    } else if (effect instanceof PeerEffect.ForgetPeer forget) {
+      daemon.addressBook.remove(forget.node());
+    } else if (effect instanceof PeerEffect.SendToPeer send) {
+      send(daemon, send);
+    } else if (effect instanceof TraceEffect.LogLine line) {
+      daemon.take(line);
+    }
+  }
+
+  private void send(TestDaemon from, PeerEffect.SendToPeer send) {
+    String to = from.addressBook.get(send.node());
+    if (to == null || cut.contains(from.self.host()) || random.nextDouble() < loss) {
+      return;
+    }
+    Duration delay = Duration.ofMillis(1 + random.nextInt(5)).plus(from.slowness);
+    PeerEvent event = new PeerEvent.MessageReceived(from.self.name(), send.message());
+    queue.add(new Delivery(now.plus(delay), order++, to, send.node(), event));
+  }
+
+  private void deliver(Delivery delivery) {
+    if (cut.contains(delivery.host())) {
+      return;
+    }
+    for (TestDaemon daemon : List.copyOf(daemons)) {
+      if (!daemon.self.host().equals(delivery.host())) {
+        continue;
+      }
+      if (now.isBefore(daemon.stuckUntil)) {
+        queue.add(
+            new Delivery(
+                daemon.stuckUntil, order++, delivery.host(), delivery.name(), delivery.event()));
+      } else if (daemon.self.name().equals(delivery.name())) {
+        apply(daemon, delivery.event());
+      }
+    }
+  }
+
+  private record Delivery(Instant at, long order, String host, String name, Event event) {}
+}
