--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/package-info.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder documentation of the module's root package. */
+/** The command line. */
 @NullMarked
 package org.skylarkfork.daemon;
 
