Core: tests of the replicated log, and two faults they found

A replica with a wiped disk asked only the voters in its settings to be taken in, so a leader outside that list never heard of it; voters now tell it who the members are. Adds Probe, a command that changes nothing, for readiness checks, measurements and these tests. MiniNetwork runs several reducers with seeded delays, losses, doubles, cuts, crashes, wiped disks and slow syncs.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupCommand.java
@@ -6,6 +6,13 @@
   /** Commits the entries of earlier terms when a leader takes office. */
   record NoOperation() implements GroupCommand {}
 
+  /**
+   * Changes nothing; shows that the group agrees on commands and how long that takes.
+   *
+   * @param key what tells it from other probes
+   */
+  record Probe(String key) implements GroupCommand {}
+
   /**
    * Replaces the group's members; in force from the moment it is in a replica's log.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -13,6 +13,7 @@
 import org.skylarkfork.core.message.RaftMessage.FoundingRequest;
 import org.skylarkfork.core.message.RaftMessage.FoundingResponse;
 import org.skylarkfork.core.message.RaftMessage.JoinRequest;
+import org.skylarkfork.core.message.RaftMessage.JoinResponse;
 
 /**
  * The way into a group for a replica with an empty disk: founding it or asking to join.
@@ -26,6 +27,7 @@
   private final Replica replica;
   private final List<String> initialVoters;
   private final Map<String, Long> emptyDisks = new HashMap<>();
+  private List<String> votersHeardOf = List.of();
   private Instant nextRequest = Instant.EPOCH;
 
   Founding(Replica replica, List<String> initialVoters) {
@@ -61,15 +63,28 @@
 
   private void askToJoin(Turn turn) {
     Set<String> nodes = new LinkedHashSet<>(initialVoters);
-    for (Member voter : replica.members.latest().voters()) {
-      nodes.add(voter.node());
-    }
+    nodes.addAll(votersHeardOf);
+    nodes.addAll(voterNodes());
     nodes.remove(replica.node);
     for (String node : nodes) {
       turn.send(node, new JoinRequest(replica.group, replica.instance()));
     }
   }
 
+  private List<String> voterNodes() {
+    return replica.members.latest().voters().stream().map(Member::node).toList();
+  }
+
+  void onJoinRequest(String from, Turn turn) {
+    if (!voterNodes().isEmpty()) {
+      turn.send(from, new JoinResponse(replica.group, voterNodes()));
+    }
+  }
+
+  void onJoinResponse(JoinResponse response) {
+    votersHeardOf = response.voters();
+  }
+
   void onRequest(String from, FoundingRequest request, Turn turn) {
     turn.send(
         from,
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Progress.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Progress.java
@@ -29,12 +29,12 @@
     }
   }
 
-  /** Takes note that the logs agree up to an index, and needs no snapshot if that is enough. */
+  /** Takes note that the logs agree up to an index; the snapshot in use may be done with. */
   void matched(long index, long baseIndex) {
     matchIndex = Math.max(matchIndex, index);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
     probing = false;
-    if (matchIndex >= baseIndex) {
+    if (snapshot != null && matchIndex >= Math.min(snapshot.index(), baseIndex)) {
       snapshot = null;
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -20,6 +20,7 @@
 import org.skylarkfork.core.message.RaftMessage.FoundingRequest;
 import org.skylarkfork.core.message.RaftMessage.FoundingResponse;
 import org.skylarkfork.core.message.RaftMessage.JoinRequest;
+import org.skylarkfork.core.message.RaftMessage.JoinResponse;
 import org.skylarkfork.core.message.RaftMessage.SnapshotChunk;
 import org.skylarkfork.core.message.RaftMessage.SubmitAnswer;
 import org.skylarkfork.core.message.RaftMessage.SubmitRedirect;
@@ -209,8 +210,18 @@
       founding.onRequest(from, request, turn);
     } else if (message instanceof FoundingResponse response) {
       founding.onResponse(from, response, turn);
-    } else if (message instanceof JoinRequest request && replica.leads()) {
+    } else if (message instanceof JoinRequest request) {
+      onJoin(from, request, turn);
+    } else if (message instanceof JoinResponse response) {
+      founding.onJoinResponse(response);
+    }
+  }
+
+  private void onJoin(String from, JoinRequest request, Turn turn) {
+    if (replica.leads()) {
       memberChanges.joining(from, request.instance());
+    } else {
+      founding.onJoinRequest(from, turn);
     }
   }
 
@@ -306,7 +317,7 @@
     if (command instanceof GroupCommand.RemoveMember remove) {
       return memberChanges.refusalToRemove(remove.node());
     }
-    if (command instanceof GroupCommand) {
+    if (command instanceof GroupCommand && !(command instanceof GroupCommand.Probe)) {
       return "raft: only a leader makes this command; submit AdmitMember or RemoveMember";
     }
     return null;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
@@ -136,6 +136,20 @@
    */
   record JoinRequest(GroupId group, long instance) implements RaftMessage {}
 
+  /**
+   * Answers a replica that waits to be taken in: these may lead the group.
+   *
+   * @param group the group
+   * @param voters node names of the voters that the answering replica knows
+   */
+  record JoinResponse(GroupId group, List<String> voters) implements RaftMessage {
+
+    /** Copies the list. */
+    public JoinResponse {
+      voters = List.copyOf(voters);
+    }
+  }
+
   /**
    * Asks the leader to have a command agreed on.
    *
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
@@ -0,0 +1,251 @@
+package org.skylarkfork.core.consensus;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.GroupCommand;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Failures of replicated groups, one at a time. */
+public class ConsensusPartTest {
+
+  private static TestCluster cluster(long seed, int voters, int snapshotEntries) {
+    TestCluster cluster = new TestCluster(seed, voters, TestCluster.settings(snapshotEntries));
+    cluster.awaitLeader();
+    return cluster;
+  }
+
+  private static String other(TestCluster cluster, String... not) {
+    for (String name : cluster.daemons.keySet()) {
+      if (!java.util.List.of(not).contains(name)) {
+        return name;
+      }
+    }
+    throw new AssertionError("no other daemon");
+  }
+
+  @Test
+  public void daemonWithoutReplicaGetsItsResult() {
+    TestCluster cluster = cluster(1, 3, 1000);
+    cluster.add("entry", false);
+    cluster.write("entry", "a", 20);
+    assertEquals(cluster.answers.get("a0"), new CommandResult.Done());
+    cluster.assertNothingLost();
+  }
+
+  @Test
+  public void oneVoterAloneAgreesWithItself() {
+    TestCluster cluster = cluster(2, 1, 10);
+    cluster.write("node-1", "a", 100);
+    cluster.assertNothingLost();
+  }
+
+  // An operator writes to the leader, which is cut off in silence. It answers nothing more and
+  // loses its lease before the others elect; an operator at the others is answered. After the cut
+  // the old leader drops what it alone had, and its operator learns the result by the resend.
+  @Test
+  public void leaderCutOffInSilenceAcceptsNothing() {
+    TestCluster cluster = cluster(3, 3, 1000);
+    String old = cluster.leader();
+    String free = other(cluster, old);
+    cluster.network.isolate(old);
+    cluster.submit(old, "cut-off");
+    cluster.submit(free, "free");
+    cluster.network.run(Duration.ofMillis(280));
+    assertNotEquals(cluster.status(old).role(), Role.LEADER);
+    assertTrue(cluster.awaitAnswer("free"), cluster.statuses());
+    assertFalse(cluster.answers.containsKey("cut-off"));
+    cluster.network.heal();
+    assertTrue(cluster.awaitAnswer("cut-off"), cluster.statuses());
+    cluster.assertNothingLost();
+  }
+
+  // A voter is cut off for a minute and comes back. Without the pre-vote it would have taken a new
+  // term each half second, and its return would depose the leader: callers would see a pause.
+  @Test
+  public void returningVoterDeposesNobody() {
+    TestCluster cluster = cluster(4, 3, 1000);
+    String leader = cluster.leader();
+    final long term = cluster.status(leader).term();
+    String cutOff = other(cluster, leader);
+    cluster.network.isolate(cutOff);
+    cluster.network.run(Duration.ofSeconds(60));
+    cluster.network.heal();
+    cluster.network.run(Duration.ofSeconds(3));
+    assertEquals(cluster.leader(), leader);
+    assertEquals(cluster.status(cutOff).term(), term);
+  }
+
+  // A voter's disk is replaced. It comes back under its name, copies the log as a learner and votes
+  // again only then; right after that a second voter is lost for good. What was answered before,
+  // between and after must still be there.
+  @Test(dataProvider = "seeds")
+  public void secondVoterLostRightAfterRepair(long seed) {
+    TestCluster cluster = cluster(seed, 3, 40);
+    cluster.write("node-2", "before-", 60);
+    String repaired = other(cluster, cluster.leader());
+    cluster.network.wipe(repaired);
+    cluster.network.start(repaired);
+    cluster.write(cluster.awaitLeader(), "between-", 30);
+    assertTrue(
+        cluster.network.runUntil(Duration.ofSeconds(30), () -> countsAgain(cluster, repaired)));
+    String lost = other(cluster, repaired);
+    cluster.network.wipe(lost);
+    cluster.awaitLeader();
+    cluster.write(repaired, "after-", 10);
+    cluster.network.start(lost);
+    assertTrue(cluster.awaitVoters(3), cluster.statuses());
+    cluster.assertNothingLost();
+  }
+
+  private static boolean countsAgain(TestCluster cluster, String node) {
+    String leader = cluster.leader();
+    if (leader == null
+        || cluster.status(leader).commitIndex() < cluster.status(leader).lastIndex()) {
+      return false;
+    }
+    long instances = cluster.status(leader).members().voters().size();
+    return instances == 3
+        && cluster.status(node).members().find(node) != null
+        && cluster.status(node).members().voters().size() == 3
+        && cluster.status(node).role() == Role.FOLLOWER;
+  }
+
+  // Two of three voters lose their disks at once, one accepted change is left on the third alone.
+  // The two empty disks must not elect a leader without it: the group stands still instead.
+  @Test
+  public void twoWipedVotersAreNoMajority() {
+    TestCluster cluster = cluster(5, 3, 1000);
+    cluster.write("node-1", "kept-", 5);
+    String kept = cluster.leader();
+    for (String name : cluster.daemons.keySet()) {
+      if (!name.equals(kept)) {
+        cluster.network.wipe(name);
+        cluster.network.start(name);
+      }
+    }
+    cluster.network.isolate(kept);
+    cluster.network.run(Duration.ofSeconds(20));
+    assertEquals(cluster.leader(), null);
+    cluster.network.heal();
+    cluster.network.run(Duration.ofSeconds(20));
+    assertEquals(cluster.leader(), null);
+  }
+
+  // All processes stop after 500 changes and start with what their disks hold, with snapshots and
+  // without. Callers find each change they were answered.
+  @Test(dataProvider = "thresholds")
+  public void restartAfterManyChanges(int snapshotEntries) {
+    TestCluster cluster = cluster(6, 3, snapshotEntries);
+    for (int i = 0; i < 5; i++) {
+      cluster.write("node-" + (1 + i % 3), "w" + i + "-", 100);
+    }
+    cluster.daemons.keySet().forEach(cluster.network::crash);
+    cluster.daemons.keySet().forEach(cluster.network::start);
+    assertTrue(cluster.awaitLeader() != null);
+    long snapshotIndex = cluster.status("node-1").snapshotIndex();
+    assertEquals(snapshotIndex > 0, snapshotEntries < 500);
+    cluster.assertNothingLost();
+  }
+
+  // A voter was away while the log was compacted, so that the leader has to send its snapshot in
+  // chunks. Messages get lost meanwhile; it must still catch up.
+  @Test
+  public void laggingVoterGetsSnapshot() {
+    TestCluster cluster = cluster(7, 3, 20);
+    String lagging = other(cluster, cluster.leader());
+    cluster.network.crash(lagging);
+    cluster.write(cluster.leader(), "missed-", 150);
+    cluster.network.weather(0.2, 0.2, 20);
+    cluster.network.start(lagging);
+    cluster.network.run(Duration.ofSeconds(10));
+    cluster.network.weather(0, 0, 2);
+    cluster.assertNothingLost();
+    assertTrue(cluster.daemons.get(lagging).restores > 0);
+  }
+
+  // The leader's disk fails. It must give up its office and acknowledge nothing; the others go on.
+  @Test
+  public void failedSyncStopsTheVoterOnly() {
+    TestCluster cluster = cluster(8, 3, 1000);
+    String failing = cluster.leader();
+    cluster.network.failDisk(failing);
+    cluster.submit(failing, "during");
+    cluster.network.run(Duration.ofSeconds(3));
+    assertTrue(cluster.status(failing).storageFailed());
+    assertNotEquals(cluster.awaitLeader(), failing);
+    assertTrue(cluster.awaitAnswer("during"), cluster.statuses());
+  }
+
+  // Nobody is answered by a majority that has the entry in memory only: with syncs that take 50 ms
+  // all three processes lose power right after the first answer.
+  @Test(dataProvider = "seeds")
+  public void answeredEntriesAreSynced(long seed) {
+    TestCluster cluster = cluster(seed, 3, 1000);
+    cluster.network.syncMillis(50);
+    for (int round = 0; round < 5; round++) {
+      String key = "round-" + round;
+      cluster.submit(cluster.awaitLeader(), key);
+      assertTrue(cluster.awaitAnswer(key), cluster.statuses());
+      cluster.daemons.keySet().forEach(cluster.network::crash);
+      cluster.daemons.keySet().forEach(cluster.network::start);
+    }
+    cluster.assertNothingLost();
+  }
+
+  @Test
+  public void secondMemberChangeWaitsForTheFirst() {
+    TestCluster cluster = cluster(9, 3, 50);
+    cluster.write("node-1", "a", 80);
+    cluster.add("node-4", true);
+    cluster.network.run(Duration.ofSeconds(1));
+    GroupCommand admit = new GroupCommand.AdmitMember("node-4");
+    GroupCommand remove = new GroupCommand.RemoveMember(cluster.leader());
+    cluster.submit(cluster.leader(), admit);
+    cluster.submit(cluster.leader(), remove);
+    assertTrue(cluster.awaitAnswer(admit.toString()));
+    assertEquals(cluster.answers.get(admit.toString()), new CommandResult.Done());
+    assertTrue(cluster.awaitAnswer(remove.toString()));
+    assertTrue(cluster.answers.get(remove.toString()) instanceof CommandResult.Rejected);
+    assertTrue(cluster.awaitVoters(4));
+    String removed = cluster.leader();
+    cluster.submit(removed, remove);
+    assertTrue(
+        cluster.network.runUntil(
+            Duration.ofSeconds(10),
+            () -> cluster.leader() != null && !cluster.leader().equals(removed)));
+    assertTrue(cluster.awaitVoters(3));
+    cluster.network.crash(removed);
+    cluster.write("node-4", "b", 10);
+  }
+
+  @Test
+  public void tooManySubmissionsAreRefused() {
+    TestCluster cluster = cluster(10, 3, 1000);
+    String leader = cluster.leader();
+    for (int i = 0; i < 400; i++) {
+      cluster.submit(leader, "burst-" + i);
+    }
+    cluster.network.run(Duration.ofSeconds(2));
+    assertFalse(cluster.failures.isEmpty());
+    assertEquals(cluster.failures.size() + cluster.answers.size(), 400);
+    cluster.write(leader, "after-", 10);
+  }
+
+  /** Seeds of the repeated runs. */
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{11L}, {12L}, {13L}, {14L}, {15L}};
+  }
+
+  /** Snapshot thresholds: several snapshots, and none. */
+  @DataProvider
+  public Object[][] thresholds() {
+    return new Object[][] {{60}, {10_000}};
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/RandomRunTest.java
@@ -0,0 +1,158 @@
+package org.skylarkfork.core.consensus;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.GroupCommand;
+import org.skylarkfork.core.command.Member;
+import org.testng.Reporter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Long runs under seeded faults of every kind together.
+ *
+ * <p>The cluster checks at each event that a term has one leader, that at most one leader holds a
+ * lease and has all accepted entries, and that all replicas apply the same commands in order.
+ */
+public class RandomRunTest {
+
+  private static final int STEPS = 400;
+  private static final int KINDS_OF_FAULT = 13;
+
+  private TestCluster cluster;
+  private @Nullable String repaired;
+  private long instanceBefore;
+  private int submitted;
+  private int wiped;
+
+  // Daemons crash, lose disks one after the other, are cut off and come back, members change, and
+  // messages are lost, doubled and late, while all daemons submit. Afterwards everything accepted
+  // is there and the group works again.
+  @Test(dataProvider = "runs")
+  public void acceptedEntriesSurviveAnything(long seed, int voters, int snapshotEntries) {
+    cluster = new TestCluster(seed, voters, TestCluster.settings(snapshotEntries));
+    cluster.awaitLeader();
+    cluster.add("spare", true);
+    cluster.add("entry", false);
+    repaired = null;
+    submitted = 0;
+    wiped = 0;
+    for (int step = 0; step < STEPS; step++) {
+      fault();
+      submit();
+      cluster.network.run(Duration.ofMillis(20 + random(400)));
+    }
+    cluster.network.heal();
+    cluster.network.weather(0, 0, 2);
+    cluster.network.syncMillis(3);
+    for (String name : cluster.daemons.keySet()) {
+      startIfDown(name);
+    }
+    cluster.network.run(Duration.ofSeconds(12));
+    cluster.assertNothingLost();
+    String figures = cluster.answers.size() + " of " + submitted + " answered, " + wiped + " wiped";
+    assertTrue(cluster.answers.size() > submitted / 4, figures);
+    assertTrue(wiped > 0, figures);
+    Reporter.log("raft: seed " + seed + ": " + figures);
+  }
+
+  private void submit() {
+    for (int i = random(6); i > 0; i--) {
+      submitted++;
+      String name = anyDaemon();
+      if (cluster.network.isUp(name)) {
+        cluster.submit(name, "key-" + submitted);
+      }
+    }
+  }
+
+  private void fault() {
+    String name = anyDaemon();
+    switch (random(KINDS_OF_FAULT)) {
+      case 0 -> cluster.network.crash(name);
+      case 1, 2, 3 -> cluster.daemons.keySet().forEach(this::startIfDown);
+      case 4 -> cluster.network.isolate(name);
+      case 5 -> cluster.network.cut(name, anyDaemon());
+      case 6, 7 -> cluster.network.heal();
+      case 8 -> cluster.network.weather(random(30) / 100.0, random(30) / 100.0, 1 + random(200));
+      case 9 -> cluster.network.weather(0, 0, 1 + random(5));
+      case 10 -> cluster.network.syncMillis(1 + random(random(2) == 0 ? 5 : 150));
+      case 11 -> wipeIfAllCount(name);
+      default -> changeMembers();
+    }
+  }
+
+  /** Empties a disk, but only while each voter has what it promised, as a repair must wait for. */
+  private void wipeIfAllCount(String name) {
+    String leader = cluster.leader();
+    if (leader == null || !cluster.daemons.get(name).hosts) {
+      return;
+    }
+    GroupStatus status = cluster.status(leader);
+    Member member = status.members().find(name);
+    boolean settled = status.commitIndex() == status.lastIndex();
+    if (!settled
+        || member == null
+        || status.members().voters().size() < 3
+        || !countsAgain(status)) {
+      return;
+    }
+    repaired = name;
+    instanceBefore = member.instance();
+    wiped++;
+    cluster.network.wipe(name);
+    cluster.network.start(name);
+  }
+
+  private boolean countsAgain(GroupStatus status) {
+    if (repaired == null) {
+      return true;
+    }
+    Member member = status.members().find(repaired);
+    return member == null
+        || (member.instance() != instanceBefore && status.members().votes(member));
+  }
+
+  private void changeMembers() {
+    String leader = cluster.leader();
+    if (leader == null) {
+      return;
+    }
+    int voters = cluster.status(leader).members().voters().size();
+    if (voters > 3 && random(2) == 0) {
+      cluster.submit(leader, new GroupCommand.RemoveMember(anyDaemon()));
+    } else {
+      cluster.submit(leader, new GroupCommand.AdmitMember(anyDaemon()));
+    }
+  }
+
+  private void startIfDown(String name) {
+    if (!cluster.network.isUp(name)) {
+      cluster.network.start(name);
+    }
+  }
+
+  private String anyDaemon() {
+    List<String> names = new ArrayList<>(cluster.daemons.keySet());
+    return names.get(random(names.size()));
+  }
+
+  private int random(int bound) {
+    return cluster.network.random().nextInt(bound);
+  }
+
+  /** Seed, number of voters and snapshot threshold of each run. */
+  @DataProvider
+  public Object[][] runs() {
+    List<Object[]> runs = new ArrayList<>();
+    int count = Integer.getInteger("skylarkfork.runs", 12);
+    for (int i = 0; i < count; i++) {
+      runs.add(new Object[] {100L + i, i % 3 == 2 ? 5 : 3, i % 2 == 0 ? 25 : 10_000});
+    }
+    return runs.toArray(new Object[0][]);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
@@ -0,0 +1,314 @@
+package org.skylarkfork.core.consensus;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.GroupCommand;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.GroupState;
+import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.command.Snapshot;
+import org.skylarkfork.core.command.StateMachine;
+import org.skylarkfork.core.event.ConsensusEvent;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.testing.MiniNetwork;
+
+/** Daemons with one group, and what must hold for them at every moment. */
+final class TestCluster {
+
+  static final GroupId GROUP = GroupId.CONFIGURATION;
+
+  final MiniNetwork network;
+  final Map<String, Daemon> daemons = new LinkedHashMap<>();
+
+  /** Results by key, as their submitters got them. */
+  final Map<String, CommandResult> answers = new HashMap<>();
+
+  final Map<String, String> failures = new HashMap<>();
+
+  private final List<String> voters;
+  private final RaftSettings settings;
+  private final MemoryCodec codec = new MemoryCodec();
+  private final Map<Long, Command> agreed = new HashMap<>();
+  private final Map<String, Long> indexes = new HashMap<>();
+  private final Map<Long, String> leaders = new HashMap<>();
+  private long newestAnswered;
+
+  TestCluster(long seed, int voterCount, RaftSettings settings) {
+    this.network = new MiniNetwork(seed);
+    this.settings = settings;
+    List<String> names = new ArrayList<>();
+    for (int i = 1; i <= voterCount; i++) {
+      names.add("node-" + i);
+    }
+    this.voters = names;
+    for (String name : names) {
+      add(name, true);
+    }
+    network.check(this::checkLeases);
+  }
+
+  /** Settings with the default times and small bounds, so that every path is taken. */
+  static RaftSettings settings(int snapshotEntries) {
+    RaftSettings defaults = RaftSettings.defaults();
+    return new RaftSettings(
+        defaults.electionMin(),
+        defaults.electionMax(),
+        defaults.heartbeat(),
+        defaults.lease(),
+        defaults.storageStall(),
+        defaults.resend(),
+        snapshotEntries,
+        4,
+        8,
+        1024,
+        32,
+        100,
+        200,
+        64 * 1024,
+        300);
+  }
+
+  Daemon add(String name, boolean hosts) {
+    Daemon daemon = new Daemon(name, hosts);
+    daemons.put(name, daemon);
+    network.add(name, hosts ? List.of(GROUP) : List.of(), daemon::boot);
+    network.start(name);
+    return daemon;
+  }
+
+  @Nullable String leader() {
+    for (Daemon daemon : daemons.values()) {
+      if (network.isUp(daemon.name) && daemon.part.holdsLease(GROUP, network.now())) {
+        return daemon.name;
+      }
+    }
+    return null;
+  }
+
+  String awaitLeader() {
+    if (!network.runUntil(Duration.ofSeconds(20), () -> leader() != null)) {
+      throw new AssertionError("no leader: " + statuses());
+    }
+    return leader();
+  }
+
+  void submit(String daemon, String key) {
+    daemons.get(daemon).submissions.add(new GroupCommand.Probe(key));
+  }
+
+  void submit(String daemon, Command command) {
+    daemons.get(daemon).submissions.add(command);
+  }
+
+  boolean awaitAnswer(String key) {
+    return network.runUntil(Duration.ofSeconds(20), () -> answers.containsKey(key));
+  }
+
+  /** Submits to one daemon and waits until all are answered. */
+  void write(String daemon, String prefix, int count) {
+    for (int i = 0; i < count; i++) {
+      submit(daemon, prefix + i);
+    }
+    for (int i = 0; i < count; i++) {
+      if (!awaitAnswer(prefix + i)) {
+        throw new AssertionError("no answer to " + prefix + i + ": " + failures + statuses());
+      }
+    }
+  }
+
+  boolean awaitVoters(int count) {
+    return network.runUntil(
+        Duration.ofSeconds(30),
+        () -> {
+          String leader = leader();
+          return leader != null && status(leader).members().voters().size() == count;
+        });
+  }
+
+  GroupStatus status(String daemon) {
+    return daemons.get(daemon).part.status(GROUP);
+  }
+
+  String statuses() {
+    StringBuilder text = new StringBuilder();
+    for (Daemon daemon : daemons.values()) {
+      text.append('\n').append(daemon.name).append(' ').append(daemon.part.statuses());
+    }
+    return text.toString();
+  }
+
+  /** Checks that each running replica has applied everything that was ever answered. */
+  void assertNothingLost() {
+    awaitLeader();
+    write(leader(), "last-" + network.now() + "-", 1);
+    network.run(Duration.ofSeconds(3));
+    for (String key : answers.keySet()) {
+      boolean probe = !key.contains("Member[");
+      if (probe && !indexes.containsKey(key)) {
+        throw new AssertionError(key + " was answered but never applied");
+      }
+    }
+    Members members = status(leader()).members();
+    for (Daemon daemon : daemons.values()) {
+      boolean member = members.find(daemon.name) != null;
+      if (member && network.isUp(daemon.name) && daemon.applied < newestAnswered) {
+        throw new AssertionError(daemon.name + " lacks accepted entries:" + statuses());
+      }
+    }
+  }
+
+  private void checkLeases() {
+    String holder = null;
+    for (Daemon daemon : daemons.values()) {
+      boolean running = daemon.part != null && network.isUp(daemon.name);
+      if (!running || !daemon.part.holdsLease(GROUP, network.now())) {
+        continue;
+      }
+      if (holder != null) {
+        throw new AssertionError("two leaders under a lease" + statuses());
+      }
+      holder = daemon.name;
+      if (status(holder).commitIndex() < newestAnswered) {
+        throw new AssertionError("a leader under its lease lacks accepted entries" + statuses());
+      }
+    }
+  }
+
+  /** A daemon that submits what the test asks for and records what it is told. */
+  final class Daemon implements Part {
+    final String name;
+    final boolean hosts;
+    final Deque<Command> submissions = new ArrayDeque<>();
+    private final Map<Long, String> keys = new HashMap<>();
+    ConsensusPart part;
+    long applied;
+    int restores;
+
+    private Daemon(String name, boolean hosts) {
+      this.name = name;
+      this.hosts = hosts;
+    }
+
+    private Reducer boot(long seed) {
+      StateMachine machine = hosts ? new NothingMachine() : null;
+      GroupSetup setup = new GroupSetup(GROUP, voters, machine);
+      part = new ConsensusPart(name, List.of(setup), settings, codec, seed);
+      keys.clear();
+      applied = 0;
+      return new Reducer(List.of(part, this));
+    }
+
+    @Override
+    public void apply(Event event, Instant now, Output output) {
+      if (event instanceof LifecycleEvent.Tick) {
+        while (!submissions.isEmpty()) {
+          submitNext(now, output);
+        }
+      } else if (event instanceof ConsensusEvent.CommandCommitted committed) {
+        committed(committed);
+      } else if (event instanceof ConsensusEvent.GroupRestored restored) {
+        applied = restored.index();
+        restores++;
+      } else if (event instanceof ConsensusEvent.SubmissionAnswered answered) {
+        answered(answered);
+      } else if (event instanceof ConsensusEvent.SubmissionFailed failed) {
+        failures.put(keys.remove(failed.submissionId()), failed.remedy());
+      } else if (event instanceof ConsensusEvent.LeaderChanged change) {
+        changed(change);
+      }
+    }
+
+    private void submitNext(Instant now, Output output) {
+      Command command = submissions.removeFirst();
+      long id = part.submitter().newSubmissionId();
+      keys.put(id, key(command));
+      Instant deadline = now.plusSeconds(10);
+      part.submitter().submit(GROUP, command, id, deadline, now, output);
+    }
+
+    private void committed(ConsensusEvent.CommandCommitted committed) {
+      if (committed.index() <= applied) {
+        throw new AssertionError(name + " applied " + committed.index() + " after " + applied);
+      }
+      applied = committed.index();
+      Command other = agreed.putIfAbsent(committed.index(), committed.command());
+      if (other != null && !other.equals(committed.command())) {
+        throw new AssertionError(name + " applied " + committed + " where another had " + other);
+      }
+      indexes.putIfAbsent(key(committed.command()), committed.index());
+    }
+
+    private void answered(ConsensusEvent.SubmissionAnswered answered) {
+      String key = keys.remove(answered.submissionId());
+      answers.put(key, answered.result());
+      newestAnswered = Math.max(newestAnswered, indexes.getOrDefault(key, 0L));
+    }
+
+    private void changed(ConsensusEvent.LeaderChanged change) {
+      if (name.equals(change.node())) {
+        String other = leaders.putIfAbsent(change.term(), name);
+        if (other != null && !other.equals(name)) {
+          throw new AssertionError("two leaders in term " + change.term());
+        }
+      }
+    }
+  }
+
+  static String key(Command command) {
+    return command instanceof GroupCommand.Probe probe ? probe.key() : command.toString();
+  }
+
+  /** State without content: the tests follow the commands themselves. */
+  private static final class NothingMachine implements StateMachine {
+    @Override
+    public CommandResult apply(long index, Instant stampedAt, Command command) {
+      return new CommandResult.Done();
+    }
+
+    @Override
+    public GroupState snapshot() {
+      return new GroupState.Empty();
+    }
+
+    @Override
+    public void restore(GroupState state) {}
+  }
+
+  /** Keeps snapshots in memory under a number, padded so that they take several chunks. */
+  private static final class MemoryCodec implements GroupCodec {
+    private static final int LENGTH = 950;
+    private final List<Snapshot> snapshots = new ArrayList<>();
+
+    @Override
+    public byte[] encode(Snapshot snapshot) {
+      snapshots.add(snapshot);
+      byte[] bytes = new byte[LENGTH];
+      java.nio.ByteBuffer.wrap(bytes).putInt(LENGTH - 4, snapshots.size() - 1);
+      return bytes;
+    }
+
+    @Override
+    public Snapshot decode(byte[] bytes) {
+      return snapshots.get(java.nio.ByteBuffer.wrap(bytes).getInt(LENGTH - 4));
+    }
+
+    @Override
+    public int sizeOf(Command command) {
+      return 100;
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/MiniDisk.java
@@ -0,0 +1,81 @@
+package org.skylarkfork.core.testing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.HardState;
+import org.skylarkfork.core.command.LogEntry;
+import org.skylarkfork.core.command.Snapshot;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.event.StorageEvent;
+
+/** One group's part of a data folder: what is synced, and what a crash may still take away. */
+final class MiniDisk {
+
+  private final GroupId group;
+  private final Deque<StorageEffect> unsynced = new ArrayDeque<>();
+  private final List<LogEntry> entries = new ArrayList<>();
+  private @Nullable HardState hardState;
+  private @Nullable Snapshot snapshot;
+
+  MiniDisk(GroupId group) {
+    this.group = group;
+  }
+
+  void write(StorageEffect effect) {
+    unsynced.addLast(effect);
+  }
+
+  /** Syncs the oldest write and returns what the runtime would report of it. */
+  StorageEvent sync() {
+    StorageEffect effect = unsynced.removeFirst();
+    if (effect instanceof StorageEffect.Persist write) {
+      sync(write);
+      return new StorageEvent.Persisted(group, write.sequence());
+    }
+    StorageEffect.SaveSnapshot write = (StorageEffect.SaveSnapshot) effect;
+    snapshot = write.snapshot();
+    entries.removeIf(entry -> entry.index() <= write.snapshot().index());
+    return new StorageEvent.SnapshotSaved(group, write.snapshot().index());
+  }
+
+  private void sync(StorageEffect.Persist write) {
+    if (write.hardState() != null) {
+      hardState = write.hardState();
+    }
+    if (write.truncateFrom() > 0) {
+      entries.removeIf(entry -> entry.index() >= write.truncateFrom());
+    }
+    for (LogEntry entry : write.entries()) {
+      long last = snapshot == null ? 0 : snapshot.index();
+      if (!entries.isEmpty()) {
+        last = entries.get(entries.size() - 1).index();
+      }
+      if (entry.index() > last + 1 || (entry.index() <= last && !entries.isEmpty())) {
+        throw new AssertionError(group + ": entry " + entry.index() + " after " + last);
+      }
+      if (entry.index() > last) {
+        entries.add(entry);
+      }
+    }
+  }
+
+  /** Loses the unsynced writes but for the oldest ones, as a power failure does. */
+  void crash(int survivors) {
+    for (int i = 0; i < survivors && !unsynced.isEmpty(); i++) {
+      sync();
+    }
+    unsynced.clear();
+  }
+
+  int unsynced() {
+    return unsynced.size();
+  }
+
+  StorageEvent.Recovered recover() {
+    return new StorageEvent.Recovered(group, hardState, snapshot, entries);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/MiniNetwork.java
@@ -0,0 +1,277 @@
+package org.skylarkfork.core.testing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.event.StorageEvent;
+import org.skylarkfork.core.message.PeerMessage;
+
+/**
+ * Several reducers in one test, with seeded time, delivery and faults.
+ *
+ * <p>Carries out peer and storage effects; hands all others to a listener.
+ */
+public final class MiniNetwork {
+
+  /** Makes a daemon's reducer at each of its starts. */
+  @FunctionalInterface
+  public interface Boot {
+
+    /** Returns a new reducer; the seed differs at each start. */
+    Reducer start(long seed);
+  }
+
+  /** Marks a delivery that also a later start of the daemon gets, as messages in flight do. */
+  private static final int ANY_START = -1;
+
+  private final UniformRandomProvider random;
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final PriorityQueue<Delivery> queue =
+      new PriorityQueue<>(Comparator.comparing(Delivery::at).thenComparing(Delivery::order));
+  private final Set<String> cuts = new HashSet<>();
+  private BiConsumer<String, Effect> listener = (node, effect) -> {};
+  private Runnable check = () -> {};
+  private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+  private long order;
+  private double loss;
+  private double duplication;
+  private int maxDelayMillis = 2;
+  private int maxSyncMillis = 3;
+
+  /** Makes a network without nodes; the same seed gives the same run. */
+  public MiniNetwork(long seed) {
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+  }
+
+  /** Adds a daemon, not started yet, with an empty disk for the groups that it hosts. */
+  public void add(String name, List<GroupId> groups, Boot boot) {
+    nodes.put(name, new Node(name, groups, boot));
+  }
+
+  /** Sets the share of messages lost and doubled, and the greatest delay of one. */
+  public void weather(double lostShare, double doubledShare, int delayMillis) {
+    loss = lostShare;
+    duplication = doubledShare;
+    maxDelayMillis = delayMillis;
+  }
+
+  /** Sets the greatest time of a sync. */
+  public void syncMillis(int millis) {
+    maxSyncMillis = millis;
+  }
+
+  /** Gives effects other than those for peers and storage to a listener. */
+  public void listen(BiConsumer<String, Effect> effects) {
+    listener = effects;
+  }
+
+  /** Runs a check after each event. */
+  public void check(Runnable afterEvent) {
+    check = afterEvent;
+  }
+
+  /** Returns the present time of all daemons. */
+  public Instant now() {
+    return now;
+  }
+
+  /** Returns the run's randomness. */
+  public UniformRandomProvider random() {
+    return random;
+  }
+
+  /** Returns whether a daemon runs. */
+  public boolean isUp(String name) {
+    return nodes.get(name).reducer != null;
+  }
+
+  /** Starts a daemon with what its disk holds. */
+  public void start(String name) {
+    Node node = nodes.get(name);
+    node.starts++;
+    node.reducer = node.boot.start(random.nextLong());
+    for (MiniDisk disk : node.disks.values()) {
+      apply(node, disk.recover());
+    }
+    apply(node, new LifecycleEvent.Started());
+    schedule(node, Reducer.TICK, node.starts, () -> tick(node));
+  }
+
+  /** Ends a daemon at once; of its unsynced writes the oldest few may survive. */
+  public void crash(String name) {
+    Node node = nodes.get(name);
+    node.reducer = null;
+    for (MiniDisk disk : node.disks.values()) {
+      disk.crash(random.nextInt(disk.unsynced() + 1));
+    }
+  }
+
+  /** Ends a daemon and empties its disk. */
+  public void wipe(String name) {
+    crash(name);
+    nodes.get(name).format();
+  }
+
+  /** Makes all later writes of a daemon fail. */
+  public void failDisk(String name) {
+    nodes.get(name).diskFails = true;
+  }
+
+  /** Drops all messages between two daemons, in silence. */
+  public void cut(String one, String other) {
+    cuts.add(one + ">" + other);
+    cuts.add(other + ">" + one);
+  }
+
+  /** Drops all messages between a daemon and the others, in silence. */
+  public void isolate(String name) {
+    for (String other : nodes.keySet()) {
+      cut(name, other);
+    }
+  }
+
+  /** Ends all cuts. */
+  public void heal() {
+    cuts.clear();
+  }
+
+  /** Gives a running daemon an event. */
+  public void inject(String name, Event event) {
+    apply(nodes.get(name), event);
+  }
+
+  /** Lets time pass. */
+  public void run(Duration time) {
+    runUntil(time, () -> false);
+  }
+
+  /** Lets time pass until a condition holds; returns whether it does. */
+  public boolean runUntil(Duration limit, BooleanSupplier condition) {
+    Instant end = now.plus(limit);
+    while (!condition.getAsBoolean()) {
+      Delivery next = queue.peek();
+      if (next == null || next.at.isAfter(end)) {
+        now = end;
+        return condition.getAsBoolean();
+      }
+      queue.remove();
+      now = next.at;
+      deliver(next);
+    }
+    return true;
+  }
+
+  private void deliver(Delivery delivery) {
+    boolean sameStart = delivery.starts == ANY_START || delivery.starts == delivery.node.starts;
+    if (delivery.node.reducer != null && sameStart) {
+      delivery.action.run();
+    }
+  }
+
+  private void tick(Node node) {
+    schedule(node, Reducer.TICK, node.starts, () -> tick(node));
+    apply(node, new LifecycleEvent.Tick());
+  }
+
+  private StorageEvent sync(Node node, MiniDisk disk) {
+    if (node.diskFails) {
+      return new StorageEvent.Failed(disk.recover().group(), "no space left on device");
+    }
+    return disk.sync();
+  }
+
+  private void apply(Node node, Event event) {
+    if (node.reducer == null) {
+      return;
+    }
+    for (Effect effect : node.reducer.apply(event, now)) {
+      carryOut(node, effect);
+    }
+    check.run();
+  }
+
+  private void carryOut(Node node, Effect effect) {
+    if (effect instanceof PeerEffect.SendToPeer send) {
+      send(node, send.node(), send.message());
+    } else if (effect instanceof StorageEffect.Persist write) {
+      write(node, write.group(), write);
+    } else if (effect instanceof StorageEffect.SaveSnapshot write) {
+      write(node, write.group(), write);
+    } else {
+      listener.accept(node.name, effect);
+    }
+  }
+
+  private void send(Node from, String to, PeerMessage message) {
+    Node target = nodes.get(to);
+    boolean lost = random.nextDouble() < loss || cuts.contains(from.name + ">" + to);
+    if (target == null || lost) {
+      return;
+    }
+    int copies = random.nextDouble() < duplication ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      Duration delay = Duration.ofMillis(1 + random.nextInt(maxDelayMillis));
+      Event event = new PeerEvent.MessageReceived(from.name, message);
+      schedule(target, delay, ANY_START, () -> apply(target, event));
+    }
+  }
+
+  private void write(Node node, GroupId group, StorageEffect effect) {
+    MiniDisk disk = node.disks.get(group);
+    disk.write(effect);
+    Instant synced = now.plusMillis(1 + random.nextInt(maxSyncMillis));
+    node.lastSync = node.lastSync.isAfter(synced) ? node.lastSync : synced;
+    Duration delay = Duration.between(now, node.lastSync);
+    schedule(node, delay, node.starts, () -> apply(node, sync(node, disk)));
+  }
+
+  private void schedule(Node node, Duration delay, int starts, Runnable action) {
+    queue.add(new Delivery(now.plus(delay), order++, node, starts, action));
+  }
+
+  private static final class Node {
+    private final String name;
+    private final List<GroupId> groups;
+    private final Boot boot;
+    private final Map<GroupId, MiniDisk> disks = new LinkedHashMap<>();
+    private @Nullable Reducer reducer;
+    private Instant lastSync = Instant.EPOCH;
+    private int starts;
+    private boolean diskFails;
+
+    private Node(String name, List<GroupId> groups, Boot boot) {
+      this.name = name;
+      this.groups = groups;
+      this.boot = boot;
+      format();
+    }
+
+    private void format() {
+      diskFails = false;
+      for (GroupId group : groups) {
+        disks.put(group, new MiniDisk(group));
+      }
+    }
+  }
+
+  private record Delivery(Instant at, long order, Node node, int starts, Runnable action) {}
+}
