--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempt.java
@@ -0,0 +1,42 @@
+package org.skylarkfork.core.attempt;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.ModelVersion;
+
+/** One dispatch of a request to one upstream. */
+final class Attempt {
+
+  final String id;
+  final String upstream;
+  final @Nullable ModelVersion version;
+  final Instant dispatchedAt;
+  final Duration timeout;
+
+  /** When the upstream was last heard of; a plain service is heard of only once. */
+  Instant heardAt;
+
+  @Nullable Instant firstTokenAt;
+
+  /** Tokens that this attempt added to the answer. */
+  int tokens;
+
+  Attempt(
+      String id, String upstream, @Nullable ModelVersion version, Instant now, Duration timeout) {
+    this.id = id;
+    this.upstream = upstream;
+    this.version = version;
+    this.dispatchedAt = now;
+    this.heardAt = now;
+    this.timeout = timeout;
+  }
+
+  Instant silentAt() {
+    return heardAt.plus(timeout);
+  }
+
+  @Nullable Long firstTokenMillis() {
+    return firstTokenAt == null ? null : Duration.between(dispatchedAt, firstTokenAt).toMillis();
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Outcomes.java
@@ -0,0 +1,46 @@
+package org.skylarkfork.core.attempt;
+
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.event.UpstreamEvent.Moment;
+import org.skylarkfork.core.quality.AttemptOutcome;
+import org.skylarkfork.core.quality.AttemptOutcome.Ending;
+
+/** Puts attempts at drafts into the form in which the evidence on versions takes them. */
+final class Outcomes {
+
+  private Outcomes() {}
+
+  static AttemptOutcome of(ActiveRequest active, Attempt attempt, Ending ending) {
+    return new AttemptOutcome(
+        active.id(),
+        Objects.requireNonNull(attempt.version),
+        active.team,
+        active.request.promptTokens(),
+        ending,
+        null,
+        attempt.firstTokenMillis(),
+        attempt.tokens);
+  }
+
+  static AttemptOutcome ratedLater(AttemptOutcome told, double score) {
+    return new AttemptOutcome(
+        told.requestId(),
+        told.version(),
+        told.team(),
+        told.promptTokens(),
+        Ending.RATED_LATER,
+        score,
+        told.firstTokenMillis(),
+        told.completionTokens());
+  }
+
+  /** Returns what a failure says of the version, or null if it says only something of the VM. */
+  static @Nullable Ending ending(Moment moment) {
+    return switch (moment) {
+      case ANSWER_BEGUN -> Ending.CUT;
+      case REFUSED_STARTED -> Ending.ERROR;
+      case BEFORE_CONNECT, CONNECTED, PARTLY_WRITTEN, WRITTEN, REFUSED_NOT_STARTED -> null;
+    };
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Planning.java
@@ -0,0 +1,133 @@
+package org.skylarkfork.core.attempt;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.configuration.ModelVersion;
+import org.skylarkfork.core.configuration.Rule;
+import org.skylarkfork.core.configuration.Team;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.routing.Plan;
+import org.skylarkfork.core.routing.PlanQuery;
+
+/** Gives a draft its plan, under the configuration in force and its session's pins. */
+final class Planning {
+
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
+  private final RequestCollaborators parts;
+  private final Routes routes;
+
+  Planning(RequestCollaborators parts, Routes routes) {
+    this.parts = parts;
+    this.routes = routes;
+  }
+
+  /** Returns whether a version may get the request's work at this moment. */
+  boolean mayRun(ActiveRequest active, ModelVersion version) {
+    Configuration current = parts.configuration().current();
+    return !current.isWithdrawn(version)
+        && current.team(active.team).filter(team -> team.allows(version)).isPresent();
+  }
+
+  /**
+   * Plans a draft, with the rule matched again if the configuration changed meanwhile.
+   *
+   * @return why there is no plan, or null if the request has one now
+   */
+  @Nullable RoutingError plan(ActiveRequest active, Instant now) {
+    Configuration current = parts.configuration().current();
+    Optional<Team> team = current.team(active.team);
+    if (team.isEmpty()) {
+      return DraftRun.teamGone(active.team);
+    }
+    RoutingError error = routeAgain(active, current, now);
+    if (error != null) {
+      return error;
+    }
+    Rule.Decision.Route route = Objects.requireNonNull(active.route);
+    ModelVersion pinned = pinned(active, route);
+    PlanQuery query = new PlanQuery(active.request, team.get(), route, pinned);
+    Optional<Plan> plan = parts.planner().plan(query, now).map(found -> narrowed(active, found));
+    if (plan.isEmpty() || plan.get().steps().isEmpty()) {
+      return RoutingError.notRunRetry(
+          ErrorKind.NO_CAPACITY,
+          "No allowed version of the wanted models has an upstream now. Send it again later.",
+          RETRY_AFTER_MILLIS);
+    }
+    active.plan = plan.get();
+    active.step = 0;
+    return null;
+  }
+
+  private @Nullable RoutingError routeAgain(
+      ActiveRequest active, Configuration current, Instant now) {
+    if (active.revision == current.revision()) {
+      return null;
+    }
+    Optional<Rule> rule = routes.match(active.request, active.team, now);
+    if (rule.isPresent() && rule.get().then() instanceof Rule.Decision.Route route) {
+      active.take(route);
+      active.revision = current.revision();
+      return null;
+    }
+    return RoutingError.notRun(
+        ErrorKind.NOT_ALLOWED,
+        "The rules changed while the request waited, and none allows it. Ask your operator.");
+  }
+
+  private @Nullable ModelVersion pinned(ActiveRequest active, Rule.Decision.Route route) {
+    CallerRequest request = active.request;
+    if (request.session() == null) {
+      return null;
+    }
+    List<String> models = new ArrayList<>(route.models());
+    if (!request.model().equals(CallerRequest.AUTO)) {
+      models.remove(request.model());
+      models.add(0, request.model());
+    }
+    for (String model : models) {
+      ModelVersion kept = keptVersion(active, model);
+      if (kept != null) {
+        return kept;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the version of a model that the session keeps, unless it may not run any more. */
+  private @Nullable ModelVersion keptVersion(ActiveRequest active, String model) {
+    String session = active.request.session();
+    if (session == null) {
+      return null;
+    }
+    Optional<ModelVersion> pinned = parts.pins().pinned(active.team, session, model);
+    if (pinned.isPresent() && !mayRun(active, pinned.get())) {
+      active.notice = "session moved: " + pinned.get() + " is withdrawn or not allowed any more";
+      return null;
+    }
+    return pinned.orElse(null);
+  }
+
+  /**
+   * Puts the versions that the session keeps in the place of the plan's, and leaves out what may
+   * not run or has run already.
+   */
+  private Plan narrowed(ActiveRequest active, Plan plan) {
+    List<Plan.Step> steps = new ArrayList<>();
+    for (Plan.Step step : plan.steps()) {
+      ModelVersion kept = keptVersion(active, step.version().model());
+      ModelVersion version = kept == null ? step.version() : kept;
+      if (mayRun(active, version) && !active.finishedVersions.contains(version)) {
+        steps.add(new Plan.Step(version, step.rated()));
+      }
+    }
+    return new Plan(steps, plan.qualityTarget(), plan.expectedCostMicros(), plan.reason());
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RatingSampler.java
@@ -0,0 +1,56 @@
+package org.skylarkfork.core.attempt;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.effect.UpstreamEffect;
+import org.skylarkfork.core.quality.AttemptOutcome;
+import org.skylarkfork.core.quality.QualityBook;
+
+/** Has a share of the answers rated after they were sent, so that versions stay known. */
+final class RatingSampler {
+
+  private static final int MOST_OPEN = 1000;
+
+  private final double share;
+  private final long waitMillis;
+  private final QualityBook quality;
+  private final UniformRandomProvider random;
+  private final Map<String, AttemptOutcome> open = new LinkedHashMap<>();
+
+  RatingSampler(RequestSettings settings, QualityBook quality, UniformRandomProvider random) {
+    this.share = settings.sampledRatings();
+    this.waitMillis = settings.ratingWait().toMillis();
+    this.quality = quality;
+    this.random = random;
+  }
+
+  boolean draw() {
+    return random.nextDouble() < share;
+  }
+
+  /** Asks for the rating of an answer; beyond a bound the sample is dropped. */
+  void ask(ActiveRequest active, HeldAnswer answer, AttemptOutcome outcome, Turn turn) {
+    if (open.size() >= MOST_OPEN || answer.text().isEmpty()) {
+      return;
+    }
+    open.put(answer.attemptId(), outcome);
+    turn.effect(
+        new UpstreamEffect.RequestRating(
+            active.id(),
+            answer.attemptId(),
+            answer.version(),
+            active.request.prompt(),
+            answer.text(),
+            waitMillis));
+  }
+
+  /** Takes a rating that came after the answer was sent; one that wasn't asked for is ignored. */
+  void rated(String attemptId, @Nullable Double score, Turn turn) {
+    AttemptOutcome outcome = open.remove(attemptId);
+    if (outcome != null && score != null) {
+      quality.record(Outcomes.ratedLater(outcome, score), turn.now());
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Retries.java
@@ -0,0 +1,110 @@
+package org.skylarkfork.core.attempt;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.event.UpstreamEvent.Moment;
+import org.skylarkfork.core.request.RunState;
+
+/** Decides whether a request whose attempt failed is tried again, and after which pause. */
+final class Retries {
+
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
+  private final ActiveRequests requests;
+  private final RequestSettings settings;
+  private final AttemptBudget budget;
+  private final UniformRandomProvider random;
+
+  Retries(ActiveRequests requests, RequestSettings settings, UniformRandomProvider random) {
+    this.requests = requests;
+    this.settings = settings;
+    this.budget = new AttemptBudget(settings.retryShare(), settings.retryReserve());
+    this.random = random;
+  }
+
+  /** Takes note of a new request, which earns its share of a retry. */
+  void earn() {
+    budget.earn();
+  }
+
+  /**
+   * Returns why a request isn't tried again, or null if it is.
+   *
+   * <p>A resume always goes on while attempts are left: it was admitted before, and the rest of an
+   * answer is less work than the whole, so it can't multiply a burst. It is charged all the same.
+   *
+   * @param active the request
+   * @param moment how far the failed attempt had got
+   * @param resuming whether only the rest of an answer is asked for
+   * @param detail what the upstream said
+   */
+  @Nullable RoutingError refusal(
+      ActiveRequest active, Moment moment, boolean resuming, String detail) {
+    if (active.stepAttempts >= settings.maxAttempts()) {
+      return failed(active, detail + "; all attempts are used up");
+    }
+    if (resuming) {
+      budget.take();
+      return null;
+    }
+    if (RunStates.reachedUpstream(moment) && !budget.tryTake()) {
+      return failed(active, detail + "; the retry budget is used up");
+    }
+    return null;
+  }
+
+  /** Makes the refusal of a request that is given up after a failure. */
+  RoutingError failed(ActiveRequest active, String detail) {
+    boolean notRun = active.runState() == RunState.NOT_RUN;
+    if (notRun) {
+      return noCapacity(detail);
+    }
+    if (active.idempotent) {
+      String message = "The upstream failed: " + detail + ". Send the request again.";
+      return new RoutingError(
+          ErrorKind.UPSTREAM_FAILED, message, active.runState(), RETRY_AFTER_MILLIS);
+    }
+    String message =
+        "The upstream failed after the call was sent: "
+            + detail
+            + ". It may have run: don't send it again, but look at the service for its effect.";
+    return new RoutingError(ErrorKind.UPSTREAM_FAILED, message, active.runState(), null);
+  }
+
+  /** Makes the refusal of a request that no upstream started. */
+  RoutingError noCapacity(String detail) {
+    return RoutingError.notRunRetry(
+        ErrorKind.NO_CAPACITY,
+        "No upstream could take the request: " + detail + ". Send it again later.",
+        RETRY_AFTER_MILLIS);
+  }
+
+  /**
+   * Lets a request wait until one of its upstreams may be free again.
+   *
+   * <p>Only a request that has no other upstream left waits; the pause doubles each time and is
+   * spread at random so that those that failed together don't come back together.
+   *
+   * @return whether it waits; false if it waited often enough or its deadline comes first
+   */
+  boolean pause(ActiveRequest active, Instant now) {
+    if (active.pauses >= settings.maxPauses()) {
+      return false;
+    }
+    long full = settings.firstPause().toMillis() << active.pauses;
+    Instant end = now.plus(Duration.ofMillis(full / 2 + random.nextLong(full / 2 + 1)));
+    if (!end.isBefore(active.request.deadline())) {
+      return false;
+    }
+    active.pauses++;
+    active.triedUpstreams.clear();
+    active.phase = ActiveRequest.Phase.PAUSE;
+    active.phaseEnd = end;
+    requests.wakeBy(active, end);
+    return true;
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Routes.java
@@ -0,0 +1,42 @@
+package org.skylarkfork.core.attempt;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.configuration.ConfigurationView;
+import org.skylarkfork.core.configuration.Rule;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.routing.RuleBook;
+
+/** The rules of the configuration in force, made ready once a revision. */
+final class Routes {
+
+  private static final long NONE = -1;
+
+  private final ConfigurationView configuration;
+  private final Function<Configuration, RuleBook> ruleBooks;
+  private long revision = NONE;
+  private @Nullable RuleBook book;
+
+  Routes(ConfigurationView configuration, Function<Configuration, RuleBook> ruleBooks) {
+    this.configuration = configuration;
+    this.ruleBooks = ruleBooks;
+  }
+
+  Optional<Rule> match(CallerRequest request, String team, Instant now) {
+    return present().match(request, team, now);
+  }
+
+  private RuleBook present() {
+    Configuration current = configuration.current();
+    RuleBook known = book;
+    if (known == null || revision != current.revision()) {
+      known = ruleBooks.apply(current);
+      book = known;
+      revision = current.revision();
+    }
+    return known;
+  }
+}
