Quality: shared evidence, estimates and a sequential test for bad versions

Cause: nine entries that each judge alone learn nine times slower, and a fixed threshold either alarms falsely or late. Change: each entry's counters by version, prompt size and epoch are gossiped and merged by the greater count, so repeats and reordering do no harm; estimates decay and start at the operators' prior; a betting test with weighted starts compares each version with its predecessor or its own first time on ratings, errors, broken answers and first-token time. Verdicts spread at once.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -12,4 +12,5 @@
         SessionEvent,
         LedgerEvent,
         MembershipEvent,
-        ConsensusEvent {}
+        ConsensusEvent,
+        QualityEvent {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -1,4 +1,4 @@
 package org.skylarkfork.core.message;
 
 /** A message from one daemon to another. */
-public sealed interface PeerMessage permits RaftMessage, MembershipMessage {}
+public sealed interface PeerMessage permits RaftMessage, MembershipMessage, QualityMessage {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/AttemptOutcome.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/AttemptOutcome.java
@@ -15,6 +15,7 @@
  * @param firstTokenMillis time to the first token in milliseconds, or null if none came
  * @param completionTokens tokens generated
  * @param totalMillis time to the end of the attempt in milliseconds, or null if it was told before
+ * @param escalated whether an earlier step of its plan fell short, so that it met a hard request
  */
 public record AttemptOutcome(
     String requestId,
@@ -25,9 +26,10 @@
     @Nullable Double rating,
     @Nullable Long firstTokenMillis,
     int completionTokens,
-    @Nullable Long totalMillis) {
+    @Nullable Long totalMillis,
+    boolean escalated) {
 
-  /** Makes an outcome whose time to the end is not known. */
+  /** Makes an outcome of a first step whose time to the end is not known. */
   public AttemptOutcome(
       String requestId,
       ModelVersion version,
@@ -46,7 +48,8 @@
         rating,
         firstTokenMillis,
         completionTokens,
-        null);
+        null,
+        false);
   }
 
   /** How an attempt ended. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/QualityBook.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/QualityBook.java
@@ -16,6 +16,40 @@
    */
   Estimate estimate(ModelVersion version, String team, int promptTokens, double target);
 
+  /**
+   * Returns the chance that an answer reaches a target after an earlier step of the plan fell
+   * short; such requests are harder than others.
+   *
+   * @param version the version
+   * @param team name of the team that asks
+   * @param promptTokens length of the prompt
+   * @param target wanted rating, 0 to 1
+   */
+  default Estimate estimateEscalated(
+      ModelVersion version, String team, int promptTokens, double target) {
+    return estimate(version, team, promptTokens, target);
+  }
+
+  /**
+   * Returns the mean time to a whole answer in milliseconds, or 0 if it is not known.
+   *
+   * @param version the version
+   * @param promptTokens length of the prompt
+   */
+  default double expectedMillis(ModelVersion version, int promptTokens) {
+    return 0;
+  }
+
+  /**
+   * Returns the mean number of generated tokens, or 0 if it is not known.
+   *
+   * @param version the version
+   * @param promptTokens length of the prompt
+   */
+  default double expectedTokens(ModelVersion version, int promptTokens) {
+    return 0;
+  }
+
   /** Returns whether the evidence shows the version to be bad, so that it gets no new sessions. */
   boolean isSuspect(ModelVersion version);
 
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/QualityEstimator.java
@@ -0,0 +1,78 @@
+package org.skylarkfork.core.quality;
+
+import org.skylarkfork.core.configuration.ConfigurationView;
+import org.skylarkfork.core.configuration.Model;
+import org.skylarkfork.core.configuration.ModelVersion;
+
+/**
+ * Estimates a version's chance from decayed ratings and the operators' prior.
+ *
+ * <p>Each key is drawn to the version's other sizes, those to the operators' prior. A missing
+ * rating counts as nothing, since ratings are asked for by hash and not by the answer.
+ */
+final class QualityEstimator {
+
+  private static final double UNKNOWN_PRIOR = 0.5;
+
+  private final DecayedCounts counts;
+  private final ConfigurationView configuration;
+  private final double priorStrength;
+
+  QualityEstimator(DecayedCounts counts, ConfigurationView configuration, double priorStrength) {
+    this.counts = counts;
+    this.configuration = configuration;
+    this.priorStrength = priorStrength;
+  }
+
+  QualityBook.Estimate estimate(EvidenceKey key, double target) {
+    double first = allSizes(key.version(), false, target, prior(key.version()));
+    double drawnTo = key.escalated() ? allSizes(key.version(), true, target, first) : first;
+    double[] seen = counts.of(key);
+    double ratings = DecayedCounts.ratings(seen);
+    double reaching = DecayedCounts.reaching(seen, target);
+    double weight = ratings + priorStrength;
+    double mean = (reaching + priorStrength * drawnTo) / weight;
+    return new QualityBook.Estimate(mean, Math.sqrt(mean * (1 - mean) / (weight + 1)), ratings);
+  }
+
+  /** Returns the mean time to a whole answer in milliseconds, or 0 if none was seen. */
+  double millis(ModelVersion version, SizeClass size) {
+    return perTimed(version, size, Counters.MILLIS);
+  }
+
+  /** Returns the mean number of generated tokens, or 0 if none was seen. */
+  double tokens(ModelVersion version, SizeClass size) {
+    return perTimed(version, size, Counters.TOKENS);
+  }
+
+  private double allSizes(ModelVersion version, boolean escalated, double target, double prior) {
+    double ratings = 0;
+    double reaching = 0;
+    for (SizeClass size : SizeClass.values()) {
+      double[] seen = counts.of(new EvidenceKey(version, size, escalated));
+      ratings += DecayedCounts.ratings(seen);
+      reaching += DecayedCounts.reaching(seen, target);
+    }
+    return (reaching + priorStrength * prior) / (ratings + priorStrength);
+  }
+
+  private double perTimed(ModelVersion version, SizeClass size, int index) {
+    double sum = 0;
+    double timed = 0;
+    for (boolean escalated : new boolean[] {false, true}) {
+      double[] seen = counts.of(new EvidenceKey(version, size, escalated));
+      sum += seen[index];
+      timed += seen[Counters.TIMED];
+    }
+    return timed > 0 ? sum / timed : 0;
+  }
+
+  private double prior(ModelVersion version) {
+    return configuration
+        .current()
+        .model(version.model())
+        .flatMap(model -> model.version(version.version()))
+        .map(Model.Version::priorQuality)
+        .orElse(UNKNOWN_PRIOR);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/Signal.java
@@ -0,0 +1,88 @@
+package org.skylarkfork.core.quality;
+
+import java.util.Locale;
+
+/** What a version is compared by; each gives values from 0, bad, to 1, good. */
+enum Signal {
+  /** Ratings of answers. */
+  RATING(Counters.RATING_CLASSES, 360),
+  /** Attempts that ended with an error. */
+  ERRORS(2, 360),
+  /** Answers that were empty or cut. */
+  BROKEN_ANSWERS(2, 360),
+  /** First tokens that came late, against a version that works under the same load. */
+  FIRST_TOKEN(2, 60);
+
+  private static final double SLOW_QUANTILE = 0.9;
+
+  /** Two classes of delays are one doubling. */
+  private static final int SLOWER_BY_CLASSES = 2;
+
+  private final int classes;
+  private final int windowEpochs;
+
+  Signal(int classes, int windowEpochs) {
+    this.classes = classes;
+    this.windowEpochs = windowEpochs;
+  }
+
+  int classes() {
+    return classes;
+  }
+
+  /** Returns how many epochs it looks back; load changes faster than quality. */
+  int windowEpochs() {
+    return windowEpochs;
+  }
+
+  /** Returns the value of a class. */
+  double value(int index) {
+    return this == RATING ? Counters.ratingValue(index) : index;
+  }
+
+  /**
+   * Returns how often a class was seen.
+   *
+   * @param slowFrom first class of delays that counts as late
+   */
+  long count(long[] counts, int index, int slowFrom) {
+    return switch (this) {
+      case RATING -> counts[index];
+      case ERRORS -> binary(counts[Counters.ERRORS], counts[Counters.ATTEMPTS], index);
+      case BROKEN_ANSWERS ->
+          binary(
+              counts[Counters.BROKEN], counts[Counters.ATTEMPTS] - counts[Counters.ERRORS], index);
+      case FIRST_TOKEN -> binary(delays(counts, slowFrom), delays(counts, 0), index);
+    };
+  }
+
+  /** Returns the first class of delays that is late against a reference: twice its slow ones. */
+  static int slowFrom(long[] reference) {
+    long slow = (long) Math.ceil(SLOW_QUANTILE * delays(reference, 0));
+    long sum = 0;
+    for (int i = 0; i < Counters.DELAY_CLASSES; i++) {
+      sum += reference[Counters.DELAYS + i];
+      if (sum >= slow) {
+        return i + SLOWER_BY_CLASSES + 1;
+      }
+    }
+    return Counters.DELAY_CLASSES;
+  }
+
+  private static long binary(long bad, long all, int index) {
+    return index == 0 ? bad : Math.max(0, all - bad);
+  }
+
+  private static long delays(long[] counts, int from) {
+    long sum = 0;
+    for (int i = from; i < Counters.DELAY_CLASSES; i++) {
+      sum += counts[Counters.DELAYS + i];
+    }
+    return sum;
+  }
+
+  @Override
+  public String toString() {
+    return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+  }
+}
