--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/Announcer.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/Announcer.java
@@ -13,6 +13,7 @@
 import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
 
@@ -63,6 +64,8 @@
         .then(Mono.fromCompletionStage(idle))
         .then(Mono.fromRunnable(this::close))
         .then(Mono.defer(() -> post(true)))
+        // Servers are closed next, and closing blocks, which the thread of a connection must not.
+        .publishOn(Schedulers.boundedElastic())
         .toFuture();
   }
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/BatchLoop.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/BatchLoop.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
@@ -31,8 +30,6 @@
   private final PriorityQueue<Job> queue =
       new PriorityQueue<>(Comparator.comparingInt(Job::priority).thenComparingLong(Job::arrival));
   private final List<Job> batch = new ArrayList<>();
-  private final CompletableFuture<Void> idle = new CompletableFuture<>();
-  private boolean stopping;
   private long arrivals;
   private @Nullable Disposable step;
   private volatile int running;
@@ -77,16 +74,6 @@
         .subscribeOn(scheduler);
   }
 
-  /** Completes once no job runs or waits any more. */
-  CompletableFuture<Void> whenIdle() {
-    scheduler.schedule(
-        () -> {
-          stopping = true;
-          publishSizes();
-        });
-    return idle;
-  }
-
   private boolean enqueue(Job job) {
     if (batch.size() >= limits.capacity() && queue.size() >= limits.queue()) {
       return false;
@@ -155,8 +142,5 @@
   private void publishSizes() {
     running = batch.size();
     queued = queue.size();
-    if (stopping && batch.isEmpty() && queue.isEmpty()) {
-      idle.complete(null);
-    }
   }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
@@ -1,9 +1,5 @@
 package org.skylarkfork.standin.engine;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
@@ -13,7 +9,7 @@
 import org.skylarkfork.standin.http.ErrorBody;
 import org.skylarkfork.standin.http.Exchange;
 import org.skylarkfork.standin.http.Headers;
-import org.skylarkfork.standin.http.Json;
+import org.skylarkfork.standin.http.OpenCalls;
 import org.skylarkfork.standin.http.RunLog;
 import org.skylarkfork.standin.text.AnswerText;
 import org.skylarkfork.standin.text.PromptText;
@@ -40,6 +36,7 @@
   private final Faults faults;
   private final EngineCounters counters;
   private final RunLog runs;
+  private final OpenCalls openCalls;
   private final AtomicReference<@Nullable Call> previous = new AtomicReference<>();
 
   CompletionHandler(
@@ -48,13 +45,15 @@
       BatchLoop loop,
       Faults faults,
       EngineCounters counters,
-      RunLog runs) {
+      RunLog runs,
+      OpenCalls openCalls) {
     this.limits = limits;
     this.models = models;
     this.loop = loop;
     this.faults = faults;
     this.counters = counters;
     this.runs = runs;
+    this.openCalls = openCalls;
   }
 
   /** What a caller asked for. */
@@ -62,8 +61,13 @@
       String requestId, String model, String prompt, int offset, int maxTokens, boolean stream) {}
 
   Mono<Void> handle(HttpServerRequest request, HttpServerResponse response, AnswerFormat format) {
-    return Exchange.withBody(
-        request, response, CompletionBody.class, body -> answer(request, response, format, body));
+    return openCalls.track(
+        () ->
+            Exchange.withBody(
+                request,
+                response,
+                CompletionBody.class,
+                body -> answer(request, response, format, body)));
   }
 
   private Mono<Void> answer(
@@ -76,13 +80,14 @@
     if (!models.serves(call.model())) {
       return refuse(response, NOT_FOUND, "Ask for a loaded model and version.", "model_not_found");
     }
-    if (faults.active(FaultKind.LEAVING) || models.leaving()) {
+    if (faults.active(FaultKind.LEAVING) || openCalls.leaving()) {
       return refuse(response, UNAVAILABLE, "Ask another engine; this one leaves.", "leaving");
     }
     if (faults.strikes(FaultKind.FULL, call.model(), call.requestId())) {
       return refuse(response, TOO_MANY, "Ask another engine; the queue is full.", "full");
     }
     if (faults.strikes(FaultKind.SILENCE, call.model(), call.requestId())) {
+      runs.record(call.requestId());
       return Mono.never();
     }
     Call answered = answeredCall(call);
@@ -193,13 +198,11 @@
         chunks.map(text -> format.chunk(answered.requestId(), answered.model(), text));
     Flux<String> frames =
         cut
-            ? parts.take(CHUNKS_BEFORE_CUT).concatWith(Mono.error(new CutException()))
+            ? parts.take(CHUNKS_BEFORE_CUT).concatWith(Exchange.cut(response))
             : parts.concatWith(Flux.defer(() -> ending(format, answered, job)));
-    Flux<ByteBuf> buffers =
-        frames
-            .onErrorResume(CancelledException.class, CompletionHandler::cancelledFrame)
-            .map(CompletionHandler::buffer);
-    return response.sse().send(buffers, buffer -> true).then();
+    Flux<String> sent =
+        frames.onErrorResume(CancelledException.class, CompletionHandler::cancelledFrame);
+    return Exchange.sendEach(response.sse(), sent);
   }
 
   private Mono<Void> whole(
@@ -216,18 +219,13 @@
             text -> {
               Completion body =
                   format.whole(answered.requestId(), answered.model(), text, usage(job));
-              return cut ? cut(response, Json.write(body)) : Exchange.json(response, 200, body);
+              return cut ? Exchange.half(response, body) : Exchange.json(response, 200, body);
             })
         .onErrorResume(
             CancelledException.class,
             error -> Exchange.json(response, CONFLICT, cancelledBody(error)));
   }
 
-  private static Mono<Void> cut(HttpServerResponse response, String body) {
-    Mono<String> half = Mono.just(body.substring(0, body.length() / 2));
-    return response.sendString(Flux.concat(half, Mono.error(new CutException()))).then();
-  }
-
   private static Flux<String> ending(AnswerFormat format, Call answered, Job job) {
     String last = format.lastChunk(answered.requestId(), answered.model(), usage(job));
     return Flux.just(last, AnswerFormat.DONE);
@@ -246,11 +244,6 @@
     return ErrorBody.of(String.valueOf(error.getMessage()), "cancelled", "cancelled");
   }
 
-  private static ByteBuf buffer(String frame) {
-    return ByteBufUtil.encodeString(
-        UnpooledByteBufAllocator.DEFAULT, java.nio.CharBuffer.wrap(frame), StandardCharsets.UTF_8);
-  }
-
   private Mono<Void> full(HttpServerResponse response) {
     return refuse(response, TOO_MANY, "Ask another engine; the queue is full.", "full");
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/LoadedModels.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/LoadedModels.java
@@ -13,7 +13,6 @@
 
   private final Map<String, LoadedModel> loaded = new LinkedHashMap<>();
   private EngineRole role;
-  private boolean leaving;
 
   LoadedModels(List<LoadedModel> models, EngineRole role) {
     models.forEach(model -> loaded.put(model.key(), model));
@@ -32,14 +31,6 @@
     return role;
   }
 
-  synchronized boolean leaving() {
-    return leaving;
-  }
-
-  synchronized void leave() {
-    leaving = true;
-  }
-
   synchronized void takeRole(EngineRole newRole) {
     role = newRole;
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
@@ -18,6 +18,7 @@
 import org.skylarkfork.standin.fault.Faults;
 import org.skylarkfork.standin.http.BoundServer;
 import org.skylarkfork.standin.http.Exchange;
+import org.skylarkfork.standin.http.OpenCalls;
 import org.skylarkfork.standin.http.RunLog;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
@@ -43,6 +44,7 @@
   private final BatchLoop loop;
   private final CompletionHandler completions;
   private final OrderHandler orders;
+  private final OpenCalls openCalls = new OpenCalls();
   private final LoadReporter loads;
   private final UniformRandomProvider random;
   private final Announcer announcer;
@@ -60,7 +62,8 @@
     cache = new PrefixCache(settings.limits().cacheBlocks());
     models = new LoadedModels(settings.models(), settings.role());
     loop = new BatchLoop(scheduler, settings.speed(), settings.limits(), cache, faults, counters);
-    completions = new CompletionHandler(settings.limits(), models, loop, faults, counters, runs);
+    completions =
+        new CompletionHandler(settings.limits(), models, loop, faults, counters, runs, openCalls);
     WeightLoader weights =
         new WeightLoader(settings.weightStore(), settings.speed().loadTime(), scheduler);
     orders = new OrderHandler(settings.checksFencing(), models, weights, counters);
@@ -140,8 +143,7 @@
    * @return completes once all is closed
    */
   public CompletableFuture<Void> stop() {
-    models.leave();
-    return announcer.leave(loop.whenIdle()).whenComplete((done, error) -> close());
+    return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
   }
 
   /** Ends at once, as a crash would: running answers are cut and nothing is announced. */
@@ -234,7 +236,7 @@
             settings.limits().capacity(),
             load,
             settings.checksFencing(),
-            models.leaving() || faults.active(FaultKind.LEAVING),
+            openCalls.leaving() || faults.active(FaultKind.LEAVING),
             false,
             reportedEvents()));
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Exchange.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Exchange.java
@@ -1,8 +1,13 @@
 package org.skylarkfork.standin.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import java.util.function.Function;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -66,6 +71,57 @@
         .then();
   }
 
+  /**
+   * Sends pieces of text, each as soon as it is there.
+   *
+   * @param response the response
+   * @param pieces the pieces
+   * @return completes once all pieces are sent
+   */
+  public static Mono<Void> sendEach(HttpServerResponse response, Flux<String> pieces) {
+    Flux<ByteBuf> buffers =
+        pieces.map(piece -> ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, piece));
+    return response.send(buffers, buffer -> true).then();
+  }
+
+  /**
+   * Sends half of a JSON answer and closes the connection.
+   *
+   * @param response the response
+   * @param body a value that Jackson can write
+   * @return never completes
+   */
+  public static Mono<Void> half(HttpServerResponse response, Object body) {
+    String whole = Json.write(body);
+    Mono<String> half = Mono.just(whole.substring(0, whole.length() / 2));
+    return sendEach(response, Flux.concat(half, cut(response)));
+  }
+
+  /**
+   * Closes the connection in the middle of an answer.
+   *
+   * @param response the response
+   * @return never completes; subscribing to it closes the connection
+   */
+  public static <T> Mono<T> cut(HttpServerResponse response) {
+    return Mono.defer(
+        () -> {
+          response.withConnection(connection -> closeAfterFlush(connection.channel()));
+          return Mono.never();
+        });
+  }
+
+  /** Closes a channel once what was written before has left, so that the caller sees a part. */
+  private static void closeAfterFlush(Channel channel) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              channel.flush();
+              channel.close();
+            });
+  }
+
   /**
    * Refuses a request of which nothing was started.
    *
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.standin.announce.Announcement;
@@ -20,10 +19,9 @@
 import org.skylarkfork.standin.http.BoundServer;
 import org.skylarkfork.standin.http.Exchange;
 import org.skylarkfork.standin.http.Headers;
-import org.skylarkfork.standin.http.Json;
+import org.skylarkfork.standin.http.OpenCalls;
 import org.skylarkfork.standin.http.RunLog;
 import org.tinylog.Logger;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -39,11 +37,9 @@
   private final long incarnation = Clock.systemUTC().millis();
   private final Faults faults;
   private final RunLog runs = new RunLog();
-  private final AtomicInteger running = new AtomicInteger();
+  private final OpenCalls openCalls = new OpenCalls();
   private final AtomicLong serial = new AtomicLong();
-  private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private final Announcer announcer;
-  private volatile boolean leaving;
   private volatile @Nullable BoundServer server;
 
   /**
@@ -104,9 +100,7 @@
    * @return completes once all is closed
    */
   public CompletableFuture<Void> stop() {
-    leaving = true;
-    completeIfIdle();
-    return announcer.leave(idle).whenComplete((done, error) -> close());
+    return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
   }
 
   /** Ends at once, as a crash would: running answers are cut and nothing is announced. */
@@ -123,7 +117,7 @@
     routes
         .post("/control/fault", this::setFault)
         .get("/control/runs", (in, out) -> Exchange.json(out, OK, runs.report()))
-        .route(request -> true, this::call);
+        .route(request -> true, (in, out) -> openCalls.track(() -> call(in, out)));
   }
 
   private Mono<Void> setFault(HttpServerRequest request, HttpServerResponse response) {
@@ -140,22 +134,15 @@
   private Mono<Void> call(HttpServerRequest request, HttpServerResponse response) {
     String requestId = Exchange.text(request, Headers.REQUEST_ID, "none");
     response.header(Headers.REQUEST_ID, requestId);
-    // Counted before the check, so that a call which passes it is never missed by a stop.
-    int present = running.incrementAndGet();
-    Mono<Void> answer =
-        refuses(requestId, present)
-            ? Exchange.refuse(response, UNAVAILABLE, "Ask another upstream.", "not_taken")
-            : Exchange.body(request).flatMap(body -> run(request, response, requestId, body));
-    return answer.doFinally(
-        signal -> {
-          running.decrementAndGet();
-          completeIfIdle();
-        });
+    if (refuses(requestId)) {
+      return Exchange.refuse(response, UNAVAILABLE, "Ask another upstream.", "not_taken");
+    }
+    return Exchange.body(request).flatMap(body -> run(request, response, requestId, body));
   }
 
-  private boolean refuses(String requestId, int present) {
-    return leaving
-        || present > settings.capacity()
+  private boolean refuses(String requestId) {
+    return openCalls.leaving()
+        || openCalls.open() > settings.capacity()
         || faults.active(FaultKind.LEAVING)
         || strikes(FaultKind.FULL, requestId);
   }
@@ -200,28 +187,17 @@
     if (!strikes(FaultKind.CUT_STREAM, requestId)) {
       return Exchange.json(response, OK, echo);
     }
-    String whole = Json.write(echo);
-    Mono<String> half = Mono.just(whole.substring(0, whole.length() / 2));
-    return response
-        .sendString(Flux.concat(half, Mono.error(new IllegalStateException("cut by a fault"))))
-        .then();
+    return Exchange.half(response, echo);
   }
 
   private boolean strikes(FaultKind kind, String requestId) {
     return faults.strikes(kind, settings.service(), requestId);
   }
 
-  private void completeIfIdle() {
-    if (leaving && running.get() == 0) {
-      idle.complete(null);
-    }
-  }
-
   private Optional<Announcement> announcement() {
     if (faults.active(FaultKind.SILENCE)) {
       return Optional.empty();
     }
-    int present = running.get();
     return Optional.of(
         new Announcement(
             Announcement.PROTOCOL,
@@ -234,9 +210,9 @@
             List.of(),
             EngineRole.MIXED,
             settings.capacity(),
-            new LoadReport(present, 0, 0, 0),
+            new LoadReport(openCalls.open(), 0, 0, 0),
             false,
-            leaving || faults.active(FaultKind.LEAVING),
+            openCalls.leaving() || faults.active(FaultKind.LEAVING),
             false,
             List.of()));
   }
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/Caller.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/Caller.java
@@ -74,6 +74,11 @@
     return call(HttpMethod.POST, path, body, headers);
   }
 
+  /** Gets and waits for the whole answer. */
+  public Answer get(String path) {
+    return call(HttpMethod.GET, path, "");
+  }
+
   /** Calls when subscribed to. */
   public Mono<Answer> send(HttpMethod method, String path, String body, String... headers) {
     return prepared(headers)
--- /dev/null
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
@@ -0,0 +1,79 @@
+package org.skylarkfork.standin.service;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpMethod;
+import org.skylarkfork.standin.Caller;
+import org.skylarkfork.standin.announce.AnnouncerSettings;
+import org.skylarkfork.standin.fault.Fault;
+import org.skylarkfork.standin.fault.FaultKind;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of the plain service. */
+public class StandInServiceTest {
+
+  private StandInService service;
+  private Caller caller;
+
+  /** Starts a service. */
+  @BeforeMethod
+  public void start() {
+    service =
+        new StandInService(
+            ServiceSettings.of("s-1", "wien-halle", "certificates", AnnouncerSettings.none()));
+    caller = new Caller(service.start());
+  }
+
+  /** Ends the service. */
+  @AfterMethod
+  public void end() {
+    service.close();
+  }
+
+  @Test
+  public void echoesAnyCall() {
+    Caller.Answer answer =
+        caller.call(HttpMethod.PUT, "/chips/7?lap=2", "body", "X-Request-Id", "r-1");
+
+    JsonNode echo = answer.json();
+    assertEquals(answer.header("x-request-id"), "r-1");
+    assertEquals(echo.path("method").asText(), "PUT");
+    assertEquals(echo.path("path").asText(), "/chips/7?lap=2");
+    assertEquals(echo.path("requestId").asText(), "r-1");
+    assertEquals(echo.path("body").asText(), "body");
+  }
+
+  // An issue of a certificate reaches the service twice, under two request ids but one key. The
+  // service cannot prevent that; its count must show it.
+  @Test
+  public void showsDoublesByIdempotencyKey() {
+    caller.post("/issue", "", "X-Request-Id", "r-1", "Idempotency-Key", "k-1");
+    Caller.Answer second =
+        caller.post("/issue", "", "X-Request-Id", "r-2", "Idempotency-Key", "k-1");
+    caller.post("/issue", "", "X-Request-Id", "r-3");
+
+    assertEquals(second.json().path("runs").asInt(), 2);
+    JsonNode runs = caller.get("/control/runs").json();
+    assertEquals(runs.path("total").asInt(), 3);
+    assertEquals(runs.path("doubles").toString(), "{\"k-1\":2}");
+  }
+
+  @Test
+  public void faultsRefuseCutAndCross() {
+    service.fault(Fault.of(FaultKind.FULL));
+    assertEquals(caller.get("/a").header("x-not-started"), "true");
+    assertEquals(service.runs().total(), 0);
+    service.fault(Fault.of(FaultKind.NONE));
+
+    service.fault(Fault.of(FaultKind.CROSSED_ANSWERS));
+    assertTrue(caller.get("/a").header("x-request-id").startsWith("other-"));
+
+    service.fault(Fault.of(FaultKind.CUT_STREAM));
+    expectThrows(RuntimeException.class, () -> caller.get("/a"));
+  }
+}
