--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -0,0 +1,263 @@
+package org.skylarkfork.runtime.storage;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.StorageEvent;
+import org.skylarkfork.runtime.codec.Codec;
+import org.tinylog.Logger;
+
+/**
+ * The storage of a daemon with a data folder.
+ *
+ * <p>One thread does all writes. It takes whatever waits, writes it as one record per group, syncs
+ * once per group and then answers the last sequence number of each. A failed write or sync stops
+ * the group for good: after a failed sync the system may have dropped the unwritten pages, so that
+ * a second sync succeeds without the bytes being on the disk.
+ */
+public final class DiskStorage implements Storage {
+
+  private static final int MAX_EFFECTS_A_BATCH = 512;
+  private static final int MAX_ENTRIES_A_RECORD = 4096;
+
+  private final StorageSettings settings;
+  private final Codec codec;
+  private final Disk disk;
+  private final Consumer<Event> events;
+  private final DataFolder folder;
+  private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
+  private final Map<GroupId, GroupLog> logs = new HashMap<>();
+  private final Set<GroupId> failed = new HashSet<>();
+  private final LongAdder syncs = new LongAdder();
+  private final Thread thread;
+
+  /**
+   * Locks the data folder and starts the thread.
+   *
+   * @param settings where and how to write
+   * @param codec writes the records
+   * @param disk the machine's disk, or a fake
+   * @param events takes the answers, on the storage's thread
+   * @throws StorageException if the folder is missing, locked or damaged
+   */
+  public DiskStorage(StorageSettings settings, Codec codec, Disk disk, Consumer<Event> events) {
+    this.settings = settings;
+    this.codec = codec;
+    this.disk = disk;
+    this.events = events;
+    try {
+      folder = new DataFolder(settings, disk);
+    } catch (IOException e) {
+      throw inputOutput(settings.folder() + ": " + e, e);
+    }
+    thread = new Thread(this::run, "storage");
+    thread.start();
+  }
+
+  /** Returns the id that the data folder got when it was empty; a wiped folder gets another. */
+  public String instanceId() {
+    return folder.instanceId();
+  }
+
+  /** Returns whether the data folder was empty at this start. */
+  public boolean firstStart() {
+    return folder.firstStart();
+  }
+
+  /** Returns the count of syncs of logs and snapshots so far. */
+  public long syncs() {
+    return syncs.sum();
+  }
+
+  /** Returns how many effects wait to be written. */
+  public int waiting() {
+    return queue.size();
+  }
+
+  @Override
+  public void recover(GroupId group) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    queue.add(new Recover(group, done));
+    try {
+      done.join();
+    } catch (CompletionException e) {
+      if (e.getCause() instanceof StorageException typed) {
+        throw typed;
+      }
+      throw inputOutput("recovery of " + group + ": " + e.getCause(), e.getCause());
+    }
+  }
+
+  @Override
+  public void carryOut(StorageEffect effect) {
+    queue.add(new Write(effect));
+  }
+
+  @Override
+  public void close() {
+    queue.add(new Stop());
+    boolean interrupted = false;
+    while (thread.isAlive()) {
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        interrupted = true;
+      }
+    }
+    if (interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    List<Job> jobs = new ArrayList<>();
+    boolean stopped = false;
+    while (!stopped) {
+      jobs.clear();
+      try {
+        jobs.add(queue.take());
+      } catch (InterruptedException e) {
+        Logger.warn("storage: an interrupt was ignored; close() ends the thread");
+        continue;
+      }
+      queue.drainTo(jobs, MAX_EFFECTS_A_BATCH);
+      stopped = work(jobs);
+    }
+    closeFiles();
+  }
+
+  /** Carries jobs out in their order and returns whether the last was a stop. */
+  private boolean work(List<Job> jobs) {
+    Map<GroupId, List<StorageEffect.Persist>> batches = new LinkedHashMap<>();
+    boolean stopped = false;
+    for (Job job : jobs) {
+      if (job instanceof Write write && write.effect() instanceof StorageEffect.Persist persist) {
+        batches.computeIfAbsent(persist.group(), group -> new ArrayList<>()).add(persist);
+      } else if (job instanceof Write write
+          && write.effect() instanceof StorageEffect.SaveSnapshot save) {
+        flush(save.group(), batches.remove(save.group()));
+        save(save);
+      } else if (job instanceof Recover recover) {
+        read(recover);
+      } else {
+        stopped = true;
+      }
+    }
+    batches.forEach(this::flush);
+    return stopped;
+  }
+
+  private void read(Recover recover) {
+    GroupLog log = new GroupLog(recover.group(), settings, codec, disk);
+    try {
+      StorageEvent.Recovered recovered = log.recover();
+      logs.put(recover.group(), log);
+      Logger.info(
+          "storage: {} recovered with {} entries", recover.group(), recovered.entries().size());
+      events.accept(recovered);
+      recover.done().complete(null);
+    } catch (IOException | RuntimeException e) {
+      recover.done().completeExceptionally(e);
+    }
+  }
+
+  private void flush(GroupId group, @Nullable List<StorageEffect.Persist> batch) {
+    if (batch == null) {
+      return;
+    }
+    List<LogWrite> writes = new ArrayList<>();
+    int entries = 0;
+    for (StorageEffect.Persist persist : batch) {
+      writes.add(LogWrite.of(persist));
+      entries += persist.entries().size();
+      if (entries >= MAX_ENTRIES_A_RECORD) {
+        append(group, List.copyOf(writes), persist.sequence());
+        writes.clear();
+        entries = 0;
+      }
+    }
+    if (!writes.isEmpty()) {
+      append(group, writes, batch.get(batch.size() - 1).sequence());
+    }
+  }
+
+  private void append(GroupId group, List<LogWrite> writes, long sequence) {
+    guarded(
+        group,
+        log -> {
+          log.append(writes);
+          return new StorageEvent.Persisted(group, sequence);
+        });
+  }
+
+  private void save(StorageEffect.SaveSnapshot save) {
+    guarded(
+        save.group(),
+        log -> {
+          log.save(save.snapshot());
+          return new StorageEvent.SnapshotSaved(save.group(), save.snapshot().index());
+        });
+  }
+
+  private void guarded(GroupId group, LogWork work) {
+    if (failed.contains(group)) {
+      return;
+    }
+    StorageEvent answer;
+    try {
+      GroupLog log = logs.get(group);
+      if (log == null) {
+        throw new IOException(group + " was not recovered before its first write");
+      }
+      answer = work.run(log);
+      syncs.increment();
+    } catch (IOException | RuntimeException e) {
+      failed.add(group);
+      Logger.error(e, "storage: {} stops after a failed write", group);
+      answer = new StorageEvent.Failed(group, String.valueOf(e.getMessage()));
+    }
+    events.accept(answer);
+  }
+
+  private void closeFiles() {
+    try {
+      for (GroupLog log : logs.values()) {
+        log.close();
+      }
+      folder.close();
+    } catch (IOException e) {
+      Logger.warn(e, "storage: the data folder was not closed cleanly");
+    }
+  }
+
+  private static StorageException inputOutput(String detail, Throwable cause) {
+    return new StorageException(StorageException.Kind.INPUT_OUTPUT, detail, cause);
+  }
+
+  private sealed interface Job {}
+
+  private record Recover(GroupId group, CompletableFuture<Void> done) implements Job {}
+
+  private record Write(StorageEffect effect) implements Job {}
+
+  private record Stop() implements Job {}
+
+  private interface LogWork {
+    StorageEvent run(GroupLog log) throws IOException;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -0,0 +1,113 @@
+package org.skylarkfork.runtime.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/** The disk of the machine. */
+public final class FileDisk implements Disk {
+
+  @Override
+  public boolean exists(Path path) {
+    return Files.exists(path);
+  }
+
+  @Override
+  public List<String> names(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return files.map(file -> file.getFileName().toString()).sorted().toList();
+    }
+  }
+
+  @Override
+  public byte[] read(Path file) throws IOException {
+    return Files.readAllBytes(file);
+  }
+
+  @Override
+  public AppendFile append(Path file) throws IOException {
+    return new ChannelFile(
+        FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+  }
+
+  @Override
+  public void truncate(Path file, long size) throws IOException {
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+      channel.truncate(size);
+      channel.force(true);
+    }
+  }
+
+  @Override
+  public void rename(Path from, Path to) throws IOException {
+    Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  @Override
+  public void delete(Path file) throws IOException {
+    Files.delete(file);
+  }
+
+  @Override
+  public void createFolder(Path folder) throws IOException {
+    Files.createDirectories(folder);
+  }
+
+  @Override
+  public void syncFolder(Path folder) throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+
+  @Override
+  public Closeable lock(Path file) throws IOException {
+    FileChannel channel =
+        FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    FileLock lock = tryLock(channel);
+    if (lock == null) {
+      channel.close();
+      throw new StorageException(StorageException.Kind.LOCKED, file + " is locked", null);
+    }
+    return channel;
+  }
+
+  private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
+    try {
+      return channel.tryLock();
+    } catch (OverlappingFileLockException e) {
+      return null;
+    }
+  }
+
+  private record ChannelFile(FileChannel channel) implements AppendFile {
+
+    @Override
+    public void write(byte[] bytes) throws IOException {
+      ByteBuffer buffer = ByteBuffer.wrap(bytes);
+      while (buffer.hasRemaining()) {
+        channel.write(buffer);
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      channel.force(false);
+    }
+
+    @Override
+    public void close() throws IOException {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/LogWrite.java
@@ -0,0 +1,21 @@
+package org.skylarkfork.runtime.storage;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.HardState;
+import org.skylarkfork.core.command.LogEntry;
+import org.skylarkfork.core.effect.StorageEffect;
+
+/**
+ * One persisted change of a group's log, as stored.
+ *
+ * @param hardState new hard state, or null to leave it
+ * @param truncateFrom first index to drop before the append, or 0 to drop none
+ * @param entries entries to append
+ */
+record LogWrite(@Nullable HardState hardState, long truncateFrom, List<LogEntry> entries) {
+
+  static LogWrite of(StorageEffect.Persist persist) {
+    return new LogWrite(persist.hardState(), persist.truncateFrom(), persist.entries());
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/StorageException.java
@@ -0,0 +1,55 @@
+package org.skylarkfork.runtime.storage;
+
+import org.jspecify.annotations.Nullable;
+
+/** The data folder can't be used as it is. */
+public final class StorageException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  /** What is wrong with the data folder. */
+  public enum Kind {
+    /** The folder doesn't exist or can't be read. */
+    FOLDER_UNUSABLE("mount or create the folder and give this process the right to write it"),
+    /** Another process uses the folder. */
+    LOCKED("stop the other process, or give this one its own data folder"),
+    /** Stored bytes were changed after they were synced. */
+    CORRUPT(
+        "don't delete single files: move the whole data folder away, start with an empty one and"
+            + " let this node join again as a learner"),
+    /** The data was written by a newer version. */
+    NEWER_FORMAT("start the version that wrote the data folder, or a later one"),
+    /** A write, a sync or a read failed. */
+    INPUT_OUTPUT("look at the system's log for the disk, mend it, then restart this process");
+
+    private final String remedy;
+
+    Kind(String remedy) {
+      this.remedy = remedy;
+    }
+
+    /** Returns what the operator can do about it. */
+    public String remedy() {
+      return remedy;
+    }
+  }
+
+  private final Kind kind;
+
+  /**
+   * Creates an exception whose message ends in the remedy of its kind.
+   *
+   * @param kind what is wrong
+   * @param detail the file, the offset and what was found there
+   * @param cause what the file system said, or null
+   */
+  public StorageException(Kind kind, String detail, @Nullable Throwable cause) {
+    super(detail + "; " + kind.remedy(), cause);
+    this.kind = kind;
+  }
+
+  /** Returns what is wrong. */
+  public Kind kind() {
+    return kind;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/package-info.java
@@ -0,0 +1,5 @@
+/** Keeps the logs and snapshots of the replicated groups in the data folder. */
+@NullMarked
+package org.skylarkfork.runtime.storage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
@@ -0,0 +1,325 @@
+package org.skylarkfork.runtime.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.HardState;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.StorageEvent;
+import org.skylarkfork.runtime.codec.Codec;
+import org.testng.annotations.Test;
+
+/** Tests of {@link DiskStorage}. */
+public final class DiskStorageTest {
+
+  private static final Path FOLDER = Path.of("/data");
+  private static final Path LOG = FOLDER.resolve(StorageModel.GROUP.toString());
+  private static final int SMALL_SEGMENT = 700;
+
+  /** Raised by hand for long runs: {@code -Dskylarkfork.fuzz.factor=10}. */
+  private static final int FACTOR = Integer.getInteger("skylarkfork.fuzz.factor", 1);
+
+  private static final int CRASHES = 150 * FACTOR;
+  private static final int FUZZED = 1500 * FACTOR;
+
+  private final Codec codec = new Codec();
+  private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+
+  private DiskStorage open(Disk disk, Path folder) {
+    return new DiskStorage(
+        new StorageSettings(folder, SMALL_SEGMENT, "id-1"), codec, disk, events::add);
+  }
+
+  private static FakeDisk emptyDisk() {
+    FakeDisk disk = new FakeDisk();
+    disk.createFolder(FOLDER);
+    return disk;
+  }
+
+  private StorageEvent take() {
+    try {
+      Event event = events.poll(20, TimeUnit.SECONDS);
+      assertNotNull(event, "no answer from the storage");
+      return (StorageEvent) event;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private StorageEvent.Recovered recovered(Disk disk, Path folder) {
+    events.clear();
+    try (DiskStorage storage = open(disk, folder)) {
+      storage.recover(StorageModel.GROUP);
+      return (StorageEvent.Recovered) take();
+    }
+  }
+
+  /** Fills a disk with so many random effects, each answered, and returns what it should hold. */
+  private StorageModel fill(Disk disk, Path folder, int effects, long seed) {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    StorageModel model = new StorageModel();
+    try (DiskStorage storage = open(disk, folder)) {
+      storage.recover(StorageModel.GROUP);
+      take();
+      for (int i = 0; i < effects; i++) {
+        storage.carryOut(model.next(random));
+        assertFalse(take() instanceof StorageEvent.Failed);
+      }
+    }
+    return model;
+  }
+
+  private static Path segment(FakeDisk disk, int fromEnd) {
+    List<String> names =
+        disk.names(LOG).stream().filter(name -> name.startsWith(Segment.PREFIX)).toList();
+    return LOG.resolve(names.get(names.size() - 1 - fromEnd));
+  }
+
+  @Test
+  public void testRestartOnRealDiskKeepsEverything() throws IOException {
+    Path folder = Files.createTempDirectory("storage");
+    StorageModel model = fill(new FileDisk(), folder, 200, 21L);
+    assertEquals(recovered(new FileDisk(), folder), model.after(200));
+    try (DiskStorage storage = open(new FileDisk(), folder)) {
+      assertFalse(storage.firstStart());
+      assertEquals(storage.instanceId(), "id-1");
+      StorageException locked =
+          expectThrows(StorageException.class, () -> open(new FileDisk(), folder));
+      assertEquals(locked.kind(), StorageException.Kind.LOCKED);
+    }
+  }
+
+  @Test
+  public void testPowerCutAtEachMomentKeepsWhatWasAnswered() {
+    // The power goes at some write, sync, rename or deletion. Bytes and names that were not synced
+    // are lost, cut short or zeros. After the restart the log holds each answered write, and beyond
+    // those only whole later writes: a lost one would let a voter break a promise.
+    int tornOrLost = 0;
+    for (int run = 0; run < CRASHES; run++) {
+      UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(1000L + run);
+      FakeDisk disk = emptyDisk();
+      StorageModel model = new StorageModel();
+      int answered = crash(disk, model, random);
+      disk.crash(random);
+      StorageEvent.Recovered found = recovered(disk, FOLDER);
+      List<StorageEvent.Recovered> allowed =
+          model.states().subList(answered, model.states().size());
+      assertTrue(allowed.contains(found), "run " + run + " found " + found + " of " + allowed);
+      tornOrLost += found.equals(model.after(model.states().size() - 1)) ? 0 : 1;
+      assertEquals(recovered(disk, FOLDER), found, "a second start differs");
+    }
+    System.out.println("storage: power cuts " + CRASHES + ", unanswered lost " + tornOrLost);
+    assertTrue(tornOrLost > CRASHES / 10);
+  }
+
+  private int crash(FakeDisk disk, StorageModel model, UniformRandomProvider random) {
+    events.clear();
+    int answered = 0;
+    try (DiskStorage storage = open(disk, FOLDER)) {
+      storage.recover(StorageModel.GROUP);
+      take();
+      disk.failAfter(random.nextInt(120));
+      boolean failed = false;
+      while (!failed) {
+        int together = 1 + random.nextInt(3);
+        for (int i = 0; i < together; i++) {
+          storage.carryOut(model.next(random));
+        }
+        while (!failed && answered < model.states().size() - 1) {
+          StorageEvent answer = take();
+          failed = answer instanceof StorageEvent.Failed;
+          answered = failed ? answered : answeredBy(answer, model, answered);
+        }
+      }
+    }
+    return answered;
+  }
+
+  private static int answeredBy(StorageEvent answer, StorageModel model, int before) {
+    if (answer instanceof StorageEvent.SnapshotSaved) {
+      return before + 1;
+    }
+    long sequence = ((StorageEvent.Persisted) answer).sequence();
+    return model.effectsUntil(sequence);
+  }
+
+  @Test
+  public void testFlippedBitIsRefusedWithFileAndOffset() {
+    // A disk changes one bit of synced data. The operator sees a start that is refused and names
+    // file, offset and remedy; skipping the record would take back what this node promised.
+    FakeDisk disk = emptyDisk();
+    fill(disk, FOLDER, 12, 22L);
+    int flips = 0;
+    for (String name : disk.names(LOG)) {
+      Path file = LOG.resolve(name);
+      byte[] sound = disk.bytes(file);
+      for (int i = 0; i < sound.length; i++) {
+        byte[] flipped = sound.clone();
+        flipped[i] ^= (byte) (1 << (i % 8));
+        disk.replace(file, flipped);
+        StorageException refused =
+            expectThrows(StorageException.class, () -> recovered(disk, FOLDER));
+        assertTrue(refused.getMessage().contains(file + " "), refused.getMessage());
+        assertTrue(refused.getMessage().contains(refused.kind().remedy()));
+        flips++;
+      }
+      disk.replace(file, sound);
+    }
+    System.out.println("storage: flipped bits refused " + flips);
+  }
+
+  @Test
+  public void testOnlyLastRecordMayBeCutOff() {
+    // The last segment ends early: its whole records are read and the rest is cut off. The same in
+    // an earlier segment can't come from a crash, so it is refused.
+    FakeDisk disk = emptyDisk();
+    StorageModel model = fill(disk, FOLDER, 60, 23L);
+    Path last = segment(disk, 0);
+    byte[] sound = disk.bytes(last);
+    for (int length = 0; length < sound.length; length++) {
+      disk.replace(last, Arrays.copyOf(sound, length));
+      assertTrue(model.states().contains(recovered(disk, FOLDER)), "cut to " + length);
+    }
+    Path earlier = segment(disk, 1);
+    disk.replace(last, sound);
+    byte[] cut = Arrays.copyOf(disk.bytes(earlier), disk.bytes(earlier).length - 1);
+    disk.replace(earlier, cut);
+    StorageException refused = expectThrows(StorageException.class, () -> recovered(disk, FOLDER));
+    assertEquals(refused.kind(), StorageException.Kind.CORRUPT);
+  }
+
+  @Test
+  public void testFailedSyncStopsGroup() {
+    // The disk fails one sync. The group gets Failed once; nothing of it is written or answered
+    // afterwards, since the system may drop the pages and let a second sync succeed without them.
+    // Another group on the same disk goes on until its own write fails.
+    FakeDisk disk = emptyDisk();
+    StorageModel model = new StorageModel();
+    try (DiskStorage storage = open(disk, FOLDER)) {
+      storage.recover(StorageModel.GROUP);
+      take();
+      storage.recover(GroupId.LEDGER);
+      take();
+      storage.carryOut(model.persist(new HardState(1, "a", 7), 0, 1));
+      assertEquals(take(), new StorageEvent.Persisted(StorageModel.GROUP, 1));
+      disk.failNextSync();
+      storage.carryOut(model.persist(null, 0, 1));
+      assertEquals(take(), new StorageEvent.Failed(StorageModel.GROUP, "Input/output error"));
+      final long writes = disk.writes();
+      storage.carryOut(model.persist(null, 0, 1));
+      storage.carryOut(model.save(1));
+      storage.carryOut(new StorageEffect.Persist(GroupId.LEDGER, 1, null, 0, List.of()));
+      assertEquals(take(), new StorageEvent.Persisted(GroupId.LEDGER, 1));
+      assertEquals(disk.writes(), writes + 1);
+    }
+    assertTrue(events.isEmpty());
+  }
+
+  @Test
+  public void testGroupCommitAnswersLastSequenceOnly() throws InterruptedException {
+    FakeDisk disk = emptyDisk();
+    StorageModel model = new StorageModel();
+    CountDownLatch queued = new CountDownLatch(1);
+    try (DiskStorage storage = open(disk, FOLDER)) {
+      storage.recover(StorageModel.GROUP);
+      take();
+      disk.beforeSync(() -> await(queued));
+      for (int i = 0; i < 100; i++) {
+        storage.carryOut(model.persist(null, 0, 1));
+      }
+      queued.countDown();
+      long answered = 0;
+      while (answered < 100) {
+        answered = ((StorageEvent.Persisted) take()).sequence();
+      }
+      assertTrue(storage.syncs() <= 3, "syncs " + storage.syncs());
+    }
+    assertEquals(recovered(disk, FOLDER), model.after(100));
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Test
+  public void testMissingFolderAndMissingInstanceIdAreRefused() throws IOException {
+    Path folder = Files.createTempDirectory("storage");
+    StorageException absent =
+        expectThrows(
+            StorageException.class, () -> open(new FileDisk(), folder.resolve("not-mounted")));
+    assertEquals(absent.kind(), StorageException.Kind.FOLDER_UNUSABLE);
+    fill(new FileDisk(), folder, 5, 24L);
+    Files.delete(folder.resolve("instance-id"));
+    StorageException wiped =
+        expectThrows(StorageException.class, () -> open(new FileDisk(), folder));
+    assertEquals(wiped.kind(), StorageException.Kind.CORRUPT);
+  }
+
+  @Test
+  public void testGapInEntriesFailsGroup() {
+    FakeDisk disk = emptyDisk();
+    StorageModel model = new StorageModel();
+    try (DiskStorage storage = open(disk, FOLDER)) {
+      storage.recover(StorageModel.GROUP);
+      take();
+      model.persist(null, 0, 1);
+      storage.carryOut(model.persist(null, 0, 1));
+      assertTrue(take() instanceof StorageEvent.Failed);
+    }
+  }
+
+  @Test
+  public void testFuzzedFilesNeverChangeEntries() {
+    FakeDisk disk = emptyDisk();
+    StorageModel model = fill(disk, FOLDER, 40, 25L);
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(26L);
+    int refused = 0;
+    Path file = segment(disk, 0);
+    byte[] sound = disk.bytes(file);
+    for (int i = 0; i < FUZZED; i++) {
+      disk.replace(file, damaged(sound, random));
+      try {
+        assertTrue(model.states().contains(recovered(disk, FOLDER)));
+      } catch (StorageException e) {
+        refused++;
+      }
+    }
+    System.out.println("storage: fuzzed files " + FUZZED + ", refused " + refused);
+    assertTrue(refused > FUZZED / 2);
+  }
+
+  private static byte[] damaged(byte[] sound, UniformRandomProvider random) {
+    byte[] bytes = Arrays.copyOf(sound, random.nextInt(sound.length + 40));
+    int kind = random.nextInt(3);
+    if (kind == 0) {
+      random.nextBytes(bytes);
+    }
+    for (int i = 0; kind == 1 && bytes.length > 0 && i < 1 + random.nextInt(4); i++) {
+      bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+    }
+    for (int i = 0; kind == 2 && bytes.length > 0 && i < 16; i++) {
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
@@ -0,0 +1,193 @@
+package org.skylarkfork.runtime.storage;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** A disk in memory that forgets what was not synced, and fails when told to. */
+final class FakeDisk implements Disk {
+
+  private static final int SECTOR_BYTES = 512;
+
+  private Map<Path, Content> current = new HashMap<>();
+  private final Map<Path, Content> lasting = new HashMap<>();
+  private long operationsLeft = Long.MAX_VALUE;
+  private boolean nextSyncFails;
+  private long writes;
+  private Runnable beforeSync = () -> {};
+
+  /** Lets this many changes succeed; each later one fails, as after a power cut. */
+  synchronized void failAfter(long operations) {
+    operationsLeft = operations;
+  }
+
+  synchronized void failNextSync() {
+    nextSyncFails = true;
+  }
+
+  synchronized void beforeSync(Runnable action) {
+    beforeSync = action;
+  }
+
+  synchronized long writes() {
+    return writes;
+  }
+
+  /** Loses what was not synced: names come back, unsynced bytes are cut or partly zeros. */
+  synchronized void crash(UniformRandomProvider random) {
+    if (random.nextBoolean()) {
+      current = new HashMap<>(lasting);
+    }
+    current.values().forEach(content -> content.crash(random));
+    operationsLeft = Long.MAX_VALUE;
+  }
+
+  /** Returns the bytes of a file, for a test to change and put back. */
+  synchronized byte[] bytes(Path file) {
+    return current.get(file).bytes.toByteArray();
+  }
+
+  synchronized void replace(Path file, byte[] bytes) {
+    Content content = new Content();
+    content.bytes.writeBytes(bytes);
+    content.synced = bytes.length;
+    current.put(file, content);
+    lasting.put(file, content);
+  }
+
+  @Override
+  public synchronized boolean exists(Path path) {
+    return current.keySet().stream().anyMatch(file -> file.startsWith(path));
+  }
+
+  @Override
+  public synchronized List<String> names(Path folder) {
+    return current.keySet().stream()
+        .filter(file -> file.startsWith(folder) && !file.equals(folder))
+        .map(file -> folder.relativize(file).getName(0).toString())
+        .distinct()
+        .sorted()
+        .toList();
+  }
+
+  @Override
+  public synchronized byte[] read(Path file) {
+    return bytes(file);
+  }
+
+  @Override
+  public synchronized AppendFile append(Path file) throws IOException {
+    if (!current.containsKey(file)) {
+      change();
+      current.put(file, new Content());
+    }
+    return new FakeFile(current.get(file));
+  }
+
+  @Override
+  public synchronized void truncate(Path file, long size) throws IOException {
+    change();
+    replace(file, Arrays.copyOf(bytes(file), (int) size));
+  }
+
+  @Override
+  public synchronized void rename(Path from, Path to) throws IOException {
+    change();
+    current.put(to, current.remove(from));
+  }
+
+  @Override
+  public synchronized void delete(Path file) throws IOException {
+    change();
+    current.remove(file);
+  }
+
+  @Override
+  public synchronized void createFolder(Path folder) {
+    current.putIfAbsent(folder, new Content());
+    lasting.putIfAbsent(folder, new Content());
+  }
+
+  @Override
+  public synchronized void syncFolder(Path folder) throws IOException {
+    change();
+    lasting.keySet().removeIf(file -> folder.equals(file.getParent()));
+    current.forEach(
+        (file, content) -> {
+          if (folder.equals(file.getParent())) {
+            lasting.put(file, content);
+          }
+        });
+  }
+
+  @Override
+  public Closeable lock(Path file) {
+    return () -> {};
+  }
+
+  private void change() throws IOException {
+    if (operationsLeft <= 0) {
+      throw new IOException("No space left on device");
+    }
+    operationsLeft--;
+  }
+
+  private static final class Content {
+    private ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private int synced;
+
+    private void crash(UniformRandomProvider random) {
+      byte[] all = bytes.toByteArray();
+      int kept = synced + random.nextInt(all.length - synced + 1);
+      if (random.nextBoolean() && kept > synced) {
+        int from = Math.max(synced, (kept - 1) / SECTOR_BYTES * SECTOR_BYTES);
+        Arrays.fill(all, from, kept, (byte) 0);
+      }
+      bytes = new ByteArrayOutputStream();
+      bytes.write(all, 0, kept);
+      synced = kept;
+    }
+  }
+
+  private final class FakeFile implements AppendFile {
+    private final Content content;
+
+    FakeFile(Content content) {
+      this.content = content;
+    }
+
+    @Override
+    public void write(byte[] bytes) throws IOException {
+      synchronized (FakeDisk.this) {
+        writes++;
+        if (operationsLeft <= 0) {
+          content.bytes.write(bytes, 0, bytes.length / 2);
+        }
+        change();
+        content.bytes.writeBytes(bytes);
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      beforeSync.run();
+      synchronized (FakeDisk.this) {
+        change();
+        if (nextSyncFails) {
+          nextSyncFails = false;
+          throw new IOException("Input/output error");
+        }
+        content.synced = content.bytes.size();
+      }
+    }
+
+    @Override
+    public void close() {}
+  }
+}
