Configuration: in force everywhere by leases, pushed steps and relays

Cause: an accepted change must reach each daemon within seconds, never be reverted, and the operator must learn when no daemon works under an older revision any more, also through a silent partition and a change of leader. Change: ConfigurationPart subscribes to control voters or, by zone, to other daemons. Steps are pushed; gaps are repaired; a full copy goes in parts. Leases count from the sending of the request, are cut by the clocks' drift, and hold only at the granter's revision. Each daemon reports the revision that its whole subtree has reached; a new leader, and a restarted daemon, first wait one longest lease. Operators' changes and questions are answered by any entry.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Adoption.java
@@ -0,0 +1,60 @@
+package org.skylarkfork.core.configuration;
+
+import java.time.Instant;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.ConfigurationEvent;
+
+/** Applies newer revisions and tells everybody whom it concerns. */
+final class Adoption {
+
+  private final AppliedConfiguration applied;
+  private final EntryLease lease;
+  private final Subscribers subscribers;
+
+  Adoption(AppliedConfiguration applied, EntryLease lease, Subscribers subscribers) {
+    this.applied = applied;
+    this.lease = lease;
+    this.subscribers = subscribers;
+  }
+
+  /** Applies a whole configuration if it is newer; returns whether it was. */
+  boolean adopt(Configuration next, Instant now, Output output) {
+    long before = applied.revision();
+    if (next.revision() <= before) {
+      return false;
+    }
+    applied.adopt(next);
+    tell(before, now, output);
+    return true;
+  }
+
+  /**
+   * Applies a step that starts at the present revision.
+   *
+   * @throws IllegalArgumentException if it doesn't fit
+   */
+  void adopt(ConfigurationStep step, Instant now, Output output) {
+    long before = applied.revision();
+    applied.adopt(step);
+    tell(before, now, output);
+  }
+
+  private void tell(long before, Instant now, Output output) {
+    long revision = applied.revision();
+    output.raise(new ConfigurationEvent.ConfigurationApplied(before, revision));
+    output.effect(
+        new TraceEffect.TimelineEntry(
+            now,
+            "configuration.applied",
+            null,
+            null,
+            null,
+            null,
+            "revision " + revision + " after " + before));
+    subscribers.pushAll(now, output);
+    if (lease.applied(revision)) {
+      subscribers.grantAll(now, output);
+    }
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationMachine.java
@@ -50,7 +50,7 @@
     if (expected != null && expected != configuration.revision()) {
       return new ConfigurationResult.RevisionConflict(expected, configuration.revision());
     }
-    List<ConfigurationProblem> missing = missingValues(submitted.change());
+    List<ConfigurationProblem> missing = MissingValues.problems(submitted.change());
     if (!missing.isEmpty()) {
       return new ConfigurationResult.Invalid(missing);
     }
@@ -67,17 +67,6 @@
     }
   }
 
-  private static List<ConfigurationProblem> missingValues(ConfigurationChange change) {
-    return MissingValues.in((Record) change, "change").stream()
-        .map(
-            path ->
-                new ConfigurationProblem(
-                    ConfigurationProblem.Kind.MALFORMED,
-                    path,
-                    path + " is missing; give it a value"))
-        .toList();
-  }
-
   /** Checks the key here too: it may have been removed by a change just before in the log. */
   private boolean mayChange(SubmitChange submitted) {
     String hash = submitted.operatorKeyHash();
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationPart.java
@@ -0,0 +1,241 @@
+package org.skylarkfork.core.configuration;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.consensus.Submitter;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.ConfigurationEvent;
+import org.skylarkfork.core.event.ConsensusEvent;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.OperatorEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.ConfigurationMessage;
+
+/**
+ * The configuration in force on a daemon: takes newer revisions and leases, passes them on to other
+ * daemons, and answers operators.
+ *
+ * <p>The present time must come from a clock that doesn't jump. A step backwards ends the lease.
+ */
+public final class ConfigurationPart implements Part, ConfigurationView {
+
+  private final String node;
+  private final ConfigurationSettings settings;
+  private final ConfigurationSources sources;
+  private final List<String> voters;
+  private final @Nullable LocalReplica replica;
+  private final AppliedConfiguration applied = new AppliedConfiguration();
+  private final EntryLease lease;
+  private final Subscribers subscribers;
+  private final Adoption adoption;
+  private final OperatorCalls calls;
+  private final @Nullable InForce inForce;
+  private @Nullable Subscription subscription;
+  private @Nullable String leader;
+  private Instant latest = Instant.EPOCH;
+  private boolean serving;
+
+  /**
+   * Makes the part.
+   *
+   * @param node name of this daemon
+   * @param settings times and bounds
+   * @param sources where a daemon without a replica subscribes; a replica follows the leader
+   * @param voters names of the daemons that host a replica of the configuration group
+   * @param submitter the way for changes to the configuration group
+   * @param replica the replica on this daemon, or null if it hosts none
+   */
+  public ConfigurationPart(
+      String node,
+      ConfigurationSettings settings,
+      ConfigurationSources sources,
+      List<String> voters,
+      Submitter submitter,
+      @Nullable LocalReplica replica) {
+    this.node = node;
+    this.settings = settings;
+    this.sources = sources;
+    this.voters = List.copyOf(voters);
+    this.replica = replica;
+    this.lease = new EntryLease(settings);
+    this.subscribers = new Subscribers(settings, applied, lease);
+    this.adoption = new Adoption(applied, lease, subscribers);
+    ReplicaReader reader = null;
+    if (replica == null) {
+      inForce = null;
+    } else {
+      inForce = new InForce(settings, replica.machine(), subscribers);
+      reader = new ReplicaReader(replica, inForce);
+    }
+    this.calls = new OperatorCalls(node, settings, applied, submitter, voters, reader);
+  }
+
+  @Override
+  public Configuration current() {
+    return applied.current();
+  }
+
+  @Override
+  public boolean mayServe(Instant now) {
+    return applied.revision() > 0 && lease.isValid(now);
+  }
+
+  @Override
+  public Optional<Team> teamByKeyHash(String sha256) {
+    return Optional.ofNullable(applied.teamByKeyHash(sha256));
+  }
+
+  /** Returns when the configuration lease ends, or the epoch if there was none. */
+  public Instant leaseEnd() {
+    return lease.end();
+  }
+
+  @Override
+  public void apply(Event event, Instant now, Output output) {
+    checkClock(now, output);
+    if (event instanceof LifecycleEvent.Tick) {
+      tick(now, output);
+    } else if (event instanceof PeerEvent.MessageReceived received) {
+      if (received.message() instanceof ConfigurationMessage message) {
+        onMessage(received.node(), message, now, output);
+      }
+    } else if (event instanceof PeerEvent.ConnectionLost lost) {
+      subscription(now).lost(lost.node(), now, output);
+    } else if (event instanceof ConsensusEvent consensus) {
+      onConsensus(consensus, now, output);
+    } else if (event instanceof OperatorEvent call) {
+      calls.called(call, leader, now, output);
+    } else if (event instanceof ConfigurationEvent.ChangeProposed proposal) {
+      calls.proposed(proposal, now, output);
+    }
+  }
+
+  /**
+   * Ends the lease when time goes backwards: it would last longer than the leader counts, and this
+   * daemon would still serve under an old revision when a newer one is called in force.
+   */
+  private void checkClock(Instant now, Output output) {
+    if (now.isBefore(latest)) {
+      lease.drop();
+      output.effect(new TraceEffect.Count("configuration_clock_steps", "", 1));
+    }
+    latest = now;
+  }
+
+  private void tick(Instant now, Output output) {
+    boolean leads = extendAsLeader(now);
+    if (!leads) {
+      subscription(now).tick(now, output);
+    }
+    subscribers.tick(now);
+    calls.tick(now, output);
+    if (leads && inForce != null) {
+      inForce.tick(now, output);
+    }
+    tellServing(now, output);
+  }
+
+  private boolean extendAsLeader(Instant now) {
+    if (replica == null || !replica.leaderLease().holds(now)) {
+      return false;
+    }
+    lease.extendTo(now.plus(settings.lease()));
+    return true;
+  }
+
+  private void tellServing(Instant now, Output output) {
+    boolean servesNow = mayServe(now);
+    if (servesNow == serving) {
+      return;
+    }
+    serving = servesNow;
+    output.raise(new ConfigurationEvent.ServingChanged(serving));
+    output.effect(
+        new TraceEffect.LogLine(
+            !serving,
+            "configuration",
+            serving
+                ? "holds a lease at revision " + applied.revision()
+                : "has no lease any more and refuses new work"));
+  }
+
+  private Subscription subscription(Instant now) {
+    Subscription existing = subscription;
+    if (existing == null) {
+      existing =
+          new Subscription(settings, applied, lease, subscribers, adoption, this::candidates, now);
+      subscription = existing;
+    }
+    return existing;
+  }
+
+  /** A replica asks the leader, since only the leader's lease says that no newer leader exists. */
+  private List<String> candidates() {
+    if (replica == null) {
+      return sources.candidates();
+    }
+    List<String> names = new ArrayList<>(voters);
+    names.remove(node);
+    String leaderName = leader;
+    if (leaderName != null && names.remove(leaderName)) {
+      names.add(0, leaderName);
+    }
+    return names;
+  }
+
+  private void onMessage(String from, ConfigurationMessage message, Instant now, Output output) {
+    if (message instanceof ConfigurationMessage.Renew renew) {
+      subscribers.renewed(from, renew, now, output);
+    } else if (message instanceof ConfigurationMessage.LeaseGrant grant) {
+      subscription(now).granted(grant, now, output);
+    } else if (message instanceof ConfigurationMessage.Push push) {
+      subscription(now).pushed(push, now, output);
+    } else if (message instanceof ConfigurationMessage.CopyChunk chunk) {
+      subscription(now).copied(from, chunk, now, output);
+    } else if (message instanceof ConfigurationMessage.CopyRequest request) {
+      subscribers.copyRequested(from, request, now, output);
+    } else if (message instanceof ConfigurationMessage.TryOther) {
+      subscription(now).lost(from, now, output);
+    } else if (message instanceof ConfigurationMessage.OperatorCall question) {
+      calls.passedOn(question, leader, now, output);
+    } else if (message instanceof ConfigurationMessage.OperatorAnswer answer) {
+      calls.answerArrived(answer, output);
+    }
+  }
+
+  private void onConsensus(ConsensusEvent event, Instant now, Output output) {
+    if (event instanceof ConsensusEvent.SubmissionAnswered answered) {
+      calls.answered(answered, output);
+    } else if (event instanceof ConsensusEvent.SubmissionFailed failed) {
+      calls.failed(failed, output);
+    } else if (event instanceof ConsensusEvent.CommandCommitted committed) {
+      adoptFromReplica(committed.group(), now, output);
+    } else if (event instanceof ConsensusEvent.GroupRestored restored) {
+      adoptFromReplica(restored.group(), now, output);
+    } else if (event instanceof ConsensusEvent.LeaderChanged changed
+        && changed.group().equals(GroupId.CONFIGURATION)) {
+      leaderChanged(changed, now);
+    }
+  }
+
+  private void adoptFromReplica(GroupId group, Instant now, Output output) {
+    if (replica != null && group.equals(GroupId.CONFIGURATION)) {
+      adoption.adopt(replica.machine().configuration(), now, output);
+    }
+  }
+
+  private void leaderChanged(ConsensusEvent.LeaderChanged changed, Instant now) {
+    leader = changed.node();
+    if (inForce != null && node.equals(leader)) {
+      inForce.tookOffice(now);
+    }
+    subscription(now).refresh();
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Differences.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Differences.java
@@ -261,10 +261,51 @@
     return new VersionPolicyDiffers(policy.after(), policy.before());
   }
 
+  /** Returns about how many names and values a difference carries. */
   static int weight(ConfigurationDifference difference) {
     if (difference instanceof RulesDiffer rules) {
-      return 1 + rules.before().size() + rules.after().size();
+      return 1 + weight(rules.before()) + weight(rules.after());
+    }
+    if (difference instanceof TeamDiffers team) {
+      return 1 + weight(team.before()) + weight(team.after());
+    }
+    if (difference instanceof ModelDiffers model) {
+      return 1 + weight(model.before()) + weight(model.after());
     }
     return 1;
   }
+
+  private static int weight(List<Rule> rules) {
+    int weight = 0;
+    for (Rule rule : rules) {
+      weight += weight(rule);
+    }
+    return weight;
+  }
+
+  /** Returns about how many names and values a rule carries. */
+  static int weight(Rule rule) {
+    Rule.Condition when = rule.when();
+    return 1
+        + when.teams().size()
+        + when.models().size()
+        + when.services().size()
+        + when.headers().size()
+        + (rule.then() instanceof Rule.Decision.Route route ? route.models().size() : 1);
+  }
+
+  private static int weight(@Nullable Team team) {
+    if (team == null) {
+      return 0;
+    }
+    int weight = 1 + team.keys().size() + team.allowedServices().size();
+    for (Team.AllowedModel allowed : team.allowedModels()) {
+      weight += 1 + allowed.versions().size();
+    }
+    return weight;
+  }
+
+  private static int weight(@Nullable Model model) {
+    return model == null ? 0 : 1 + model.versions().size();
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/MissingValues.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/MissingValues.java
@@ -28,8 +28,19 @@
 
   private MissingValues() {}
 
+  /** Returns what is missing in a change, as problems. */
+  static List<ConfigurationProblem> problems(ConfigurationChange change) {
+    List<ConfigurationProblem> problems = new ArrayList<>();
+    for (String path : in((Record) change, "change")) {
+      problems.add(
+          new ConfigurationProblem(
+              ConfigurationProblem.Kind.MALFORMED, path, path + " is missing; give it a value"));
+    }
+    return problems;
+  }
+
   /** Returns paths such as {@code change.team.limits}, at most 20. */
-  static List<String> in(Record value, String name) {
+  private static List<String> in(Record value, String name) {
     MissingValues search = new MissingValues();
     search.look(value, name);
     return search.missing;
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Subscription.java
@@ -0,0 +1,248 @@
+package org.skylarkfork.core.configuration;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.message.ConfigurationMessage.CopyChunk;
+import org.skylarkfork.core.message.ConfigurationMessage.CopyRequest;
+import org.skylarkfork.core.message.ConfigurationMessage.LaggingEntry;
+import org.skylarkfork.core.message.ConfigurationMessage.LeaseGrant;
+import org.skylarkfork.core.message.ConfigurationMessage.Push;
+import org.skylarkfork.core.message.ConfigurationMessage.Renew;
+
+/** Takes configuration and leases from another daemon, and finds another one when it fails. */
+final class Subscription {
+
+  private static final Duration SPACING = Duration.ofMillis(100);
+  private static final Duration SWITCH_SPACING = Duration.ofMillis(200);
+  private static final Duration NEXT_ROUND = Duration.ofMillis(500);
+  private static final Duration RETURN_TO_PREFERRED = Duration.ofSeconds(30);
+  private static final Duration REFRESH = Duration.ofSeconds(1);
+  private static final int MOST_LAGGING = 8;
+  private static final int MOST_CHUNKS = 10_000;
+
+  private final ConfigurationSettings settings;
+  private final AppliedConfiguration applied;
+  private final EntryLease lease;
+  private final Subscribers subscribers;
+  private final Adoption adoption;
+  private final ConfigurationSources sources;
+  private final Instant startedAt;
+
+  private List<String> candidates = List.of();
+  private Instant refreshAt = Instant.EPOCH;
+  private @Nullable String source;
+  private int cursor;
+  private Instant sourceSince = Instant.EPOCH;
+  private Instant extendedAt = Instant.EPOCH;
+  private Instant sentAt = Instant.EPOCH;
+  private Instant nextSendAt = Instant.EPOCH;
+  private long reportedFloor;
+  private boolean misfit;
+  private @Nullable CopyChunk lastChunk;
+  private Instant lastChunkAt = Instant.EPOCH;
+  private final List<ConfigurationDifference> gathered = new ArrayList<>();
+
+  Subscription(
+      ConfigurationSettings settings,
+      AppliedConfiguration applied,
+      EntryLease lease,
+      Subscribers subscribers,
+      Adoption adoption,
+      ConfigurationSources sources,
+      Instant startedAt) {
+    this.settings = settings;
+    this.applied = applied;
+    this.lease = lease;
+    this.subscribers = subscribers;
+    this.adoption = adoption;
+    this.sources = sources;
+    this.startedAt = startedAt;
+  }
+
+  /** Looks for other sources at the next tick, as after a change of leader. */
+  void refresh() {
+    refreshAt = Instant.EPOCH;
+  }
+
+  void tick(Instant now, Output output) {
+    if (!now.isBefore(refreshAt)) {
+      refreshCandidates(now);
+    }
+    if (candidates.isEmpty()) {
+      return;
+    }
+    Instant heard = extendedAt.isAfter(sourceSince) ? extendedAt : sourceSince;
+    if (!now.isBefore(heard.plus(settings.patience()))) {
+      switchSource(now, output);
+    } else if (cursor > 0 && !now.isBefore(sourceSince.plus(RETURN_TO_PREFERRED))) {
+      choose(0, now);
+    }
+    boolean mayAcknowledge = !now.isBefore(sentAt.plus(SPACING)) && floor(now) > reportedFloor;
+    if (!now.isBefore(nextSendAt) || mayAcknowledge) {
+      renew(false, now, output);
+    }
+  }
+
+  private void refreshCandidates(Instant now) {
+    refreshAt = now.plus(REFRESH);
+    candidates = sources.candidates();
+    int place = source == null ? -1 : candidates.indexOf(source);
+    boolean preferredChanged = cursor == 0 && place > 0;
+    if (candidates.isEmpty()) {
+      source = null;
+    } else if (place < 0 || preferredChanged) {
+      choose(0, now);
+    } else {
+      cursor = place;
+    }
+  }
+
+  private void choose(int place, Instant now) {
+    cursor = place;
+    source = candidates.get(place);
+    sourceSince = now;
+    reportedFloor = 0;
+    lastChunk = null;
+    Instant earliest = sentAt.plus(SWITCH_SPACING);
+    nextSendAt = earliest.isAfter(now) ? earliest : now;
+  }
+
+  private void switchSource(Instant now, Output output) {
+    output.effect(new TraceEffect.Count("configuration_source_changes", "", 1));
+    boolean last = cursor + 1 >= candidates.size();
+    choose(last ? 0 : cursor + 1, now);
+    if (last) {
+      nextSendAt = now.plus(NEXT_ROUND);
+    }
+  }
+
+  /** Leaves the present source if it is the one that is gone or doesn't serve. */
+  void lost(String node, Instant now, Output output) {
+    if (node.equals(source) && !candidates.isEmpty()) {
+      switchSource(now, output);
+    }
+  }
+
+  private void renew(boolean repair, Instant now, Output output) {
+    String to = source;
+    if (to == null) {
+      return;
+    }
+    sentAt = now;
+    nextSendAt = now.plus(settings.renewal());
+    long revision = applied.revision();
+    long floor = floor(now);
+    reportedFloor = floor;
+    List<LaggingEntry> lagging = floor < revision ? subscribers.lagging(revision, now) : List.of();
+    output.effect(
+        new PeerEffect.SendToPeer(
+            to,
+            new Renew(
+                misfit ? 0 : revision,
+                now,
+                floor,
+                lagging.subList(0, Math.min(MOST_LAGGING, lagging.size())),
+                lagging.size(),
+                repair || misfit)));
+  }
+
+  /**
+   * Returns the revision that this daemon and all that have leases from it have reached.
+   *
+   * <p>An earlier process of this daemon may have granted leases that this one knows nothing of. If
+   * it reported its own revision at once, a change would be called in force while they serve under
+   * an older one; so it reports nothing until the longest of them must have ended.
+   */
+  private long floor(Instant now) {
+    if (now.isBefore(startedAt.plus(settings.longestLease()))) {
+      return 0;
+    }
+    return subscribers.floor(now);
+  }
+
+  void granted(LeaseGrant grant, Instant now, Output output) {
+    boolean ownRequest =
+        !grant.requestSentAt().isAfter(now) && !grant.requestSentAt().isBefore(startedAt);
+    if (ownRequest && lease.grant(grant, applied.revision())) {
+      extendedAt = now;
+      subscribers.grantAll(now, output);
+    }
+  }
+
+  void pushed(Push push, Instant now, Output output) {
+    for (ConfigurationStep step : push.steps()) {
+      if (step.to() <= applied.revision()) {
+        output.effect(new TraceEffect.Count("configuration_stale_pushes", "", 1));
+      } else if (step.from() != applied.revision()) {
+        repair(now, output);
+        return;
+      } else if (!applyStep(step, now, output)) {
+        return;
+      }
+    }
+  }
+
+  private boolean applyStep(ConfigurationStep step, Instant now, Output output) {
+    try {
+      adoption.adopt(step, now, output);
+      return true;
+    } catch (IllegalArgumentException e) {
+      output.effect(new TraceEffect.LogLine(true, "configuration", e.getMessage()));
+      misfit = true;
+      repair(now, output);
+      return false;
+    }
+  }
+
+  private void repair(Instant now, Output output) {
+    boolean copying = lastChunk != null && now.isBefore(lastChunkAt.plus(settings.renewal()));
+    if (!copying && !now.isBefore(sentAt.plus(SPACING))) {
+      output.effect(new TraceEffect.Count("configuration_repairs", "", 1));
+      renew(true, now, output);
+    }
+  }
+
+  void copied(String from, CopyChunk chunk, Instant now, Output output) {
+    if (chunk.revision() <= applied.revision() || chunk.count() > MOST_CHUNKS) {
+      output.effect(new TraceEffect.Count("configuration_stale_pushes", "", 1));
+      return;
+    }
+    CopyChunk before = lastChunk;
+    if (chunk.index() == 0) {
+      gathered.clear();
+    } else if (before == null
+        || before.revision() != chunk.revision()
+        || before.index() + 1 != chunk.index()) {
+      return;
+    }
+    gathered.addAll(chunk.differences());
+    lastChunk = chunk;
+    lastChunkAt = now;
+    if (chunk.index() + 1 < chunk.count()) {
+      CopyRequest next = new CopyRequest(chunk.revision(), chunk.index() + 1);
+      output.effect(new PeerEffect.SendToPeer(from, next));
+    } else {
+      finishCopy(chunk.revision(), now, output);
+    }
+  }
+
+  private void finishCopy(long revision, Instant now, Output output) {
+    lastChunk = null;
+    try {
+      Configuration whole = Differences.apply(Configuration.EMPTY, gathered, revision);
+      misfit = false;
+      adoption.adopt(whole, now, output);
+      renew(true, now, output);
+    } catch (IllegalArgumentException e) {
+      output.effect(new TraceEffect.LogLine(true, "configuration", e.getMessage()));
+    } finally {
+      gathered.clear();
+    }
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -13,4 +13,5 @@
         LedgerEvent,
         MembershipEvent,
         ConsensusEvent,
-        QualityEvent {}
+        QualityEvent,
+        ConfigurationEvent {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -1,4 +1,5 @@
 package org.skylarkfork.core.message;
 
 /** A message from one daemon to another. */
-public sealed interface PeerMessage permits RaftMessage, MembershipMessage, QualityMessage {}
+public sealed interface PeerMessage
+    permits RaftMessage, MembershipMessage, QualityMessage, ConfigurationMessage {}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
@@ -0,0 +1,232 @@
+package org.skylarkfork.core.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.skylarkfork.core.effect.OperatorEffect;
+import org.skylarkfork.core.effect.OperatorEffect.AwaitedEntry;
+import org.skylarkfork.core.effect.OperatorEffect.SendInForce;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.OperatorEvent;
+import org.skylarkfork.core.message.ConfigurationMessage;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link ConfigurationPart} with several daemons. */
+public class ConfigurationPartTest {
+
+  private static final ConfigurationChange WITHDRAW =
+      new ConfigurationChange.WithdrawVersion(Samples.DRAFT_2, null);
+  private static final ConfigurationChange LOAD =
+      new ConfigurationChange.ReplaceAll(Samples.configuration(4, 4));
+
+  private Daemons daemons;
+
+  /** Starts three voters and six entries, and loads a configuration. */
+  @BeforeMethod
+  public void start() {
+    daemons = new Daemons(7, 6);
+    daemons.run(Duration.ofSeconds(6));
+    daemons.change("load", LOAD);
+    daemons.untilInForce(1);
+  }
+
+  private Daemons.Daemon daemon(String name) {
+    return daemons.byName.get(name);
+  }
+
+  /** A change reaches every daemon and is in force well before the leases run out. */
+  @Test
+  public void changeIsInForceOnceAllAcknowledged() {
+    daemons.byName.values().forEach(daemon -> assertTrue(daemon.serves(), daemon.name));
+    daemons.change("w", WITHDRAW);
+    Duration taken = daemons.untilInForce(2);
+    assertTrue(taken.compareTo(Duration.ofMillis(500)) < 0, taken.toString());
+    daemons.byName.values().forEach(daemon -> assertEquals(daemon.revision(), 2, daemon.name));
+    assertTrue(daemon("e15").part.teamByKeyHash(Samples.hash("team3")).isPresent());
+  }
+
+  /** A daemon takes no new work before it has a configuration and a lease. */
+  @Test
+  public void restartedEntryWaitsForFreshRevision() {
+    daemon("e12").restart();
+    daemons.change("w", WITHDRAW);
+    assertFalse(daemon("e12").serves());
+    daemons.run(Duration.ofSeconds(3));
+    assertTrue(daemon("e12").serves());
+    assertEquals(daemon("e12").revision(), 2);
+  }
+
+  /**
+   * An entry is cut off in silence while it serves, its clock being the slowest that is allowed; a
+   * version is withdrawn. The operator must not be told "in force" before the entry has stopped,
+   * and must be told which entry is awaited and until when. Daemons checks the order at each tick.
+   */
+  @Test
+  public void entryCutOffStopsBeforeChangeIsInForce() {
+    daemon("e10").rate = 0.996;
+    daemon("v1").rate = 1.005;
+    daemons.run(Duration.ofSeconds(4));
+    daemons.cutOff.add("e10");
+    daemons.change("w", WITHDRAW);
+    daemons.run(Duration.ofSeconds(1));
+    SendInForce status = daemons.status(2);
+    assertNotNull(status);
+    assertFalse(status.inForce());
+    assertEquals(status.awaited().stream().map(AwaitedEntry::node).toList(), List.of("e10"));
+    assertTrue(daemon("e10").serves());
+    assertEquals(daemon("e10").revision(), 1);
+    Duration taken = daemons.untilInForce(2);
+    assertFalse(daemon("e10").serves());
+    assertTrue(taken.compareTo(Duration.ofSeconds(5)) < 0, taken.toString());
+  }
+
+  /**
+   * The entry hears the leader but newer revisions don't reach it. Grants alone must not keep it
+   * serving: they name the leader's revision, so its lease runs out like that of a silent entry.
+   */
+  @Test
+  public void entryThatMissesRevisionsCanNotLiveOnGrants() {
+    daemons.lost =
+        message ->
+            message instanceof ConfigurationMessage.Push
+                || message instanceof ConfigurationMessage.CopyChunk;
+    daemons.change("w", WITHDRAW);
+    daemons.run(Duration.ofSeconds(6));
+    assertFalse(daemon("e10").serves());
+    assertEquals(daemon("e10").revision(), 1);
+    daemons.lost = message -> false;
+    daemons.untilInForce(2);
+    daemons.run(Duration.ofSeconds(3));
+    assertTrue(daemon("e10").serves());
+  }
+
+  /**
+   * The old leader's leases are unknown to a new one. An entry that only the old leader could reach
+   * still serves under revision 1 when revision 2 is accepted; the new leader sees nobody behind
+   * and would call it in force at once, had it not to wait for one longest lease.
+   */
+  @Test
+  public void newLeaderWaitsForLeasesOfTheOldOne() {
+    daemons.run(Duration.ofSeconds(2));
+    daemons.cutOff.addAll(Set.of("v1", "e10", "e11", "e12"));
+    daemons.lead(null);
+    daemons.lead("v2");
+    daemons.change("w", WITHDRAW);
+    SendInForce status = daemons.status(2);
+    assertNotNull(status);
+    assertFalse(status.inForce());
+    assertNotNull(status.unknownUntil());
+    assertTrue(daemon("e10").serves());
+    daemons.untilInForce(2);
+    assertFalse(daemon("e10").serves());
+    assertFalse(daemon("v1").serves());
+  }
+
+  /** With the quorum lost, entries stop after one lease, and serve again once it is back. */
+  @Test
+  public void entriesStopWithoutLeaderAndGoOnWithOne() {
+    daemons.lead(null);
+    daemons.run(Duration.ofSeconds(6));
+    daemons.byName.values().forEach(daemon -> assertFalse(daemon.serves(), daemon.name));
+    daemons.lead("v3");
+    daemons.run(Duration.ofSeconds(4));
+    daemons.byName.values().forEach(daemon -> assertTrue(daemon.serves(), daemon.name));
+  }
+
+  /**
+   * Time goes backwards on an entry, as when its clock is set. The lease would last longer there
+   * than the leader counts, so it ends at once and is asked for anew.
+   */
+  @Test
+  public void clockThatStepsBackEndsLease() {
+    Daemons.Daemon entry = daemon("e10");
+    entry.rate = 0.9;
+    entry.apply(new LifecycleEvent.Tick());
+    assertFalse(entry.serves());
+  }
+
+  /**
+   * A daemon that was away too long for the steps gets a full copy in parts, though one is lost.
+   */
+  @Test
+  public void daemonFarBehindGetsFullCopy() {
+    daemons.cutOff.add("e10");
+    ConfigurationChange large =
+        new ConfigurationChange.ReplaceAll(Samples.configuration(300, 3000));
+    daemons.change("large", large);
+    daemons.untilInForce(2);
+    int[] chunks = {0};
+    daemons.lost = message -> message instanceof ConfigurationMessage.CopyChunk && ++chunks[0] == 3;
+    daemons.cutOff.clear();
+    daemons.run(Duration.ofSeconds(6));
+    assertEquals(daemon("e10").part.current(), daemon("v1").machine.configuration());
+    assertTrue(daemon("e10").serves());
+    assertTrue(chunks[0] > 10, "parts: " + chunks[0]);
+  }
+
+  /**
+   * An operator's answer is lost, so the change is sent again through another entry. It gets the
+   * first answer, and an operator with the old revision gets a conflict with the present one.
+   */
+  @Test
+  public void operatorIsAnsweredThroughAnyEntry() {
+    OperatorEffect first = daemon("e10").ask(changeRequest("w", "anna", 1L, WITHDRAW));
+    assertTrue(first instanceof OperatorEffect.ChangeAccepted accepted && accepted.revision() == 2);
+    daemons.run(Duration.ofSeconds(1));
+    assertEquals(daemon("e12").ask(changeRequest("w", "anna", 1L, WITHDRAW)), first);
+    daemons.run(Duration.ofSeconds(1));
+    OperatorEffect conflict = daemon("e13").ask(changeRequest("x", "ben", 1L, WITHDRAW));
+    assertTrue(conflict instanceof OperatorEffect.ChangeConflict refused && refused.present() == 2);
+    OperatorEffect stranger = daemon("e13").ask(changeRequest("y", "eve", 2L, WITHDRAW));
+    assertTrue(
+        stranger instanceof OperatorEffect.RefuseOperator refused
+            && refused.error().kind() == ErrorKind.UNAUTHORIZED);
+    OperatorEffect bootstrap = daemon("e13").ask(changeRequest("z", "first", 2L, WITHDRAW));
+    assertTrue(bootstrap instanceof OperatorEffect.RefuseOperator);
+  }
+
+  private static OperatorEvent changeRequest(
+      String changeId, String operator, Long expected, ConfigurationChange change) {
+    return new OperatorEvent.ChangeRequested(
+        "call", Samples.hash(operator), changeId, expected, change);
+  }
+
+  /** Questions about history reach a control voter, and those about force the leader. */
+  @Test
+  public void questionsArePassedOn() {
+    daemons.change("w", WITHDRAW);
+    daemons.untilInForce(2);
+    Daemons.Daemon entry = daemon("e14");
+    String key = Samples.hash("anna");
+    assertNull(entry.ask(new OperatorEvent.HistoryRequested("h", key, 0, 10)));
+    entry.apply(new OperatorEvent.DifferenceRequested("d", key, 2, 1));
+    entry.apply(new OperatorEvent.RevisionRequested("r", key, 1));
+    entry.apply(new OperatorEvent.RevisionRequested("n", key, 7));
+    entry.apply(new OperatorEvent.InForceRequested("f", key, 2));
+    daemons.run(Duration.ofMillis(200));
+    assertEquals(entry.answers.size(), 5);
+    for (OperatorEffect answer : entry.answers) {
+      if (answer instanceof OperatorEffect.SendHistory history) {
+        assertEquals(history.changes().get(0).change(), "WithdrawVersion");
+      } else if (answer instanceof OperatorEffect.SendDifference difference) {
+        assertEquals(
+            difference.step().differences(),
+            List.of(new ConfigurationDifference.WithdrawalDiffers(Samples.DRAFT_2, false)));
+      } else if (answer instanceof OperatorEffect.SendConfiguration sent) {
+        assertEquals(sent.configuration().revision(), 1);
+      } else if (answer instanceof SendInForce status) {
+        assertTrue(status.inForce());
+      } else {
+        assertEquals(answer.callId(), "n");
+      }
+    }
+  }
+}
