Thin path: quickstart answers requests through real HTTP

Cause: the whole path comes first. Change: DaemonNode puts the first parts together with a fixed configuration and a ledger of one process; quickstart runs it with stand-in engines and services in one process. Conclusion: replicated parts can now take the place of the interim ones, one by one.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -11,7 +11,12 @@
     name = "skylarkfork",
     description = "A model-aware router for versions and cascades.",
     defaultCommand = HelpCommand.class,
-    commands = {HelpCommand.class, CheckCommand.class, DaemonCommand.class})
+    commands = {
+      HelpCommand.class,
+      CheckCommand.class,
+      DaemonCommand.class,
+      QuickstartCommand.class
+    })
 public final class Skylarkfork {
 
   private Skylarkfork() {}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.event.Event;
@@ -26,47 +27,45 @@
   private static final int MAX_BACKLOG = 20_000;
   private static final long TICK_NANOS = Reducer.TICK.toNanos();
 
-  private final Reducer reducer;
   private final InstantSource clock;
   private final EffectHandler handler;
   private final Journal journal;
   private final Consumer<Throwable> onFailure;
-  private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
-  private final Thread thread;
+  private final BlockingQueue<Consumer<Reducer>> tasks = new LinkedBlockingQueue<>();
+  private @Nullable Thread thread;
   private volatile boolean stopped;
 
   /**
    * Makes a loop; {@link #start} runs it.
    *
-   * @param reducer what decides
    * @param clock gives the present time; must never go back
    * @param handler carries effects out
    * @param journal sees every event
    * @param onFailure told once if the reducer or the handler fails
    */
   public ReducerLoop(
-      Reducer reducer,
-      InstantSource clock,
-      EffectHandler handler,
-      Journal journal,
-      Consumer<Throwable> onFailure) {
-    this.reducer = reducer;
+      InstantSource clock, EffectHandler handler, Journal journal, Consumer<Throwable> onFailure) {
     this.clock = clock;
     this.handler = handler;
     this.journal = journal;
     this.onFailure = onFailure;
-    this.thread = new Thread(this::run, "reducer");
-    this.thread.setDaemon(true);
   }
 
-  /** Starts the thread. */
-  public void start() {
-    thread.start();
+  /**
+   * Starts the thread; what was submitted before waits until then.
+   *
+   * @param reducer what decides; touched by the thread only from now on
+   */
+  public void start(Reducer reducer) {
+    Thread started = new Thread(() -> run(reducer), "reducer");
+    started.setDaemon(true);
+    started.start();
+    thread = started;
   }
 
   /** Adds an event whatever the backlog; ignored after the stop. */
   public void submit(Event event) {
-    tasks.add(() -> apply(event));
+    tasks.add(reducer -> apply(reducer, event));
   }
 
   /**
@@ -90,7 +89,7 @@
    */
   public <T> CompletableFuture<T> ask(Function<Instant, T> question) {
     CompletableFuture<T> answer = new CompletableFuture<>();
-    tasks.add(() -> answer(question, answer));
+    tasks.add(reducer -> answer(question, answer));
     if (stopped) {
       answer.completeExceptionally(new RejectedExecutionException("the daemon has stopped"));
     }
@@ -105,16 +104,16 @@
     }
   }
 
-  private void run() {
+  private void run(Reducer reducer) {
     long nextTick = System.nanoTime() + TICK_NANOS;
     try {
       while (!stopped) {
         long wait = nextTick - System.nanoTime();
         if (wait <= 0) {
-          apply(new LifecycleEvent.Tick());
+          apply(reducer, new LifecycleEvent.Tick());
           nextTick = System.nanoTime() + TICK_NANOS;
         } else {
-          runNext(wait);
+          runNext(reducer, wait);
         }
       }
     } catch (InterruptedException interrupted) {
@@ -125,14 +124,14 @@
     }
   }
 
-  private void runNext(long waitNanos) throws InterruptedException {
-    Runnable task = tasks.poll(waitNanos, TimeUnit.NANOSECONDS);
+  private void runNext(Reducer reducer, long waitNanos) throws InterruptedException {
+    Consumer<Reducer> task = tasks.poll(waitNanos, TimeUnit.NANOSECONDS);
     if (task != null) {
-      task.run();
+      task.accept(reducer);
     }
   }
 
-  private void apply(Event event) {
+  private void apply(Reducer reducer, Event event) {
     Instant now = clock.instant();
     List<Effect> effects = reducer.apply(event, now);
     journal.applied(now, event, effects);
@@ -143,6 +142,9 @@
   @Override
   public void close() {
     stopped = true;
-    thread.interrupt();
+    Thread running = thread;
+    if (running != null) {
+      running.interrupt();
+    }
   }
 }
