Runtime: the operators' listener

Cause: operators need changes, revisions and views over HTTP. Change: admin API over typed changes with If-Match and a change id, views, metrics and health.

--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -0,0 +1,293 @@
+package org.skylarkfork.runtime.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import org.skylarkfork.core.effect.OperatorEffect;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.event.OperatorEvent;
+import org.skylarkfork.core.request.RunState;
+import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.loop.ReducerLoop;
+import org.skylarkfork.runtime.trace.Metrics;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** The listener for operators: the admin API, metrics and health. */
+public final class AdminServer implements AutoCloseable {
+
+  private static final String ROOT = "/admin/v1/";
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(15);
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+  private final HttpSettings settings;
+  private final ReducerLoop loop;
+  private final AdminQueries queries;
+  private final EdgeQueries edge;
+  private final Metrics metrics;
+  private final InstantSource clock;
+  private final Codec codec;
+  private final AdminCalls calls;
+  private final AnswerFormat format;
+  private final BodyReader bodies;
+  private final Map<String, CompletableFuture<OperatorEffect>> waiting = new ConcurrentHashMap<>();
+  private @Nullable DisposableServer server;
+
+  /**
+   * Makes a listener; {@link #start} opens it.
+   *
+   * @param settings address and bounds
+   * @param loop takes the events
+   * @param queries answers questions on the daemon's state
+   * @param edge tells whether the daemon takes new work
+   * @param metrics metrics to show
+   * @param clock the daemon's clock
+   * @param ids makes unique ids of calls
+   * @param json reads and writes JSON
+   * @param codec reads changes and writes answers
+   */
+  public AdminServer(
+      HttpSettings settings,
+      ReducerLoop loop,
+      AdminQueries queries,
+      EdgeQueries edge,
+      Metrics metrics,
+      InstantSource clock,
+      Supplier<String> ids,
+      ObjectMapper json,
+      Codec codec) {
+    this.settings = settings;
+    this.loop = loop;
+    this.queries = queries;
+    this.edge = edge;
+    this.metrics = metrics;
+    this.clock = clock;
+    this.codec = codec;
+    this.calls =
+        new AdminCalls(json, codec, new RequestParser(json, settings.defaultDeadline()), ids);
+    this.format = new AnswerFormat(json);
+    this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
+  }
+
+  /** Opens the listener and returns its address. */
+  public InetSocketAddress start() {
+    DisposableServer bound =
+        HttpServer.create()
+            .host(settings.host())
+            .port(settings.port())
+            .httpRequestDecoder(
+                decoder ->
+                    decoder
+                        .maxInitialLineLength(settings.maxLineBytes())
+                        .maxHeaderSize(settings.maxHeaderBytes()))
+            .idleTimeout(settings.idleTimeout())
+            .handle(this::handle)
+            .bindNow();
+    server = bound;
+    return (InetSocketAddress) bound.address();
+  }
+
+  /** Carries an answer to its operator; ignored if the call has timed out. */
+  public void carryOut(OperatorEffect effect) {
+    CompletableFuture<OperatorEffect> call = waiting.remove(effect.callId());
+    if (call != null) {
+      call.complete(effect);
+    }
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    return route(request, response)
+        .onErrorResume(BadRequestException.class, refused -> refuse(response, refused.error()));
+  }
+
+  private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
+    String path = request.fullPath();
+    if (path.startsWith(ROOT)) {
+      String keyHash = RequestParser.keyHash(request.requestHeaders());
+      String[] parts = path.substring(ROOT.length()).split("/", 2);
+      String argument = parts.length > 1 ? parts[1] : "";
+      return request.method().equals(HttpMethod.POST)
+          ? post(parts[0], keyHash, request, response)
+          : get(parts[0], argument, keyHash, request, response);
+    }
+    return switch (path) {
+      case "/metrics" -> send(response, 200, METRICS_TYPE, metrics.text());
+      case "/healthz" -> sendJson(response, 200, "{\"status\":\"ok\"}");
+      case "/readyz" -> ready(response);
+      default -> noSuchPath(request, response);
+    };
+  }
+
+  private Mono<Void> post(
+      String resource, String keyHash, HttpServerRequest request, HttpServerResponse response) {
+    return switch (resource) {
+      case "changes" ->
+          bodies
+              .read(request)
+              .flatMap(
+                  body -> ask(calls.change(keyHash, request.requestHeaders(), body), response));
+      case "dry-run" -> dryRun(keyHash, request, response);
+      default -> noSuchPath(request, response);
+    };
+  }
+
+  private Mono<Void> dryRun(
+      String keyHash, HttpServerRequest request, HttpServerResponse response) {
+    return operator(keyHash)
+        .then(bodies.read(request))
+        .flatMap(
+            body ->
+                ask(
+                    calls.dryRun(query(request), request.requestHeaders(), body, clock.instant()),
+                    response));
+  }
+
+  private Mono<Void> get(
+      String resource,
+      String argument,
+      String keyHash,
+      HttpServerRequest request,
+      HttpServerResponse response) {
+    return switch (resource) {
+      case "configuration" -> ask(calls.configuration(keyHash), response);
+      case "revisions" ->
+          ask(
+              argument.isEmpty()
+                  ? calls.history(keyHash, query(request))
+                  : calls.revision(keyHash, argument),
+              response);
+      case "differences" -> ask(calls.difference(keyHash, query(request)), response);
+      case "in-force" -> ask(calls.inForce(keyHash, argument), response);
+      default ->
+          operator(keyHash)
+              .then(future(queries.view(resource, argument)))
+              .flatMap(view -> sendJson(response, 200, codec.toJson(view)));
+    };
+  }
+
+  private static QueryStringDecoder query(HttpServerRequest request) {
+    return new QueryStringDecoder(request.uri());
+  }
+
+  private Mono<Void> operator(String keyHash) {
+    return future(queries.isOperator(keyHash))
+        .flatMap(
+            known ->
+                known
+                    ? Mono.<Void>empty()
+                    : Mono.error(
+                        new BadRequestException(
+                            RoutingError.notRun(
+                                ErrorKind.UNAUTHORIZED,
+                                "The operator key is unknown. Ask another operator for one."))));
+  }
+
+  private Mono<Void> ask(OperatorEvent event, HttpServerResponse response) {
+    CompletableFuture<OperatorEffect> answer = new CompletableFuture<>();
+    waiting.put(event.callId(), answer);
+    loop.submit(event);
+    return Mono.fromFuture(answer)
+        .timeout(CALL_TIMEOUT)
+        .onErrorMap(TimeoutException.class, late -> unanswered())
+        .doFinally(end -> waiting.remove(event.callId()))
+        .flatMap(effect -> answer(effect, response));
+  }
+
+  private static BadRequestException unanswered() {
+    return new BadRequestException(
+        new RoutingError(
+            ErrorKind.DEADLINE,
+            "No answer came in time. Send the change again with the same change id.",
+            RunState.UNKNOWN,
+            1000L));
+  }
+
+  private Mono<Void> answer(OperatorEffect effect, HttpServerResponse response) {
+    if (effect instanceof OperatorEffect.RefuseOperator refused) {
+      return refuse(response, refused.error());
+    }
+    if (effect instanceof OperatorEffect.ChangeConflict conflict) {
+      return sendJson(response, conflict.error().kind().status(), codec.toJson(conflict));
+    }
+    if (effect instanceof OperatorEffect.ChangeInvalid invalid) {
+      return sendJson(response, invalid.error().kind().status(), codec.toJson(invalid));
+    }
+    if (effect instanceof OperatorEffect.ChangeAccepted accepted) {
+      response.header(HttpHeaderNames.ETAG, tag(accepted.revision()));
+    }
+    if (effect instanceof OperatorEffect.SendConfiguration sent) {
+      response.header(HttpHeaderNames.ETAG, tag(sent.configuration().revision()));
+      return sendJson(response, 200, codec.toJson(sent.configuration()));
+    }
+    return sendJson(response, 200, codec.toJson(effect));
+  }
+
+  private static String tag(long revision) {
+    return "\"" + revision + "\"";
+  }
+
+  private Mono<Void> ready(HttpServerResponse response) {
+    return future(edge.readiness())
+        .flatMap(
+            readiness ->
+                sendJson(response, readiness.ready() ? 200 : 503, codec.toJson(readiness)));
+  }
+
+  private Mono<Void> noSuchPath(HttpServerRequest request, HttpServerResponse response) {
+    String what = request.method() + " " + request.fullPath();
+    return refuse(
+        response,
+        RoutingError.notRun(
+            ErrorKind.NOT_FOUND, "There is no " + what + ". See docs/OPERATIONS.md."));
+  }
+
+  private Mono<Void> refuse(HttpServerResponse response, RoutingError error) {
+    return sendJson(response, error.kind().status(), format.error(error));
+  }
+
+  private static <T> Mono<T> future(CompletableFuture<T> value) {
+    return Mono.fromFuture(value)
+        .onErrorMap(
+            CompletionException.class,
+            failure -> failure.getCause() == null ? failure : failure.getCause());
+  }
+
+  private static Mono<Void> sendJson(HttpServerResponse response, int status, String body) {
+    return send(response, status, "application/json", body);
+  }
+
+  private static Mono<Void> send(
+      HttpServerResponse response, int status, String type, String body) {
+    return response
+        .status(status)
+        .header(HttpHeaderNames.CONTENT_TYPE, type)
+        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)))
+        .then();
+  }
+
+  /** Closes the listener and its connections. */
+  @Override
+  public void close() {
+    DisposableServer open = server;
+    if (open != null) {
+      open.disposeNow();
+    }
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
@@ -54,5 +54,8 @@
   /** Set by an upstream on a refusal of a request that it did not start. */
   public static final String NOT_STARTED = "X-Not-Started";
 
+  /** Operator's id of a change; a resend with the same id gets the first answer. */
+  public static final String CHANGE_ID = "Skylarkfork-Change-Id";
+
   private HttpNames() {}
 }
