--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/Candidates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/Candidates.java
@@ -31,10 +31,18 @@
   /**
    * Lists the candidates in the order of the route's models.
    *
+   * <p>The list is empty where the version that the query's session keeps has no engine for the
+   * moment: to go on with another model would move the session as well.
+   *
    * <p>Suspect versions are listed only if nothing else is left: a false alarm on the last version
    * of each model would otherwise refuse all work.
    */
   public List<Candidate> of(PlanQuery query, Instant now) {
+    for (String model : models(query)) {
+      if (versions.waitsForEngine(query.request(), query.team(), model, query.pinned(), now)) {
+        return List.of();
+      }
+    }
     List<Candidate> candidates = list(query, false, now);
     return candidates.isEmpty() ? list(query, true, now) : candidates;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/DirectPlanner.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/DirectPlanner.java
@@ -20,8 +20,12 @@
 
   @Override
   public Optional<Plan> plan(PlanQuery query, Instant now) {
-    return candidates.of(query, now).stream()
+    List<Candidates.Candidate> listed = candidates.of(query, now);
+    // A session that began on a later model, while the first had no engine, stays there.
+    return listed.stream()
+        .filter(candidate -> candidate.choice().pinned())
         .findFirst()
+        .or(() -> listed.stream().findFirst())
         .map(
             first ->
                 FixedOrderPlanner.cascade(
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/PrefixHints.java
@@ -0,0 +1,76 @@
+package org.skylarkfork.core.routing;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.upstream.Announcement;
+import org.skylarkfork.core.upstream.CacheEvent;
+import org.skylarkfork.core.upstream.LoadedModel;
+
+/** Remembers which engine may hold a prompt's prefix; a hint that may be wrong at any time. */
+final class PrefixHints {
+
+  private static final int MOST_REMEMBERED = 8_192;
+  private static final int MOST_BLOCKS = 8;
+  private static final String OWN = "routed here";
+
+  private final Map<String, String> holders =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+          return size() > MOST_REMEMBERED;
+        }
+      };
+
+  /** Takes in an engine's cache events. */
+  void learn(Announcement announcement) {
+    for (CacheEvent event : announcement.cacheEvents()) {
+      if (event.stored()) {
+        holders.put(event.prefix(), announcement.id());
+      } else {
+        holders.remove(event.prefix(), announcement.id());
+      }
+    }
+  }
+
+  /** Takes note that a request was sent to an upstream, which caches its prefixes by that. */
+  void routed(CallerRequest request, String upstream) {
+    for (String prefix : PromptPrefixes.of(OWN, request.prompt(), MOST_BLOCKS)) {
+      holders.put(prefix, upstream);
+    }
+  }
+
+  /**
+   * Returns who may hold the longest known prefix of a request.
+   *
+   * @param candidate any candidate, for the names of the models that may be meant
+   */
+  Optional<String> holder(CallerRequest request, Announcement candidate) {
+    Optional<String> own = longest(OWN, request);
+    if (own.isPresent()) {
+      return own;
+    }
+    for (LoadedModel model : candidate.models()) {
+      Optional<String> told = longest(model.model() + ":" + model.version(), request);
+      if (told.isPresent()) {
+        return told;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> longest(String modelKey, CallerRequest request) {
+    List<String> prefixes = PromptPrefixes.of(modelKey, request.prompt(), MOST_BLOCKS);
+    for (int i = prefixes.size() - 1; i >= 0; i--) {
+      String holder = holders.get(prefixes.get(i));
+      if (holder != null) {
+        return Optional.of(holder);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/Versions.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/Versions.java
@@ -88,8 +88,6 @@
     }
     Optional<ModelVersion> pinned = pinned(request, team, modelName, known);
     if (pinned.isPresent() && mayRun(current, model.get(), team, pinned.get())) {
-      // A session whose version has no engine for the moment waits or is refused as not run. To
-      // move it would show its user another version's answers half-way through a case.
       return hasEngine(pinned.get(), now)
           ? Optional.of(new VersionChoice(pinned.get(), true, null))
           : Optional.empty();
@@ -99,6 +97,27 @@
         version -> new VersionChoice(version, false, movedNotice(pinned.orElse(null), version)));
   }
 
+  /**
+   * Returns whether a session keeps a version that may run but has no engine for the moment.
+   *
+   * <p>Such a request is refused as not run. To move the session would show its user another
+   * version's answers half-way through a case, and engines that restart are back soon.
+   */
+  boolean waitsForEngine(
+      CallerRequest request,
+      Team team,
+      String modelName,
+      @Nullable ModelVersion known,
+      Instant now) {
+    Configuration current = configuration.current();
+    Optional<Model> model = current.model(modelName);
+    Optional<ModelVersion> pinned = pinned(request, team, modelName, known);
+    return model.isPresent()
+        && pinned.isPresent()
+        && mayRun(current, model.get(), team, pinned.get())
+        && !hasEngine(pinned.get(), now);
+  }
+
   private Optional<ModelVersion> pinned(
       CallerRequest request, Team team, String model, @Nullable ModelVersion known) {
     if (request.session() == null) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/RoutingFakes.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/RoutingFakes.java
@@ -103,6 +103,7 @@
 
   /** A configuration that tests change at will. */
   static final class FakeConfiguration implements ConfigurationView {
+    List<Team> teams = List.of();
     List<Model> models = List.of();
     List<RollOut> rollOuts = List.of();
     List<ModelVersion> withdrawn = List.of();
@@ -112,7 +113,7 @@
     public Configuration current() {
       return new Configuration(
           1,
-          List.of(),
+          teams,
           models,
           List.of(),
           rules,
