Attempt: randomised faults with what callers and services saw checked

Cause: focused tests meet one fault at a time; a bill's pause that ended after the deadline was never looked at again, so the request stayed for ever. Change: seeded runs in which upstreams, ledger, admission, callers and operators act at random; the pause of a bill is scheduled again whenever the request is looked at.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Ending.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Ending.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.attempt;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -153,9 +154,15 @@
 
   /** Hands a bill in again once its pause is over. */
   void billAgain(ActiveRequest active, Turn turn) {
-    if (active.phaseEnd != null && !active.phaseEnd.isAfter(turn.now())) {
-      billOrSend(active, turn);
+    Instant end = active.phaseEnd;
+    if (end == null) {
+      return;
+    }
+    if (end.isAfter(turn.now())) {
+      requests.wakeBy(active, end);
+      return;
     }
+    billOrSend(active, turn);
   }
 
   private static CallerEffect unbilled(ActiveRequest active) {
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RandomFaultsTest.java
@@ -0,0 +1,421 @@
+package org.skylarkfork.core.attempt;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.skylarkfork.core.admission.Admission;
+import org.skylarkfork.core.configuration.Team;
+import org.skylarkfork.core.effect.CallerEffect;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.effect.UpstreamEffect;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.event.AdmissionEvent;
+import org.skylarkfork.core.event.CallerEvent;
+import org.skylarkfork.core.event.SessionEvent;
+import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.event.UpstreamEvent.Moment;
+import org.skylarkfork.core.request.Bytes;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.request.RequestKind;
+import org.skylarkfork.core.request.RunState;
+import org.skylarkfork.core.request.Usage;
+import org.skylarkfork.core.routing.Plan;
+import org.skylarkfork.core.session.SessionPins;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Long runs in which everything fails at any moment, with what callers and services saw checked.
+ */
+public class RandomFaultsTest {
+
+  private static final int STEPS = 6000;
+  private static final int LENGTH = 6;
+  private static final Map<String, Double> TOTALS = new TreeMap<>();
+
+  @DataProvider
+  static Object[][] seeds() {
+    Object[][] seeds = new Object[20][];
+    for (int seed = 0; seed < seeds.length; seed++) {
+      seeds[seed] = new Object[] {(long) seed};
+    }
+    return seeds;
+  }
+
+  @Test(dataProvider = "seeds")
+  public void keepsAllPromises(long seed) {
+    // Callers see one whole answer of their own, or one true refusal, or leave. Upstreams fail at
+    // each moment, answer late, doubled, crossed or cut; the ledger is away at times; versions are
+    // withdrawn and restored. What the services ran is kept apart and compared at the end.
+    Run run = new Run(seed);
+    for (int step = 0; step < STEPS; step++) {
+      run.step();
+    }
+    run.finish();
+    run.checkEnds();
+    assertTrue(run.whole * 5 > run.number, "answers " + run.whole + " of " + run.number);
+  }
+
+  @Test(dependsOnMethods = "keepsAllPromises")
+  public void meetsEveryKindOfFault() {
+    System.out.println("request: counted in the randomised runs: " + TOTALS);
+    for (String name :
+        List.of(
+            "answers_crossed",
+            "answers_late",
+            "answers_with_gap",
+            "tokens_duplicate",
+            "resumes",
+            "escalations",
+            "ratings_missing",
+            "bills_not_durable",
+            "callers_left",
+            "requests_refused",
+            "requests_answered",
+            "attempts_failed")) {
+      assertTrue(TOTALS.getOrDefault(name, 0.0) > 0, name);
+    }
+  }
+
+  /** An attempt as its upstream sees it. */
+  private static final class Dispatched {
+    final String id;
+    final String request;
+    final boolean draft;
+    long offset;
+    final long start;
+    boolean open = true;
+
+    Dispatched(String id, String request, boolean draft, long offset) {
+      this.id = id;
+      this.request = request;
+      this.draft = draft;
+      this.offset = offset;
+      this.start = offset;
+    }
+  }
+
+  /** An admission that lets some requests wait. */
+  private static final class WaitingAdmission implements Admission {
+    final UniformRandomProvider random;
+    final Set<String> waiting = new HashSet<>();
+    final Set<String> running = new HashSet<>();
+
+    WaitingAdmission(UniformRandomProvider random) {
+      this.random = random;
+    }
+
+    @Override
+    public Verdict submit(CallerRequest request, Team team, int priority, Instant now) {
+      boolean waits = random.nextInt(4) == 0;
+      (waits ? waiting : running).add(request.requestId());
+      return new Verdict(waits ? Decision.WAITING : Decision.ADMITTED, null);
+    }
+
+    @Override
+    public void release(String requestId, long tokens, Instant now) {
+      boolean known = waiting.remove(requestId) || running.remove(requestId);
+      assertTrue(known, "each admission is given back once");
+    }
+  }
+
+  private static final class Run {
+    final UniformRandomProvider random;
+    final WaitingAdmission admission;
+    final RequestFixture fixture;
+    final Map<String, Dispatched> attempts = new LinkedHashMap<>();
+    final Map<String, CallerRequest> requests = new TreeMap<>();
+    final Map<String, Integer> ends = new HashMap<>();
+    final Set<String> left = new HashSet<>();
+    final Map<String, StringBuilder> streams = new HashMap<>();
+    final Set<String> mayHaveRun = new HashSet<>();
+    final Map<String, Set<String>> runsByKey = new HashMap<>();
+    int number;
+    int whole;
+
+    Run(long seed) {
+      random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+      admission = new WaitingAdmission(random);
+      fixture = new RequestFixture(RequestFixture.settings(0.5, 50, 0.2), admission, seed);
+    }
+
+    void step() {
+      fixture.effects.clear();
+      int choice = random.nextInt(100);
+      if (choice < 4) {
+        ask();
+      } else if (choice < 70) {
+        upstream();
+      } else if (choice < 82) {
+        ledger();
+      } else if (choice < 87) {
+        admit();
+      } else if (choice < 97) {
+        fixture.pass(Duration.ofMillis(random.nextInt(random.nextInt(50) == 0 ? 9000 : 100)));
+      } else if (choice < 98) {
+        leave();
+      } else {
+        change();
+      }
+      fixture.effects.forEach(this::look);
+    }
+
+    private void ask() {
+      RequestFixture.Ask ask =
+          random.nextBoolean()
+              ? RequestFixture.chat()
+              : RequestFixture.call(random.nextBoolean() ? "POST" : "GET", null);
+      ask.stream = ask.kind.isDraft() && random.nextBoolean();
+      ask.session = ask.kind.isDraft() && random.nextBoolean() ? "s" + random.nextInt(5) : null;
+      ask.key = random.nextInt(3) == 0 ? ask.method + ask.kind + random.nextInt(40) : null;
+      ask.deadline = Duration.ofMillis(200 + random.nextInt(20_000));
+      fixture.pins.lookup =
+          random.nextInt(4) == 0 ? SessionPins.Lookup.PENDING : SessionPins.Lookup.KNOWN;
+      fixture.steps =
+          random.nextBoolean()
+              ? List.of(new Plan.Step(RequestFixture.SMALL, false))
+              : List.of(
+                  new Plan.Step(RequestFixture.SMALL, true),
+                  new Plan.Step(RequestFixture.LARGE, false));
+      fixture.ask("r" + number++, ask);
+    }
+
+    private void upstream() {
+      List<Dispatched> known = new ArrayList<>(attempts.values());
+      if (known.isEmpty()) {
+        return;
+      }
+      Dispatched attempt = known.get(known.size() - 1 - random.nextInt(Math.min(30, known.size())));
+      boolean crossed = random.nextInt(100) == 0;
+      String echoed = crossed ? "another" : attempt.request;
+      if (random.nextInt(20) == 0) {
+        fail(attempt);
+      } else if (attempt.draft) {
+        draft(attempt, echoed);
+      } else {
+        mayHaveRun(attempt);
+        String body = crossed ? "of another" : attempt.request;
+        fixture.apply(
+            new UpstreamEvent.ServiceAnswered(
+                attempt.id, echoed, 200, List.of(), Bytes.ofText(body)));
+      }
+    }
+
+    private void fail(Dispatched attempt) {
+      Moment moment = Moment.values()[random.nextInt(Moment.values().length)];
+      boolean notStarted = RunStates.after(moment) == RunState.NOT_RUN;
+      if (!notStarted) {
+        mayHaveRun(attempt);
+      }
+      // An upstream that gave tokens can't say that it never started.
+      if (notStarted && mayHaveRun.contains(attempt.id)) {
+        return;
+      }
+      attempt.open = false;
+      fixture.fail(attempt.id, moment);
+    }
+
+    private void mayHaveRun(Dispatched attempt) {
+      if (attempt.open) {
+        mayHaveRun.add(attempt.id);
+      }
+    }
+
+    private void draft(Dispatched attempt, String echoed) {
+      mayHaveRun(attempt);
+      int choice = random.nextInt(20);
+      boolean own = echoed.equals(attempt.request);
+      long offset = attempt.offset;
+      if (choice == 0) {
+        offset = attempt.start + random.nextInt((int) (attempt.offset - attempt.start) + 1);
+      } else if (choice == 1) {
+        offset = attempt.offset + 1;
+      }
+      if (attempt.offset < LENGTH) {
+        String text = own ? text(attempt.request, offset, 1) : "not yours";
+        fixture.apply(new UpstreamEvent.TokensArrived(attempt.id, echoed, offset, 1, text));
+        attempt.offset = Math.max(attempt.offset, offset + 1);
+        return;
+      }
+      // The engine counts all that it gave, also what was lost on the way.
+      int counted = (int) (attempt.offset - attempt.start);
+      fixture.apply(
+          new UpstreamEvent.DraftFinished(attempt.id, echoed, "stop", new Usage(10, counted, 0)));
+    }
+
+    private static String text(String request, long offset, int count) {
+      StringBuilder text = new StringBuilder();
+      for (long token = offset; token < offset + count; token++) {
+        text.append(request).append(':').append(token).append(' ');
+      }
+      return text.toString();
+    }
+
+    private void ledger() {
+      if (!fixture.ledger.answers.isEmpty()) {
+        fixture.apply(fixture.ledger.answers.removeFirst());
+      }
+    }
+
+    private void admit() {
+      if (admission.waiting.isEmpty()) {
+        return;
+      }
+      String id = admission.waiting.iterator().next();
+      admission.waiting.remove(id);
+      if (random.nextInt(4) == 0) {
+        RoutingError error = RoutingError.notRunRetry(ErrorKind.OVER_LIMIT, "full", 100);
+        fixture.apply(new AdmissionEvent.WaitRefused(id, error));
+      } else {
+        admission.running.add(id);
+        fixture.apply(new AdmissionEvent.Admitted(id));
+      }
+    }
+
+    private void leave() {
+      if (number == 0) {
+        return;
+      }
+      String id = "r" + (number - 1 - random.nextInt(Math.min(number, 10)));
+      left.add(id);
+      fixture.apply(new CallerEvent.CallerLeft(id));
+    }
+
+    private void change() {
+      int choice = random.nextInt(6);
+      if (choice == 0) {
+        boolean withdrawn = fixture.configuration.withdrawn().isEmpty();
+        fixture.configuration =
+            RequestFixture.configuration(
+                fixture.configuration.revision() + 1,
+                withdrawn && random.nextBoolean() ? List.of(RequestFixture.LARGE) : List.of());
+      } else if (choice == 1) {
+        fixture.ledger.reachable = random.nextInt(4) != 0;
+      } else {
+        fixture.apply(new SessionEvent.PinsResolved("r" + Math.max(0, number - 1)));
+      }
+    }
+
+    private void look(Effect effect) {
+      if (effect instanceof UpstreamEffect.DispatchDraft draft) {
+        assertFalse(fixture.configuration.isWithdrawn(draft.version()));
+        requests.put(draft.request().requestId(), draft.request());
+        dispatched(draft.attemptId(), draft.request(), draft.resumeOffset());
+      } else if (effect instanceof UpstreamEffect.DispatchCall call) {
+        requests.put(call.request().requestId(), call.request());
+        dispatched(call.attemptId(), call.request(), 0);
+      } else if (effect instanceof UpstreamEffect.CancelAttempt cancel) {
+        mayHaveRun(attempts.get(cancel.attemptId()));
+        attempts.get(cancel.attemptId()).open = false;
+      } else if (effect instanceof UpstreamEffect.RequestRating rating) {
+        boolean missing = random.nextInt(4) == 0;
+        String id = rating.requestId();
+        String attempt = rating.attemptId();
+        List<Effect> more =
+            fixture.reducer.apply(
+                missing
+                    ? new UpstreamEvent.RatingMissing(id, attempt, "silent")
+                    : new UpstreamEvent.Rated(id, attempt, random.nextDouble()),
+                fixture.now);
+        more.forEach(this::look);
+      } else if (effect instanceof TraceEffect.Count count) {
+        TOTALS.merge(count.name(), count.amount(), Double::sum);
+      } else if (effect instanceof CallerEffect caller) {
+        lookAtAnswer(caller);
+      }
+    }
+
+    private void dispatched(String id, CallerRequest request, long offset) {
+      boolean draft = request.kind() != RequestKind.SERVICE;
+      attempts.put(id, new Dispatched(id, request.requestId(), draft, offset));
+    }
+
+    private void lookAtAnswer(CallerEffect effect) {
+      String id = effect.requestId();
+      if (effect instanceof CallerEffect.SendTokens tokens) {
+        streams.computeIfAbsent(id, each -> new StringBuilder()).append(tokens.text());
+      }
+      if (!RequestFixture.isEnd(effect)) {
+        return;
+      }
+      assertEquals(ends.merge(id, 1, Integer::sum), 1, "one end for " + id);
+      assertFalse(left.contains(id), "nothing is sent to a caller that left");
+      if (effect instanceof CallerEffect.Refuse refuse) {
+        checkRefusal(id, refuse.error());
+      } else if (!(effect instanceof CallerEffect.BreakStream)) {
+        whole++;
+        checkAnswer(id, effect);
+      }
+    }
+
+    private void checkRefusal(String id, RoutingError error) {
+      if (error.runState() == RunState.NOT_RUN) {
+        boolean ran = mayHaveRun.stream().anyMatch(attempt -> attempt.startsWith(id + "."));
+        assertFalse(ran, "not-run is true for " + id + ": " + error.message());
+      }
+    }
+
+    private void checkAnswer(String id, CallerEffect effect) {
+      if (effect instanceof CallerEffect.EndStream) {
+        assertEquals(streams.get(id).toString(), text(id, 0, LENGTH));
+      } else if (effect instanceof CallerEffect.SendDraft draft) {
+        assertEquals(draft.text(), text(id, 0, LENGTH));
+      } else if (effect instanceof CallerEffect.SendServiceAnswer answer) {
+        boolean recorded = answer.facts().notice() != null;
+        assertTrue(recorded || answer.body().text().equals(id), "own answer for " + id);
+      }
+      CallerRequest request = requests.get(id);
+      if (request != null && (request.kind().isDraft() || request.method().equals("POST"))) {
+        String key = request.idempotencyKey() == null ? id : request.idempotencyKey();
+        assertTrue(fixture.ledger.bills.containsKey("jury/" + key), "billed before the end");
+      }
+    }
+
+    /** Lets everything come to its end without further faults. */
+    void finish() {
+      fixture.ledger.reachable = true;
+      for (int round = 0; round < 3000 && fixture.part.activeRequests() > 0; round++) {
+        fixture.effects.clear();
+        ledger();
+        admit();
+        fixture.pass(Duration.ofMillis(100));
+        fixture.effects.forEach(this::look);
+      }
+    }
+
+    void checkEnds() {
+      assertEquals(fixture.part.activeRequests(), 0);
+      assertEquals(fixture.part.heldBytes(), 0);
+      assertTrue(admission.running.isEmpty() && admission.waiting.isEmpty());
+      fixture.inFlight.forEach((upstream, count) -> assertEquals(count.intValue(), 0, upstream));
+      for (int request = 0; request < number; request++) {
+        boolean ended = ends.containsKey("r" + request) || left.contains("r" + request);
+        assertTrue(ended, "r" + request + " has an end");
+      }
+      for (String attempt : mayHaveRun) {
+        CallerRequest request = requests.get(attempts.get(attempt).request);
+        if (request.method().equals("POST") && !request.kind().isDraft()) {
+          String key =
+              request.idempotencyKey() == null ? request.requestId() : request.idempotencyKey();
+          runsByKey.computeIfAbsent(key, each -> new HashSet<>()).add(attempt);
+        }
+      }
+      runsByKey.forEach((key, runs) -> assertEquals(runs.size(), 1, key + " ran once: " + runs));
+    }
+  }
+}
