Core: sessions keep their version through any entry, loss and restart

Cause: hashing a session against a moving share would change its version in mid-life. Change: SessionPart keeps pins at two rendezvous-hashed owners in two zones of the region, in a cache that the owners keep fresh, and in a token signed with HMAC-SHA256. Two pins at once end as the same one at each owner by generation, time, writer. New owners get the pins at a bounded rate.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -2,4 +2,10 @@
 
 /** A message from one daemon to another. */
 public sealed interface PeerMessage
-    permits RaftMessage, MembershipMessage, QualityMessage, ConfigurationMessage, LedgerMessage {}
+    permits RaftMessage,
+        MembershipMessage,
+        QualityMessage,
+        ConfigurationMessage,
+        LedgerMessage,
+        SessionMessage,
+        DirectoryMessage {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/session/SessionSettings.java
@@ -0,0 +1,35 @@
+package org.skylarkfork.core.session;
+
+import java.time.Duration;
+
+/**
+ * How sessions' pins are kept.
+ *
+ * @param askTimeout longest wait for the owners of a session
+ * @param expiry time since the last use after which a pin is forgotten
+ * @param tokenLifetime how long a token is accepted
+ * @param ownedSessions most sessions kept for others; the longest unused go first
+ * @param cachedSessions most sessions remembered for this daemon's own callers
+ * @param emptyTrust how long the owners' answer that there is no pin is believed
+ * @param handoverPerSecond most sessions a second that are looked at and sent to new owners
+ */
+public record SessionSettings(
+    Duration askTimeout,
+    Duration expiry,
+    Duration tokenLifetime,
+    int ownedSessions,
+    int cachedSessions,
+    Duration emptyTrust,
+    int handoverPerSecond) {
+
+  /** Settings for everyday use. */
+  public static final SessionSettings DEFAULT =
+      new SessionSettings(
+          Duration.ofMillis(50),
+          Duration.ofHours(4),
+          Duration.ofHours(24),
+          50_000,
+          20_000,
+          Duration.ofSeconds(30),
+          500);
+}
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/TestDaemon.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/TestDaemon.java
@@ -1,5 +1,7 @@
 package org.skylarkfork.core.membership;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -12,30 +14,42 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.MembershipEvent;
+import org.skylarkfork.core.event.SessionEvent;
+import org.skylarkfork.core.session.SessionPart;
+import org.skylarkfork.core.session.SessionSettings;
+import org.skylarkfork.core.session.SessionTokens;
 
 /** One process in a {@link TestNetwork}. */
-final class TestDaemon {
+public final class TestDaemon {
 
-  final Member self;
-  final FixedConfiguration configuration = new FixedConfiguration();
-  final MembershipPart membership;
-  final EntryList entries;
-  final DirectoryPart directory;
-  final List<MembershipEvent> raised = new ArrayList<>();
-  final List<String> warnings = new ArrayList<>();
-  final Map<String, String> addressBook = new HashMap<>();
-  final Reducer reducer;
-  Duration slowness = Duration.ZERO;
-  Instant stuckUntil = Instant.MIN;
-  boolean running = true;
+  public final Member self;
+  public final FixedConfiguration configuration = new FixedConfiguration();
+  public final MembershipPart membership;
+  public final EntryList entries;
+  public final DirectoryPart directory;
+  public final SessionPart sessions;
+  public final List<String> resolved = new ArrayList<>();
+  public final List<MembershipEvent> raised = new ArrayList<>();
+  public final List<String> warnings = new ArrayList<>();
+  public final Map<String, String> addressBook = new HashMap<>();
+  public final Reducer reducer;
+  public Duration slowness = Duration.ZERO;
+  public Instant stuckUntil = Instant.MIN;
+  public boolean running = true;
 
   TestDaemon(Member self, List<Seed> seeds, long seed) {
     this.self = self;
     membership = new MembershipPart(self, seeds, configuration, MembershipSettings.DEFAULT, seed);
     entries = new EntryList(membership, configuration, EntryListSettings.DEFAULT);
     directory = new DirectoryPart(self.name(), configuration, DirectorySettings.DEFAULT);
+    sessions =
+        new SessionPart(
+            membership,
+            configuration,
+            SessionSettings.DEFAULT,
+            new SessionTokens(List.of("a secret shared by all entries".getBytes(UTF_8))));
     Part recorder = (event, now, output) -> record(event);
-    reducer = new Reducer(List.of(membership, entries, directory, recorder));
+    reducer = new Reducer(List.of(membership, entries, directory, sessions, recorder));
   }
 
   void take(TraceEffect.LogLine line) {
@@ -60,6 +74,9 @@
     if (event instanceof MembershipEvent membershipEvent) {
       raised.add(membershipEvent);
     }
+    if (event instanceof SessionEvent.PinsResolved pins) {
+      resolved.add(pins.requestId());
+    }
     if (event instanceof LifecycleEvent.Ending) {
       running = false;
     }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/TestNetwork.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/TestNetwork.java
@@ -19,26 +19,27 @@
 import org.skylarkfork.core.event.PeerEvent;
 
 /** Several daemons in virtual time, with seeded delay and loss, silent cuts and slow processes. */
-final class TestNetwork {
+public final class TestNetwork {
 
-  static final Instant START = Instant.parse("2026-01-05T08:00:00Z");
-  static final List<String> ZONES = List.of("utrecht-a", "utrecht-b", "amersfoort");
+  public static final Instant START = Instant.parse("2026-01-05T08:00:00Z");
+  public static final List<String> ZONES = List.of("utrecht-a", "utrecht-b", "amersfoort");
 
-  final List<TestDaemon> daemons = new ArrayList<>();
-  final UniformRandomProvider random;
-  Instant now = START;
-  double loss;
+  public final List<TestDaemon> daemons = new ArrayList<>();
+  public final UniformRandomProvider random;
+  public Instant now = START;
+  public double loss;
   private final Set<String> cut = new HashSet<>();
   private final PriorityQueue<Delivery> queue =
       new PriorityQueue<>(Comparator.comparing(Delivery::at).thenComparingLong(Delivery::order));
   private long order;
 
-  TestNetwork(long seed) {
+  /** Makes a network without daemons. */
+  public TestNetwork(long seed) {
     random = RandomSource.XO_SHI_RO_256_PP.create(seed);
   }
 
   /** Starts entries 1 to n, of which the first two are seeds, and lets them find each other. */
-  TestNetwork with(int count) {
+  public TestNetwork with(int count) {
     for (int i = 1; i <= count; i++) {
       start(i, 1);
     }
@@ -46,11 +47,13 @@
     return this;
   }
 
-  TestDaemon start(int number, long incarnation) {
+  /** Starts an entry with its usual address. */
+  public TestDaemon start(int number, long incarnation) {
     return start("entry-" + number, "127.0.0." + number, number, incarnation);
   }
 
-  TestDaemon start(String name, String host, int number, long incarnation) {
+  /** Starts an entry at some address. */
+  public TestDaemon start(String name, String host, int number, long incarnation) {
     String zone = ZONES.get(number % ZONES.size());
     List<String> roles = List.of(Member.ENTRY);
     Member self =
@@ -76,13 +79,13 @@
   }
 
   /** Ends a process at once, without a word. */
-  void kill(TestDaemon daemon) {
+  public void kill(TestDaemon daemon) {
     daemon.running = false;
     daemons.remove(daemon);
   }
 
   /** Loses all that goes to and from a host, without an error at either end. */
-  void cut(String host, boolean isCut) {
+  public void cut(String host, boolean isCut) {
     if (isCut) {
       cut.add(host);
     } else {
@@ -90,7 +93,8 @@
     }
   }
 
-  void run(Duration time) {
+  /** Lets time pass. */
+  public void run(Duration time) {
     Instant end = now.plus(time);
     while (now.isBefore(end)) {
       Instant next = now.plus(Reducer.TICK);
@@ -108,7 +112,8 @@
     }
   }
 
-  void apply(TestDaemon daemon, Event event) {
+  /** Gives a daemon an event and carries out the effects. */
+  public void apply(TestDaemon daemon, Event event) {
     if (!daemon.running) {
       return;
     }
