Stand-ins: settings from YAML, and the number of tokens in each chunk

Cause: the settings reader refuses records with absent numbers, and an entry takes a chunk for one token unless the chunk says how many it has. Change: a schema and a reader for each stand-in, absent numbers become defaults; chunks carry the number of their tokens; an announcement has at most 500 cache events, below the 1000 that entries take.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/AnswerFormat.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/AnswerFormat.java
@@ -31,15 +31,16 @@
         this == CHAT
             ? new Completion.Choice(0, message, null, null, "stop")
             : new Completion.Choice(0, null, null, text, "stop");
-    return completion(id, wholeObject, model, choice, usage);
+    return completion(id, wholeObject, model, null, choice, usage);
   }
 
-  String chunk(String id, String model, String text) {
-    return frame(completion(id, chunkObject, model, part(text, null), null));
+  String chunk(String id, String model, Job.Part tokens) {
+    Completion.Choice choice = part(tokens.text(), null);
+    return frame(completion(id, chunkObject, model, tokens.tokens(), choice, null));
   }
 
   String lastChunk(String id, String model, Completion.Usage usage) {
-    return frame(completion(id, chunkObject, model, part("", "stop"), usage));
+    return frame(completion(id, chunkObject, model, 0, part("", "stop"), usage));
   }
 
   static String frame(Object body) {
@@ -56,9 +57,10 @@
       String id,
       String object,
       String model,
+      @Nullable Integer tokens,
       Completion.Choice choice,
       Completion.@Nullable Usage usage) {
     long created = Clock.systemUTC().instant().getEpochSecond();
-    return new Completion(id, object, created, model, List.of(choice), usage);
+    return new Completion(id, object, created, model, tokens, List.of(choice), usage);
   }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Completion.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Completion.java
@@ -12,6 +12,7 @@
  * @param object the kind of object, as the protocol names it
  * @param created the seconds since 1970, or 0
  * @param model the model and version, with a colon between
+ * @param tokens the tokens in a chunk of a stream; null in a whole answer
  * @param choices the only choice
  * @param usage the tokens used; null except in a whole answer and in the last chunk
  */
@@ -21,6 +22,7 @@
     String object,
     long created,
     String model,
+    @Nullable Integer tokens,
     List<Choice> choices,
     @Nullable Usage usage) {
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
@@ -158,7 +158,7 @@
       counters.resumed().incrementAndGet();
     }
     response.header(Headers.REQUEST_ID, answered.requestId());
-    Flux<String> chunks = job.chunks();
+    Flux<Job.Part> chunks = job.chunks();
     if (faults.strikes(FaultKind.LATE_ANSWERS, call.model(), call.requestId())) {
       Duration delay = faults.delay(FaultKind.LATE_ANSWERS);
       chunks = chunks.delaySubscription(delay);
@@ -192,10 +192,10 @@
       AnswerFormat format,
       Call answered,
       Job job,
-      Flux<String> chunks,
+      Flux<Job.Part> chunks,
       boolean cut) {
     Flux<String> parts =
-        chunks.map(text -> format.chunk(answered.requestId(), answered.model(), text));
+        chunks.map(part -> format.chunk(answered.requestId(), answered.model(), part));
     Flux<String> frames =
         cut
             ? parts.take(CHUNKS_BEFORE_CUT).concatWith(Exchange.cut(response))
@@ -210,9 +210,10 @@
       AnswerFormat format,
       Call answered,
       Job job,
-      Flux<String> chunks,
+      Flux<Job.Part> chunks,
       boolean cut) {
     return chunks
+        .map(Job.Part::text)
         .collectList()
         .map(texts -> String.join("", texts))
         .flatMap(
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineLimits.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineLimits.java
@@ -1,5 +1,7 @@
 package org.skylarkfork.standin.engine;
 
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
+
 /**
  * How much an engine holds.
  *
@@ -11,7 +13,12 @@
  * @param tokensPerChunk the tokens in each chunk of a stream; 1 if absent
  */
 public record EngineLimits(
-    int capacity, int queue, int cacheBlocks, int minTokens, int maxTokens, int tokensPerChunk) {
+    @ZeroIfAbsent int capacity,
+    @ZeroIfAbsent int queue,
+    @ZeroIfAbsent int cacheBlocks,
+    @ZeroIfAbsent int minTokens,
+    @ZeroIfAbsent int maxTokens,
+    @ZeroIfAbsent int tokensPerChunk) {
 
   /** Limits that suit tests and examples. */
   public static final EngineLimits DEFAULT = new EngineLimits(0, 0, 0, 0, 0, 0);
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineSettings.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.runtime.settings.SettingsReader;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
 import org.skylarkfork.standin.announce.EngineRole;
 import org.skylarkfork.standin.announce.LoadedModel;
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
 
 /**
  * The settings of a stand-in engine.
@@ -27,16 +29,16 @@
 public record EngineSettings(
     String id,
     String host,
-    int port,
+    @ZeroIfAbsent int port,
     String zone,
     List<LoadedModel> models,
     EngineRole role,
     EngineSpeed speed,
     EngineLimits limits,
     EngineReports reports,
-    boolean checksFencing,
+    @ZeroIfAbsent boolean checksFencing,
     @Nullable String weightStore,
-    long seed,
+    @ZeroIfAbsent long seed,
     AnnouncerSettings announce) {
 
   private static final String LOOPBACK = "127.0.0.1";
@@ -152,4 +154,13 @@
         seed,
         announce);
   }
+
+  /**
+   * Gives a reader of these settings.
+   *
+   * @return a reader of YAML that checks its schema
+   */
+  public static SettingsReader<EngineSettings> reader() {
+    return new SettingsReader<>(EngineSettings.class, "engine.schema.json");
+  }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineSpeed.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/EngineSpeed.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.standin.engine;
 
 import java.time.Duration;
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
 
 /**
  * How fast an engine works.
@@ -12,9 +13,9 @@
  * @param loadTime the time to load a version when no weight store is set; 10 ms if absent
  */
 public record EngineSpeed(
-    double tokensPerSecond,
-    double slowdownPerRequest,
-    double prefillTokensPerSecond,
+    @ZeroIfAbsent double tokensPerSecond,
+    @ZeroIfAbsent double slowdownPerRequest,
+    @ZeroIfAbsent double prefillTokensPerSecond,
     Duration loadTime) {
 
   private static final double DEFAULT_TOKENS_PER_SECOND = 1_000;
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Job.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Job.java
@@ -12,7 +12,7 @@
   private final List<String> prefixes;
   private final int promptTokens;
   private final List<String> answer;
-  private final Sinks.Many<String> sink = Sinks.many().unicast().onBackpressureBuffer();
+  private final Sinks.Many<Part> sink = Sinks.many().unicast().onBackpressureBuffer();
   private long arrival;
   private int position;
   private volatile int cachedTokens;
@@ -42,6 +42,14 @@
     this.position = Math.max(0, Math.min(offset, answer.size()));
   }
 
+  /**
+   * Some tokens that follow each other.
+   *
+   * @param text their text
+   * @param tokens their number
+   */
+  record Part(String text, int tokens) {}
+
   String requestId() {
     return requestId;
   }
@@ -70,8 +78,8 @@
     return cachedTokens;
   }
 
-  /** Gives the text of each chunk; its cancellation does not end the job. */
-  Flux<String> chunks() {
+  /** Gives the tokens of each chunk; its cancellation does not end the job. */
+  Flux<Part> chunks() {
     return sink.asFlux();
   }
 
@@ -92,7 +100,7 @@
     int end = Math.min(position + tokens, answer.size());
     int count = end - position;
     if (count > 0) {
-      sink.tryEmitNext(String.join("", answer.subList(position, end)));
+      sink.tryEmitNext(new Part(String.join("", answer.subList(position, end)), count));
     }
     position = end;
     return count;
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/PrefixCache.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/PrefixCache.java
@@ -11,7 +11,7 @@
 /** A bounded cache of prompt prefixes that evicts the least recently used one. */
 final class PrefixCache {
 
-  private static final int MAX_UNREPORTED = 1024;
+  private static final int MAX_UNREPORTED = 500;
 
   private final int capacity;
   private final Set<String> prefixes = new LinkedHashSet<>();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/rating/RatingSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/rating/RatingSettings.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import org.skylarkfork.runtime.settings.SettingsReader;
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
 
 /**
  * The settings of a stand-in rating service.
@@ -20,15 +22,15 @@
  */
 public record RatingSettings(
     String host,
-    int port,
+    @ZeroIfAbsent int port,
     Map<String, Double> qualities,
-    double noise,
+    @ZeroIfAbsent double noise,
     Duration latency,
-    double skippedShare,
-    double missingShare,
-    double lateShare,
+    @ZeroIfAbsent double skippedShare,
+    @ZeroIfAbsent double missingShare,
+    @ZeroIfAbsent double lateShare,
     Duration lateBy,
-    long seed) {
+    @ZeroIfAbsent long seed) {
 
   private static final String LOOPBACK = "127.0.0.1";
   private static final Duration DEFAULT_LATENCY = Duration.ofMillis(2);
@@ -52,4 +54,13 @@
     return new RatingSettings(
         LOOPBACK, 0, qualities, 0, DEFAULT_LATENCY, 0, 0, 0, DEFAULT_LATE_BY, 0);
   }
+
+  /**
+   * Gives a reader of these settings.
+   *
+   * @return a reader of YAML that checks its schema
+   */
+  public static SettingsReader<RatingSettings> reader() {
+    return new SettingsReader<>(RatingSettings.class, "rating.schema.json");
+  }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.skylarkfork.runtime.settings.SettingsReader;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
 
 /**
  * The settings of a stand-in plain service.
@@ -20,12 +22,12 @@
 public record ServiceSettings(
     String id,
     String host,
-    int port,
+    @ZeroIfAbsent int port,
     String zone,
     String service,
     Duration latency,
-    int capacity,
-    long seed,
+    @ZeroIfAbsent int capacity,
+    @ZeroIfAbsent long seed,
     AnnouncerSettings announce) {
 
   private static final String LOOPBACK = "127.0.0.1";
@@ -57,4 +59,13 @@
     return new ServiceSettings(
         id, LOOPBACK, 0, zone, service, DEFAULT_LATENCY, DEFAULT_CAPACITY, 0, announce);
   }
+
+  /**
+   * Gives a reader of these settings.
+   *
+   * @return a reader of YAML that checks its schema
+   */
+  public static SettingsReader<ServiceSettings> reader() {
+    return new SettingsReader<>(ServiceSettings.class, "service.schema.json");
+  }
 }
--- /dev/null
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Reads settings from which values may be left out. */
+@NullMarked
+package org.skylarkfork.standin.settings;
+
+import org.jspecify.annotations.NullMarked;
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/weights/WeightsSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/weights/WeightsSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.skylarkfork.runtime.settings.SettingsReader;
+import org.skylarkfork.standin.settings.ZeroIfAbsent;
 
 /**
  * The settings of a stand-in weight store.
@@ -13,7 +15,11 @@
  * @param fetchTime the time that a fetch takes; 10 ms if absent
  */
 public record WeightsSettings(
-    String host, int port, double fetchesPerSecond, int burst, Duration fetchTime) {
+    String host,
+    @ZeroIfAbsent int port,
+    @ZeroIfAbsent double fetchesPerSecond,
+    @ZeroIfAbsent int burst,
+    Duration fetchTime) {
 
   private static final String LOOPBACK = "127.0.0.1";
   private static final int DEFAULT_BURST = 4;
@@ -37,4 +43,13 @@
   public static WeightsSettings of(double fetchesPerSecond, int burst) {
     return new WeightsSettings(LOOPBACK, 0, fetchesPerSecond, burst, DEFAULT_FETCH_TIME);
   }
+
+  /**
+   * Gives a reader of these settings.
+   *
+   * @return a reader of YAML that checks its schema
+   */
+  public static SettingsReader<WeightsSettings> reader() {
+    return new SettingsReader<>(WeightsSettings.class, "weights.schema.json");
+  }
 }
