Stand-ins: entries set the pace of heartbeats, resumes are no doubles

Cause: the announcer ignored the time that an entry gives for the next announcement, and the rest of a cut stream counted as a second run. Change: nextMillis decides; a call with a resume offset counts as resumed.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/Announcer.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/Announcer.java
@@ -30,6 +30,9 @@
   private volatile boolean leaving;
   private @Nullable Disposable heartbeat;
 
+  /** An entry's answer; it may say when the next announcement is due. */
+  private record Taken(@Nullable Long nextMillis) {}
+
   /**
    * Makes an announcer that posts nothing before it is started.
    *
@@ -39,7 +42,7 @@
   public Announcer(AnnouncerSettings settings, Supplier<Optional<Announcement>> announcements) {
     this.settings = settings;
     this.announcements = announcements;
-    this.client = HttpClient.create().responseTimeout(settings.timeout());
+    this.client = HttpClient.create();
   }
 
   /** Posts the first announcement at once and repeats it as a heartbeat. */
@@ -47,8 +50,7 @@
     if (settings.entries().isEmpty() || heartbeat != null) {
       return;
     }
-    heartbeat =
-        Mono.defer(() -> post(false)).then(Mono.delay(settings.interval())).repeat().subscribe();
+    heartbeat = Mono.defer(() -> post(false)).flatMap(Mono::delay).repeat().subscribe();
   }
 
   /**
@@ -64,6 +66,7 @@
         .then(Mono.fromCompletionStage(idle))
         .then(Mono.fromRunnable(this::close))
         .then(Mono.defer(() -> post(true)))
+        .then()
         // Servers are closed next, and closing blocks, which the thread of a connection must not.
         .publishOn(Schedulers.boundedElastic())
         .toFuture();
@@ -77,23 +80,24 @@
     }
   }
 
-  private Mono<Void> post(boolean gone) {
+  /** Gives the time until the next announcement is due. */
+  private Mono<Duration> post(boolean gone) {
     Optional<Announcement> present = announcements.get();
     if (present.isEmpty() || settings.entries().isEmpty()) {
-      return Mono.empty();
+      return Mono.just(settings.interval());
     }
     Announcement announcement = leaving ? present.get().asLeaving(gone) : present.get();
     return postToAny(Json.write(announcement), settings.entries().size());
   }
 
-  private Mono<Void> postToAny(String body, int attempts) {
+  private Mono<Duration> postToAny(String body, int attempts) {
     if (attempts == 0) {
       Logger.warn("announcer: no entry took the announcement");
-      return Mono.empty();
+      return Mono.just(settings.interval());
     }
     String entry = presentEntry();
     return postTo(entry, body)
-        .timeout(settings.timeout().plus(Duration.ofMillis(1)))
+        .timeout(settings.timeout())
         .onErrorResume(
             error -> {
               Logger.info("announcer: entry {} failed: {}", entry, error.toString());
@@ -102,7 +106,7 @@
             });
   }
 
-  private Mono<Void> postTo(String entry, String body) {
+  private Mono<Duration> postTo(String entry, String body) {
     return client
         .headers(
             headers -> headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON))
@@ -114,12 +118,14 @@
                 content
                     .asString()
                     .defaultIfEmpty("")
-                    .flatMap(text -> checkStatus(response.status().code(), text)));
+                    .flatMap(text -> pause(response.status().code(), text)));
   }
 
-  private static Mono<Void> checkStatus(int status, String text) {
+  private Mono<Duration> pause(int status, String text) {
     if (status == OK) {
-      return Mono.empty();
+      Long millis = Json.read(text, Taken.class).nextMillis();
+      return Mono.just(
+          millis == null ? settings.interval() : Duration.ofMillis(Math.max(1, millis)));
     }
     return Mono.error(
         new IllegalStateException("Correct the announcement; status " + status + ": " + text));
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/AnnouncerSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/announce/AnnouncerSettings.java
@@ -7,7 +7,7 @@
  * Says where and how often an upstream announces itself.
  *
  * @param entries the addresses of entries, as IP number and port; nothing is announced without any
- * @param interval the time between heartbeats; 1 second if absent
+ * @param interval the time between heartbeats until an entry asks for another; 1 second if absent
  * @param timeout the time after which the next entry is tried; 2 seconds if absent
  */
 public record AnnouncerSettings(List<String> entries, Duration interval, Duration timeout) {
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
@@ -87,7 +87,7 @@
       return refuse(response, TOO_MANY, "Ask another engine; the queue is full.", "full");
     }
     if (faults.strikes(FaultKind.SILENCE, call.model(), call.requestId())) {
-      runs.record(call.requestId());
+      count(call);
       return Mono.never();
     }
     Call answered = answeredCall(call);
@@ -153,10 +153,7 @@
       Call call,
       Call answered,
       Job job) {
-    runs.record(call.requestId());
-    if (call.offset() > 0) {
-      counters.resumed().incrementAndGet();
-    }
+    count(call);
     response.header(Headers.REQUEST_ID, answered.requestId());
     Flux<Job.Part> chunks = job.chunks();
     if (faults.strikes(FaultKind.LATE_ANSWERS, call.model(), call.requestId())) {
@@ -187,6 +184,15 @@
         });
   }
 
+  /** Counts a run; the rest of a cut stream is no second one. */
+  private void count(Call call) {
+    if (call.offset() > 0) {
+      counters.resumed().incrementAndGet();
+    } else {
+      runs.record(call.requestId());
+    }
+  }
+
   private Mono<Void> stream(
       HttpServerResponse response,
       AnswerFormat format,
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/announce/AnnouncerTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/announce/AnnouncerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.skylarkfork.standin.Caller;
+import org.skylarkfork.standin.engine.EngineReports;
 import org.skylarkfork.standin.engine.EngineSettings;
 import org.skylarkfork.standin.engine.EngineSpeed;
 import org.skylarkfork.standin.engine.StandInEngine;
@@ -20,6 +21,7 @@
 import org.skylarkfork.standin.http.Json;
 import org.skylarkfork.standin.service.ServiceSettings;
 import org.skylarkfork.standin.service.StandInService;
+import org.skylarkfork.standin.text.PromptText;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
 
@@ -47,7 +49,7 @@
                               .flatMap(
                                   body -> {
                                     received.add(Json.read(body, JsonNode.class));
-                                    return Exchange.json(response, status, new Next(1000));
+                                    return Exchange.json(response, status, new Next(5));
                                   })));
     }
 
@@ -74,7 +76,7 @@
   }
 
   private static AnnouncerSettings often(List<String> entries) {
-    return new AnnouncerSettings(entries, Duration.ofMillis(10), Duration.ofSeconds(5));
+    return new AnnouncerSettings(entries, Duration.ofDays(1), Duration.ofSeconds(5));
   }
 
   @Test
@@ -107,6 +109,29 @@
     }
   }
 
+  @Test
+  public void reportsCacheEventsWithGaps() throws InterruptedException {
+    String prompt = "word ".repeat(40 * PromptText.BLOCK_TOKENS).strip();
+    String call = "{\"model\":\"ruling-small:2\",\"prompt\":\"" + prompt + "\"}";
+    try (FakeEntry entry = new FakeEntry(200);
+        StandInEngine engine =
+            new StandInEngine(
+                EngineSettings.of(
+                        "e-1", "utrecht-a", List.of(SMALL), often(List.of(entry.server.address())))
+                    .withReports(new EngineReports(Duration.ZERO, 0.5)))) {
+      new Caller(engine.start()).post("/v1/completions", call);
+
+      JsonNode events = entry.next().path("cacheEvents");
+      while (events.isEmpty()) {
+        events = entry.next().path("cacheEvents");
+      }
+
+      assertTrue(events.size() < 40, "events " + events.size());
+      assertTrue(events.get(events.size() - 1).path("sequence").asInt() > events.size());
+      assertEquals(events.get(0).path("kind").asText(), "stored");
+    }
+  }
+
   // The first entry of the list has ended and the second refuses. The upstream must still become
   // known, so the announcement goes on to the third within the same heartbeat.
   @Test
