--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/KnownCapacity.java
@@ -0,0 +1,67 @@
+package org.skylarkfork.core.admission;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import org.skylarkfork.core.upstream.Announcement;
+import org.skylarkfork.core.upstream.UpstreamDirectory;
+import org.skylarkfork.core.upstream.UpstreamKind;
+
+/**
+ * Capacity from what the known upstreams announce, shared between the live entries.
+ *
+ * <p>Callers don't spread evenly over the entries, so an entry takes more than its even share: with
+ * a headroom of 2 the upstreams' own queues hold at most as much again as runs. The sum over the
+ * upstreams is made once in a while and not for each request.
+ */
+public final class KnownCapacity implements LaneCapacity {
+
+  private static final Duration KEPT = Duration.ofMillis(500);
+
+  private final UpstreamDirectory directory;
+  private final IntSupplier liveEntries;
+  private final double headroom;
+  private final Map<Lane, Known> known = new HashMap<>();
+
+  private record Known(int capacity, Instant until) {}
+
+  /**
+   * Makes a capacity.
+   *
+   * @param directory the known upstreams
+   * @param liveEntries how many entries there are, this one included
+   * @param headroom by how much an entry exceeds its even share, at least 1
+   */
+  public KnownCapacity(UpstreamDirectory directory, IntSupplier liveEntries, double headroom) {
+    this.directory = directory;
+    this.liveEntries = liveEntries;
+    this.headroom = headroom;
+  }
+
+  @Override
+  public int capacity(Lane lane, Instant now) {
+    Known last = known.get(lane);
+    if (last == null || !now.isBefore(last.until)) {
+      last = new Known(sum(lane, now), now.plus(KEPT));
+      known.put(lane, last);
+    }
+    return last.capacity;
+  }
+
+  private int sum(Lane lane, Instant now) {
+    List<Announcement> upstreams =
+        lane.equals(Lane.DRAFTS)
+            ? directory.all().stream().filter(KnownCapacity::takesDrafts).toList()
+            : directory.services(lane.service(), now);
+    long total = upstreams.stream().mapToLong(Announcement::capacity).sum();
+    double share = total * headroom / Math.max(1, liveEntries.getAsInt());
+    return (int) Math.max(1, Math.min(total, Math.ceil(share)));
+  }
+
+  private static boolean takesDrafts(Announcement upstream) {
+    return upstream.kind() == UpstreamKind.ENGINE && !upstream.leaving();
+  }
+}
