--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
@@ -14,7 +14,7 @@
   record PutTeam(Team team) implements ConfigurationChange {}
 
   /**
-   * Removes a team that no rule and no step of a roll-out names.
+   * Removes a team that no rule and no step of an open roll-out names.
    *
    * @param name name of the team
    */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationMachine.java
@@ -56,11 +56,13 @@
     }
     try {
       Configuration next = applier.apply(configuration, submitted.change());
-      List<ConfigurationProblem> problems = ConfigurationValidator.problems(configuration, next);
+      ConfigurationStep step = ConfigurationStep.between(configuration, next);
+      List<ConfigurationProblem> problems =
+          ConfigurationValidator.problems(configuration, next, step.differences());
       if (!problems.isEmpty()) {
         return new ConfigurationResult.Invalid(problems);
       }
-      accept(submitted, next, stampedAt);
+      accept(submitted, next, step, stampedAt);
       return new ConfigurationResult.Accepted(next.revision(), stampedAt);
     } catch (InapplicableChangeException e) {
       return new ConfigurationResult.Invalid(e.problems());
@@ -75,14 +77,15 @@
         || configuration.operatorKeys().stream().anyMatch(key -> key.sha256().equals(hash));
   }
 
-  private void accept(SubmitChange submitted, Configuration next, Instant stampedAt) {
+  private void accept(
+      SubmitChange submitted, Configuration next, ConfigurationStep step, Instant stampedAt) {
     history.add(
         new RevisionEntry(
             submitted.changeId(),
             submitted.operator(),
             stampedAt,
             submitted.change().getClass().getSimpleName(),
-            ConfigurationStep.between(configuration, next)));
+            step));
     configuration = next;
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
@@ -38,10 +38,21 @@
   /**
    * Returns what keeps a configuration from following another; at most 20 problems.
    *
-   * @param before the configuration in force
+   * @param before the configuration in force, which is right itself
    * @param after the configuration that a change would make
    */
   public static List<ConfigurationProblem> problems(Configuration before, Configuration after) {
+    return problems(before, after, Differences.between(before, after));
+  }
+
+  /**
+   * Returns the problems, looking only at what the differences can have made wrong.
+   *
+   * <p>A rule or team that is unchanged can only become wrong when something that it refers to goes
+   * away; then everything is checked.
+   */
+  static List<ConfigurationProblem> problems(
+      Configuration before, Configuration after, List<ConfigurationDifference> differences) {
     ConfigurationValidator validator = new ConfigurationValidator(after);
     if (after.operatorKeys().isEmpty() && !before.operatorKeys().isEmpty()) {
       validator.problems.add(
@@ -49,38 +60,83 @@
           "operator keys",
           "nobody could make a change any more; add another operator key first");
     }
-    validator.check();
+    if (validator.isBounded()) {
+      boolean all = before.revision() == 0 || differences.stream().anyMatch(d -> mayBreakOthers(d));
+      validator.check(all, differences);
+    }
     return List.copyOf(validator.problems.found());
   }
 
-  private void check() {
-    boolean bounded =
-        problems.size(configuration.teams(), MOST_TEAMS, "teams")
-            & problems.size(configuration.models(), MOST_MODELS, "models")
-            & problems.size(configuration.services(), MOST_SERVICES, "services")
-            & problems.size(configuration.rules(), MOST_RULES, "rules")
-            & problems.size(configuration.rollOuts(), MOST_MODELS, "roll-outs")
-            & problems.size(
-                configuration.withdrawn(), MOST_MODELS * MOST_VERSIONS, "withdrawn versions")
-            & problems.size(configuration.drainedUpstreams(), MOST_DRAINED, "drained upstreams")
-            & problems.size(configuration.drainedVms(), MOST_DRAINED, "drained VMs")
-            & problems.size(configuration.operatorKeys(), MOST_OPERATOR_KEYS, "operator keys");
-    if (!bounded) {
-      return;
+  private static boolean mayBreakOthers(ConfigurationDifference difference) {
+    if (difference instanceof ConfigurationDifference.TeamDiffers team) {
+      return team.after() == null;
     }
+    if (difference instanceof ConfigurationDifference.ServiceDiffers service) {
+      return service.after() == null;
+    }
+    return difference instanceof ConfigurationDifference.ModelDiffers;
+  }
+
+  private boolean isBounded() {
+    return problems.size(configuration.teams(), MOST_TEAMS, "teams")
+        & problems.size(configuration.models(), MOST_MODELS, "models")
+        & problems.size(configuration.services(), MOST_SERVICES, "services")
+        & problems.size(configuration.rules(), MOST_RULES, "rules")
+        & problems.size(configuration.rollOuts(), MOST_MODELS, "roll-outs")
+        & problems.size(
+            configuration.withdrawn(), MOST_MODELS * MOST_VERSIONS, "withdrawn versions")
+        & problems.size(configuration.drainedUpstreams(), MOST_DRAINED, "drained upstreams")
+        & problems.size(configuration.drainedVms(), MOST_DRAINED, "drained VMs")
+        & problems.size(configuration.operatorKeys(), MOST_OPERATOR_KEYS, "operator keys");
+  }
+
+  private void check(boolean all, List<ConfigurationDifference> differences) {
     teams = problems.unique(configuration.teams(), Team::name, "team");
     services = problems.unique(configuration.services(), ServiceDefinition::name, "service");
     problems.unique(configuration.models(), Model::name, "model");
     versions = new HashMap<>();
     configuration.models().forEach(this::checkModel);
     configuration.services().forEach(this::checkService);
-    checkTeams();
     checkWithdrawn();
     problems.unique(configuration.rollOuts(), RollOut::model, "roll-out of model");
     configuration.rollOuts().forEach(this::checkRollOut);
-    checkDrained();
     checkPolicy();
-    new RuleValidator(problems, teams, versions.keySet(), services).check(configuration.rules());
+    if (all || differences.stream().anyMatch(d -> concernsKeys(d))) {
+      checkTeams();
+    }
+    if (all || differences.stream().anyMatch(d -> concernsDrains(d))) {
+      checkDrained();
+    }
+    checkRules(all, differences);
+  }
+
+  private static boolean concernsKeys(ConfigurationDifference difference) {
+    return difference instanceof ConfigurationDifference.TeamDiffers
+        || difference instanceof ConfigurationDifference.OperatorKeyDiffers;
+  }
+
+  private static boolean concernsDrains(ConfigurationDifference difference) {
+    return difference instanceof ConfigurationDifference.UpstreamDrainDiffers
+        || difference instanceof ConfigurationDifference.VmDrainDiffers;
+  }
+
+  private void checkRules(boolean all, List<ConfigurationDifference> differences) {
+    RuleValidator rules = new RuleValidator(problems, teams, versions.keySet(), services);
+    if (all) {
+      rules.checkNames(configuration.rules());
+      rules.check(configuration.rules());
+      return;
+    }
+    boolean changed = false;
+    for (ConfigurationDifference difference : differences) {
+      if (difference instanceof ConfigurationDifference.RulesDiffer differ) {
+        rules.check(differ.after());
+        changed = true;
+      }
+    }
+    if (changed) {
+      rules.checkNames(configuration.rules());
+    }
   }
 
   private void checkModel(Model model) {
@@ -214,17 +270,19 @@
         subject,
         "it has no step; give it at least one");
     problems.range(rollOut.step(), 0, rollOut.steps().size(), subject + " step");
+    // A closed roll-out is only a record, which must not keep a team from being removed.
+    boolean open = RollOutChanges.isOpen(rollOut);
     if (problems.size(rollOut.steps(), MOST_STEPS, subject + " steps")) {
-      rollOut.steps().forEach(step -> checkStep(step, subject));
+      rollOut.steps().forEach(step -> checkStep(step, open, subject));
     }
-    if (RollOutChanges.isOpen(rollOut)) {
+    if (open) {
       checkOpenRollOut(rollOut, subject);
     }
   }
 
-  private void checkStep(RollOut.Step step, String subject) {
+  private void checkStep(RollOut.Step step, boolean open, String subject) {
     problems.range(step.percent(), 0, 100, subject + " percent");
-    if (problems.size(step.teams(), MOST_TEAMS, subject + " teams")) {
+    if (problems.size(step.teams(), MOST_TEAMS, subject + " teams") && open) {
       step.teams().forEach(team -> problems.known(teams, team, "team", subject));
     }
     if (problems.size(step.zones(), MOST_MODELS, subject + " zones")) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Problems.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Problems.java
@@ -111,11 +111,12 @@
     Set<String> seen = new HashSet<>(list.size() * 2);
     for (T item : list) {
       String name = key.apply(item);
-      require(
-          seen.add(name),
-          Kind.DUPLICATE,
-          what + " " + name,
-          "the " + what + " comes twice; rename or remove one");
+      if (!seen.add(name)) {
+        add(
+            Kind.DUPLICATE,
+            what + " " + name,
+            "the " + what + " comes twice; rename or remove one");
+      }
     }
     return seen;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RuleValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RuleValidator.java
@@ -27,8 +27,11 @@
     this.services = services;
   }
 
-  void check(List<Rule> rules) {
+  void checkNames(List<Rule> rules) {
     problems.unique(rules, Rule::name, "rule");
+  }
+
+  void check(List<Rule> rules) {
     rules.forEach(this::check);
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationMachineTest.java
@@ -8,6 +8,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.ConfigurationCommand.SubmitChange;
 import org.skylarkfork.core.command.ConfigurationResult.Accepted;
@@ -260,4 +262,41 @@
     assertTrue(table.find("ok") == null);
     assertFalse(table.accepted().iterator().hasNext());
   }
+
+  /** The check of what differs finds a problem whenever the check of everything does. */
+  @Test
+  public void partialCheckAgreesWithWholeCheck() {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(11);
+    int refused = 0;
+    for (int round = 0; round < 2000; round++) {
+      Configuration before = machine.configuration();
+      ConfigurationDraft draft = new ConfigurationDraft(before);
+      scramble(draft, random);
+      Configuration after = draft.build(before.revision() + 1);
+      boolean wholeFits = ConfigurationValidator.problems(Configuration.EMPTY, after).isEmpty();
+      boolean partFits = ConfigurationValidator.problems(before, after).isEmpty();
+      boolean keyLeft = !after.operatorKeys().isEmpty();
+      assertEquals(partFits, wholeFits && keyLeft, after.toString());
+      refused += partFits ? 0 : 1;
+      if (partFits) {
+        change(new ConfigurationChange.ReplaceAll(after));
+      }
+    }
+    assertTrue(refused > 200 && refused < 1800, "refused " + refused);
+  }
+
+  private static void scramble(ConfigurationDraft draft, UniformRandomProvider random) {
+    String team = "team" + random.nextInt(5);
+    String rule = "rule" + random.nextInt(4);
+    switch (random.nextInt(8)) {
+      case 0 -> draft.teams = ConfigurationDraft.without(draft.teams, team, Team::name);
+      case 1 -> draft.teams = ConfigurationDraft.with(draft.teams, Samples.team(team), Team::name);
+      case 2 -> draft.models = random.nextInt(4) == 0 ? List.of() : draft.models;
+      case 3 -> draft.services = random.nextInt(4) == 0 ? List.of() : draft.services;
+      case 4 -> draft.rules = List.of(Samples.rule(rule, team));
+      case 5 -> draft.rules = List.of(Samples.rule(rule, team), Samples.rule("rule1", "team1"));
+      case 6 -> draft.drainedVms = List.of(random.nextBoolean() ? "entry-1" : "a b");
+      default -> draft.operatorKeys = draft.operatorKeys.subList(0, random.nextInt(2));
+    }
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
@@ -130,6 +130,26 @@
     assertFalse(daemon("v1").serves());
   }
 
+  /**
+   * Entry e10 passes leases on to e13, e14 and e15. It restarts and forgets them while they are cut
+   * off, and has no subscriber when a version is withdrawn. If it acknowledged for itself at once,
+   * the leader would call the withdrawal in force while the three still serve under revision 1.
+   */
+  @Test
+  public void restartedRelayAcknowledgesOnlyAfterLeasesItForgot() {
+    daemons.run(Duration.ofSeconds(5));
+    daemons.cutOff.addAll(Set.of("e13", "e14", "e15"));
+    daemon("e10").restart();
+    daemons.run(Duration.ofMillis(500));
+    assertTrue(daemon("e10").serves());
+    daemons.change("w", WITHDRAW);
+    daemons.run(Duration.ofMillis(500));
+    assertEquals(daemon("e10").revision(), 2);
+    assertTrue(daemon("e13").serves());
+    daemons.untilInForce(2);
+    assertFalse(daemon("e13").serves());
+  }
+
   /** With the quorum lost, entries stop after one lease, and serve again once it is back. */
   @Test
   public void entriesStopWithoutLeaderAndGoOnWithOne() {
