--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/PromisesTest.java
@@ -0,0 +1,218 @@
+package org.skylarkfork.core.consensus;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.GroupCommand;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.HardState;
+import org.skylarkfork.core.command.LogEntry;
+import org.skylarkfork.core.command.Member;
+import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.event.StorageEvent;
+import org.skylarkfork.core.message.RaftMessage;
+import org.skylarkfork.core.message.RaftMessage.AppendRequest;
+import org.skylarkfork.core.message.RaftMessage.AppendResponse;
+import org.skylarkfork.core.message.RaftMessage.VoteRequest;
+import org.skylarkfork.core.message.RaftMessage.VoteResponse;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What one replica promises and believes, message by message. */
+public class PromisesTest {
+
+  private static final GroupId GROUP = GroupId.LEDGER;
+  private static final Members MEMBERS =
+      new Members(List.of(new Member("a", 1), new Member("b", 2), new Member("c", 3)), List.of());
+
+  private final List<RaftMessage> sent = new ArrayList<>();
+  private Instant now;
+  private ConsensusPart part;
+  private Reducer reducer;
+  private long writes;
+
+  /** Starts replica a, which has two entries of terms 1 and 2 on its disk. */
+  @BeforeMethod
+  public void start() {
+    now = Instant.parse("2026-01-01T00:00:00Z");
+    writes = 0;
+    sent.clear();
+    TestCluster.NothingMachine machine = new TestCluster.NothingMachine();
+    GroupSetup setup = new GroupSetup(GROUP, List.of("a", "b", "c"), machine);
+    RaftSettings settings = RaftSettings.defaults();
+    part = new ConsensusPart("a", List.of(setup), settings, new TestCluster.MemoryCodec(), 7);
+    reducer = new Reducer(List.of(part));
+    List<LogEntry> entries =
+        List.of(
+            entry(1, 1, new GroupCommand.ChangeMembers(MEMBERS)),
+            entry(2, 2, new GroupCommand.Probe("two")));
+    apply(new StorageEvent.Recovered(GROUP, new HardState(2, null, 1), null, entries));
+  }
+
+  // A voter that answers before its vote is on the disk, and then loses power, votes twice in the
+  // term: two leaders accept different changes.
+  @Test
+  public void voteWaitsForItsSync() {
+    pass(400);
+    receive("b", new VoteRequest(GROUP, 9, 2, 2, false));
+    assertFalse(granted());
+    sync();
+    assertTrue(granted());
+  }
+
+  // A leader counts what is acknowledged. An entry acknowledged from memory is gone after a power
+  // failure, though its caller was told that it was accepted.
+  @Test
+  public void acknowledgementWaitsForItsSync() {
+    receive("b", new AppendRequest(GROUP, 3, 2, 2, List.of(), 0, now));
+    sync();
+    AppendRequest request = append(3, entry(3, 3, new GroupCommand.Probe("three")));
+    receive("b", request);
+    receive("b", request);
+    assertTrue(acknowledged() < 3);
+    sync();
+    assertEquals(acknowledged(), 3);
+  }
+
+  // A leader answers reads under its lease while a candidate asks for votes. A vote within the
+  // least election time, also of a voter that has just restarted and doesn't know what it
+  // acknowledged, would let a second leader change what the first still answers.
+  @Test
+  public void noVoteWhileLeaseMayHold() {
+    pass(280);
+    receive("b", new VoteRequest(GROUP, 9, 2, 2, false));
+    pass(40);
+    receive("c", append(3, entry(3, 3, new GroupCommand.Probe("three"))));
+    pass(280);
+    receive("b", new VoteRequest(GROUP, 9, 5, 5, false));
+    receive("b", new VoteRequest(GROUP, 9, 5, 5, true));
+    sync();
+    assertFalse(granted());
+    assertEquals(part.status(GROUP).term(), 3);
+  }
+
+  // A new leader brings an entry of an earlier term to a majority. Such an entry can still be
+  // replaced by another leader, so nobody may be told that it is accepted until one of the
+  // leader's own term has reached a majority.
+  @Test
+  public void entryOfEarlierTermIsNotCounted() {
+    lead();
+    receive("b", acknowledge(2, 2));
+    assertEquals(part.status(GROUP).commitIndex(), 0);
+    receive("b", acknowledge(2, 3));
+    assertEquals(part.status(GROUP).commitIndex(), 3);
+  }
+
+  // Voters b and c come back with empty disks under their old names. Neither their votes nor
+  // their acknowledgements stand for what the old disks held.
+  @Test
+  public void wipedVotersAreNotCounted() {
+    campaign();
+    receive("b", new VoteResponse(GROUP, 3, 77, true, false));
+    receive("c", new VoteResponse(GROUP, 3, 78, true, false));
+    assertEquals(part.status(GROUP).role(), Role.CANDIDATE);
+    receive("b", new VoteResponse(GROUP, 3, 2, true, false));
+    sync();
+    assertEquals(part.status(GROUP).role(), Role.LEADER);
+    receive("b", acknowledge(77, 3));
+    receive("c", acknowledge(78, 3));
+    assertEquals(part.status(GROUP).commitIndex(), 0);
+  }
+
+  // Voter c comes back with an empty disk and is taken in as a learner. Counted before it has all
+  // accepted entries, it would stand for them when a second voter is lost.
+  @Test
+  public void learnerCountsOnlyOnceCaughtUp() {
+    lead();
+    receive("b", acknowledge(2, 3));
+    receive("c", new RaftMessage.JoinRequest(GROUP, 9));
+    sync();
+    receive("b", acknowledge(2, 4));
+    assertEquals(part.status(GROUP).commitIndex(), 4);
+    receive("c", acknowledge(9, 3));
+    Member repaired = new Member("c", 9);
+    assertEquals(part.status(GROUP).members().learners(), List.of(repaired));
+    receive("c", acknowledge(9, 4));
+    assertTrue(part.status(GROUP).members().votes(repaired));
+  }
+
+  private void campaign() {
+    pass(700);
+    receive("b", new VoteResponse(GROUP, 3, 2, true, true));
+    sync();
+    assertEquals(part.status(GROUP).role(), Role.CANDIDATE);
+  }
+
+  private void lead() {
+    campaign();
+    receive("b", new VoteResponse(GROUP, 3, 2, true, false));
+    sync();
+    assertEquals(part.status(GROUP).role(), Role.LEADER);
+  }
+
+  private boolean granted() {
+    return sent.stream().anyMatch(sent -> sent instanceof VoteResponse vote && vote.granted());
+  }
+
+  private long acknowledged() {
+    long index = 0;
+    for (RaftMessage message : sent) {
+      if (message instanceof AppendResponse response && response.matched()) {
+        index = Math.max(index, response.index());
+      }
+    }
+    return index;
+  }
+
+  private AppendResponse acknowledge(long instance, long index) {
+    return new AppendResponse(GROUP, 3, instance, true, index, now);
+  }
+
+  private AppendRequest append(long term, LogEntry entry) {
+    return new AppendRequest(GROUP, term, 2, 2, List.of(entry), 0, now);
+  }
+
+  private LogEntry entry(long index, long term, Command command) {
+    return new LogEntry(index, term, now, command);
+  }
+
+  private void receive(String from, RaftMessage message) {
+    apply(new PeerEvent.MessageReceived(from, message));
+  }
+
+  private void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += Reducer.TICK.toMillis()) {
+      now = now.plus(Reducer.TICK);
+      apply(new LifecycleEvent.Tick());
+    }
+  }
+
+  private void sync() {
+    now = now.plus(Duration.ofMillis(1));
+    apply(new StorageEvent.Persisted(GROUP, writes));
+  }
+
+  private void apply(Event event) {
+    for (Effect effect : reducer.apply(event, now)) {
+      if (effect instanceof PeerEffect.SendToPeer send
+          && send.message() instanceof RaftMessage message) {
+        sent.add(message);
+      } else if (effect instanceof StorageEffect.Persist write) {
+        writes = write.sequence();
+      }
+    }
+  }
+}
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
@@ -273,7 +273,7 @@
   }
 
   /** State without content: the tests follow the commands themselves. */
-  private static final class NothingMachine implements StateMachine {
+  static final class NothingMachine implements StateMachine {
     @Override
     public CommandResult apply(long index, Instant stampedAt, Command command) {
       return new CommandResult.Done();
@@ -289,7 +289,7 @@
   }
 
   /** Keeps snapshots in memory under a number, padded so that they take several chunks. */
-  private static final class MemoryCodec implements GroupCodec {
+  static final class MemoryCodec implements GroupCodec {
     private static final int LENGTH = 950;
     private final List<Snapshot> snapshots = new ArrayList<>();
 
