Attempt: first-token bound from measured times, waits for a missing engine, sessions stay

Cause: a fixed bound of 8 s on silence fails requests that only wait their turn in a burst and sends them again into the same queues; a version whose engine restarts was refused at once; the later of two first answers of a session replaced the pin of the earlier. Change: the first token has three times its recent p99, between 5 and 20 s; a request whose versions have no engine waits a few pauses, one whose versions are all withdrawn or forbidden is refused at once as not allowed; a standing pin is kept. The daemon ends only once the ledger is settled, and takes nothing while the ledger takes none. Outcomes tell total time and escalation. Conclusion: the bound follows the load instead of adding to it.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequest.java
@@ -67,6 +67,10 @@
   Rule.Decision.@Nullable Route route;
   int priority;
   @Nullable Plan plan;
+
+  /** Whether the plan is yet to be made, for the first time or anew. */
+  boolean needsPlan = true;
+
   int step;
 
   /** Attempts for the present step, and over all steps. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempt.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempt.java
@@ -12,7 +12,12 @@
   final String upstream;
   final @Nullable ModelVersion version;
   final Instant dispatchedAt;
-  final Duration timeout;
+
+  /** How long the upstream may be silent; less after the first token. */
+  Duration timeout;
+
+  /** Tokens of the answer that were there before this attempt. */
+  long resumeOffset;
 
   /** When the upstream was last heard of; a plain service is heard of only once. */
   Instant heardAt;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftAnswer.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftAnswer.java
@@ -11,13 +11,19 @@
 
   private final ActiveRequests requests;
   private final RequestCollaborators parts;
+  private final Planning planning;
   private final RatingSampler sampler;
   private final Ending ending;
 
   DraftAnswer(
-      ActiveRequests requests, RequestCollaborators parts, RatingSampler sampler, Ending ending) {
+      ActiveRequests requests,
+      RequestCollaborators parts,
+      Planning planning,
+      RatingSampler sampler,
+      Ending ending) {
     this.requests = requests;
     this.parts = parts;
+    this.planning = planning;
     this.sampler = sampler;
     this.ending = ending;
   }
@@ -50,9 +56,14 @@
 
   private void pin(ActiveRequest active, ModelVersion version, Turn turn) {
     String session = active.request.session();
-    if (session != null && active.sessionToken == null) {
-      active.sessionToken = parts.pins().pin(active.team, session, version, turn.now());
+    if (session == null || active.sessionToken != null) {
+      return;
     }
+    // Two first requests of a session may run at the same time; the one that answers last must not
+    // take the session away from the version that the user saw first.
+    ModelVersion kept = planning.keptVersion(active, version.model());
+    ModelVersion pinned = kept == null ? version : kept;
+    active.sessionToken = parts.pins().pin(active.team, session, pinned, turn.now());
   }
 
   /** Has the answer rated afterwards if it was drawn for that. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
@@ -30,6 +30,7 @@
   private final Cascade cascade;
   private final DraftAnswer answers;
   private final Ending ending;
+  private final FirstTokens firstTokens;
 
   DraftRun(
       ActiveRequests requests,
@@ -50,6 +51,7 @@
     this.cascade = cascade;
     this.answers = answers;
     this.ending = ending;
+    this.firstTokens = new FirstTokens(settings);
   }
 
   static RoutingError teamGone(String team) {
@@ -66,9 +68,13 @@
   private void plan(ActiveRequest active, Turn turn) {
     RoutingError error = planning.plan(active, turn.now());
     if (error != null) {
-      giveUp(active, withRunState(active, error), turn);
+      boolean mayPass = error.kind() == ErrorKind.NO_CAPACITY && active.best == null;
+      if (!mayPass || !retries.pause(active, turn.now())) {
+        giveUp(active, withRunState(active, error), turn);
+      }
       return;
     }
+    active.needsPlan = false;
     active.stepAttempts = 0;
     active.triedUpstreams.clear();
     turn.timeline("request.planned", active, null, Objects.requireNonNull(active.plan).reason());
@@ -80,6 +86,15 @@
         error.kind(), error.message(), active.runState(), error.retryAfterMillis());
   }
 
+  /** Goes on after a pause, with a new plan if there was none before it. */
+  void resume(ActiveRequest active, Turn turn) {
+    if (active.needsPlan) {
+      plan(active, turn);
+    } else {
+      dispatch(active, turn);
+    }
+  }
+
   /** Dispatches the present step, or lets it wait, or gives it up. */
   void dispatch(ActiveRequest active, Turn turn) {
     ModelVersion version = active.currentStep().version();
@@ -111,17 +126,20 @@
       return;
     }
     requests.clearAnswer(active);
+    active.needsPlan = true;
     plan(active, turn);
   }
 
   private void send(ActiveRequest active, Announcement upstream, ModelVersion version, Turn turn) {
     Duration left = Duration.between(turn.now(), active.request.deadline());
-    Duration silence = left.compareTo(settings.silence()) < 0 ? left : settings.silence();
-    Duration watchdog = silence.plus(settings.watchdogGrace());
+    Duration usual = firstTokens.timeout(version);
+    Duration first = left.compareTo(usual) < 0 ? left : usual;
+    Duration watchdog = first.plus(settings.watchdogGrace());
     if (active.attempts == 0) {
       active.sampled = answers.drawSample();
     }
     Attempt attempt = attempts.begin(active, upstream, version, watchdog, turn);
+    attempt.resumeOffset = active.answer.tokens();
     active.triedUpstreams.add(upstream.id());
     turn.effect(
         new UpstreamEffect.DispatchDraft(
@@ -133,7 +151,7 @@
             version,
             active.answer.tokens(),
             active.priority,
-            Math.max(1, silence.toMillis())));
+            Math.max(1, first.toMillis())));
   }
 
   /** Takes tokens of the running attempt. */
@@ -151,6 +169,9 @@
     }
     if (attempt.firstTokenAt == null) {
       attempt.firstTokenAt = turn.now();
+      attempt.timeout = settings.silence().plus(settings.watchdogGrace());
+      firstTokens.measured(attempt, turn.now());
+      requests.wakeBy(active, attempt.silentAt());
     }
     attempt.tokens += event.tokens();
     answers.append(active, attempt, event, turn);
@@ -185,7 +206,8 @@
         Outcomes.of(
             active,
             attempt,
-            tokens == 0 ? AttemptOutcome.Ending.EMPTY : AttemptOutcome.Ending.WHOLE);
+            tokens == 0 ? AttemptOutcome.Ending.EMPTY : AttemptOutcome.Ending.WHOLE,
+            turn.now());
     parts.quality().record(outcome, turn.now());
     HeldAnswer answer = wholeAnswer(active, attempt, event);
     ending.charge(active, answer.version(), answer.usage());
@@ -241,7 +263,7 @@
     }
     AttemptOutcome.Ending told = Outcomes.ending(moment);
     if (told != null) {
-      parts.quality().record(Outcomes.of(active, attempt, told), turn.now());
+      parts.quality().record(Outcomes.of(active, attempt, told, turn.now()), turn.now());
     }
     boolean resuming = active.answer.tokens() > 0;
     RoutingError error = retries.refusal(active, moment, resuming, detail);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Hedging.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Hedging.java
@@ -5,45 +5,21 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import org.HdrHistogram.Histogram;
 
 /**
  * Says after which time a lookup gets a second attempt, from the service's measured times.
  *
- * <p>The times of the last one or two windows count, so that a service that became slower is not
- * hedged for ever at its old percentile; the budget bounds the load until then.
+ * <p>Only recent times count, so that a service that became slower is not hedged for ever at its
+ * old percentile; the budget bounds the load until then.
  */
 final class Hedging {
 
-  private static final long LONGEST_MICROS = TimeUnit.MINUTES.toMicros(1);
-  private static final int DIGITS = 2;
-  private static final int WINDOW = 2000;
   private static final int RESERVE = 5;
 
   private final double percentile;
   private final int samples;
   private final AttemptBudget budget;
-  private final Map<String, Window> services = new HashMap<>();
-
-  private static final class Window {
-    private Histogram present = new Histogram(LONGEST_MICROS, DIGITS);
-    private Histogram before = new Histogram(LONGEST_MICROS, DIGITS);
-
-    void add(long micros) {
-      present.recordValue(Math.max(0, Math.min(LONGEST_MICROS, micros)));
-      if (present.getTotalCount() >= WINDOW) {
-        Histogram oldest = before;
-        before = present;
-        oldest.reset();
-        present = oldest;
-      }
-    }
-
-    Histogram fuller() {
-      return present.getTotalCount() > before.getTotalCount() ? present : before;
-    }
-  }
+  private final Map<String, RecentTimes> services = new HashMap<>();
 
   Hedging(RequestSettings settings) {
     this.percentile = settings.hedgePercentile();
@@ -62,17 +38,14 @@
 
   /** Takes note of how long an attempt took, or had taken when it was given up. */
   void measured(String service, Instant from, Instant to) {
-    long micros = TimeUnit.NANOSECONDS.toMicros(Duration.between(from, to).toNanos());
-    services.computeIfAbsent(service, name -> new Window()).add(micros);
+    services.computeIfAbsent(service, name -> new RecentTimes()).add(Duration.between(from, to));
   }
 
   /** Returns after which time a lookup is hedged, or empty while too little is known. */
   Optional<Duration> delay(String service) {
-    Window window = services.get(service);
-    if (window == null || window.fuller().getTotalCount() < samples) {
-      return Optional.empty();
-    }
-    long micros = window.fuller().getValueAtPercentile(percentile);
-    return Optional.of(Duration.ofNanos(TimeUnit.MICROSECONDS.toNanos(micros)));
+    RecentTimes times = services.get(service);
+    return times == null || times.count() < samples
+        ? Optional.empty()
+        : Optional.of(times.percentile(percentile));
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
@@ -65,7 +65,9 @@
 
   private @Nullable RoutingError closed(CallerRequest request, Turn turn) {
     boolean serving =
-        parts.configuration().mayServe(turn.now()) && parts.listing().acceptsNewWork(turn.now());
+        parts.configuration().mayServe(turn.now())
+            && parts.listing().acceptsNewWork(turn.now())
+            && parts.ledger().acceptsWork();
     if (!serving) {
       return RoutingError.notRunRetry(
           ErrorKind.NOT_SERVING,
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Outcomes.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Outcomes.java
@@ -1,5 +1,7 @@
 package org.skylarkfork.core.attempt;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.event.UpstreamEvent.Moment;
@@ -11,7 +13,10 @@
 
   private Outcomes() {}
 
-  static AttemptOutcome of(ActiveRequest active, Attempt attempt, Ending ending) {
+  static AttemptOutcome of(ActiveRequest active, Attempt attempt, Ending ending, Instant now) {
+    // A resumed attempt gave only the rest, so its time tells nothing of a whole answer's.
+    boolean resumed = attempt.resumeOffset > 0;
+    Long totalMillis = resumed ? null : Duration.between(attempt.dispatchedAt, now).toMillis();
     return new AttemptOutcome(
         active.id(),
         Objects.requireNonNull(attempt.version),
@@ -20,7 +25,9 @@
         ending,
         null,
         attempt.firstTokenMillis(),
-        attempt.tokens);
+        (int) active.answer.tokens(),
+        totalMillis,
+        active.step > 0);
   }
 
   static AttemptOutcome ratedLater(AttemptOutcome told, double score) {
@@ -32,7 +39,9 @@
         Ending.RATED_LATER,
         score,
         told.firstTokenMillis(),
-        told.completionTokens());
+        told.completionTokens(),
+        null,
+        told.escalated());
   }
 
   /** Returns what a failure says of the version, or null if it says only something of the VM. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Planning.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Planning.java
@@ -56,14 +56,38 @@
     PlanQuery query = new PlanQuery(active.request, team.get(), route, pinned);
     Optional<Plan> plan = parts.planner().plan(query, now).map(found -> narrowed(active, found));
     if (plan.isEmpty() || plan.get().steps().isEmpty()) {
+      return noPlan(active, route, current);
+    }
+    active.plan = plan.get();
+    if (plan.get().notice() != null) {
+      active.notice = plan.get().notice();
+    }
+    active.step = 0;
+    return null;
+  }
+
+  /** Tells what no upstream can help, which ends the request, from what may pass. */
+  private RoutingError noPlan(
+      ActiveRequest active, Rule.Decision.Route route, Configuration current) {
+    boolean anyAllowed =
+        current.models().stream()
+            .filter(model -> route.models().isEmpty() || route.models().contains(model.name()))
+            .flatMap(
+                model ->
+                    model.versions().stream()
+                        .map(version -> new ModelVersion(model.name(), version.name())))
+            .anyMatch(version -> mayRun(active, version));
+    if (anyAllowed) {
       return RoutingError.notRunRetry(
           ErrorKind.NO_CAPACITY,
           "No allowed version of the wanted models has an upstream now. Send it again later.",
           RETRY_AFTER_MILLIS);
     }
-    active.plan = plan.get();
-    active.step = 0;
-    return null;
+    return RoutingError.notRun(
+        ErrorKind.NOT_ALLOWED,
+        "Every version of the wanted models is withdrawn or not allowed for team "
+            + active.team
+            + ". Ask your operator.");
   }
 
   private @Nullable RoutingError routeAgain(
@@ -102,7 +126,7 @@
   }
 
   /** Returns the version of a model that the session keeps, unless it may not run any more. */
-  private @Nullable ModelVersion keptVersion(ActiveRequest active, String model) {
+  @Nullable ModelVersion keptVersion(ActiveRequest active, String model) {
     String session = active.request.session();
     if (session == null) {
       return null;
@@ -128,6 +152,7 @@
         steps.add(new Plan.Step(version, step.rated()));
       }
     }
-    return new Plan(steps, plan.qualityTarget(), plan.expectedCostMicros(), plan.reason());
+    return new Plan(
+        steps, plan.qualityTarget(), plan.expectedCostMicros(), plan.reason(), plan.notice());
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
@@ -52,17 +52,18 @@
     this.ending = new Ending(requests, parts, attempts);
     this.sampler = new RatingSampler(settings, parts.quality(), random);
     Routes routes = new Routes(parts.configuration(), parts.ruleBooks());
+    Planning planning = new Planning(parts, routes);
     Retries retries = new Retries(requests, settings, random);
     this.drafts =
         new DraftRun(
             requests,
             parts,
             settings,
-            new Planning(parts, routes),
+            planning,
             attempts,
             retries,
             new Cascade(requests, parts.quality(), settings),
-            new DraftAnswer(requests, parts, sampler, ending),
+            new DraftAnswer(requests, parts, planning, sampler, ending),
             ending);
     this.calls =
         new CallRun(requests, parts, settings, attempts, retries, new Hedging(settings), ending);
@@ -300,7 +301,7 @@
       return;
     }
     if (active.request.kind().isDraft()) {
-      drafts.dispatch(active, turn);
+      drafts.resume(active, turn);
     } else {
       calls.dispatch(active, turn);
     }
@@ -332,7 +333,11 @@
   /** Lets the daemon end once no caller can come any more and none is still served. */
   private void drainWhenIdle(Turn turn) {
     boolean done =
-        stopping && !drained && requests.isIdle() && !parts.listing().acceptsNewWork(turn.now());
+        stopping
+            && !drained
+            && requests.isIdle()
+            && parts.ledger().isSettled()
+            && !parts.listing().acceptsNewWork(turn.now());
     if (done) {
       drained = true;
       turn.output().raise(new LifecycleEvent.Ending());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestSettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestSettings.java
@@ -10,7 +10,9 @@
  * @param maxAttempts attempts for one step of a plan or one call, the first included
  * @param maxPauses how often a request waits for an upstream to become free
  * @param firstPause length of the first such wait; each later one is twice as long
- * @param silence longest time without a token before an attempt fails
+ * @param silence longest time between two tokens before an attempt fails, and the least that an
+ *     engine has for its first token
+ * @param longestFirstToken most that an engine has for its first token
  * @param watchdogGrace how much longer than the runtime this part waits, since the runtime knows
  *     better how far an attempt had got
  * @param pinWait longest wait for the owners of a session
@@ -30,6 +32,7 @@
     int maxPauses,
     Duration firstPause,
     Duration silence,
+    Duration longestFirstToken,
     Duration watchdogGrace,
     Duration pinWait,
     Duration ratingWait,
@@ -49,7 +52,8 @@
           5,
           6,
           Duration.ofMillis(50),
-          Duration.ofSeconds(8),
+          Duration.ofSeconds(5),
+          Duration.ofSeconds(20),
           Duration.ofMillis(250),
           Duration.ofMillis(150),
           Duration.ofSeconds(2),
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/Ledger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/Ledger.java
@@ -51,4 +51,9 @@
   default boolean acceptsWork() {
     return true;
   }
+
+  /** Returns whether nothing of this entry waits for the ledger, so that it may stop. */
+  default boolean isSettled() {
+    return true;
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerPart.java
@@ -100,7 +100,7 @@
     return unsettledBills() < settings.bufferedBills();
   }
 
-  /** Returns whether nothing of this entry waits for the ledger, so that it may stop. */
+  @Override
   public boolean isSettled() {
     return unsettledBills() == 0 && claims.isSettled();
   }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
@@ -113,6 +113,7 @@
         base.maxPauses(),
         base.firstPause(),
         base.silence(),
+        base.longestFirstToken(),
         base.watchdogGrace(),
         base.pinWait(),
         base.ratingWait(),
