Runtime: frames between daemons over TCP, bounded queues and mutual TLS

Cause: daemons must exchange messages without a slow, silent or hostile peer costing more than a fixed amount. Change: one outgoing connection per peer, opened on demand, greeted with version, node, cluster and process; a bounded queue that drops the oldest message; keep-alive frames and a silence limit; a peer that sends rubbish is dropped, counted and logged at most once a second; TLS from PEM files that can be reloaded, with the node name checked against the certificate.

--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/IncomingPeer.java
@@ -0,0 +1,163 @@
+package org.skylarkfork.runtime.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.NettyInbound;
+
+/** One accepted connection: takes the greeting, then messages. */
+final class IncomingPeer {
+
+  private final PeerContext context;
+  private final Connection connection;
+  private final Consumer<IncomingPeer> onGreeted;
+  private final long openedAt = System.nanoTime();
+  private volatile long readAt = openedAt;
+  private volatile @Nullable String node;
+  private volatile boolean orderly;
+  private volatile String detail = "closed by the peer";
+
+  IncomingPeer(PeerContext context, Connection connection, Consumer<IncomingPeer> onGreeted) {
+    this.context = context;
+    this.connection = connection;
+    this.onGreeted = onGreeted;
+  }
+
+  /** Takes frames until the connection ends. */
+  Mono<Void> serve(NettyInbound inbound) {
+    return inbound.receive().doOnNext(this::take).then().onErrorResume(this::failed);
+  }
+
+  /** Returns the name given in the greeting, or null before it. */
+  @Nullable String node() {
+    return node;
+  }
+
+  /** Ends the connection without reporting it as lost. */
+  void replace() {
+    orderly = true;
+    connection.dispose();
+  }
+
+  /** Ends a connection that was not greeted in time or has fallen silent. */
+  void check(long now) {
+    TransportSettings.Limits limits = context.settings.limits();
+    if (node == null && now - openedAt > limits.silence().toNanos()) {
+      connection.dispose();
+    } else if (now - readAt > limits.silence().toNanos()) {
+      detail = "silent";
+      connection.dispose();
+    }
+  }
+
+  /** Reports the end of the connection. */
+  void ended() {
+    String peer = node;
+    if (peer != null && !orderly) {
+      context.lost(peer, detail);
+    }
+  }
+
+  private Mono<Void> failed(Throwable error) {
+    detail = String.valueOf(error.getMessage());
+    context.classify(String.valueOf(connection.channel().remoteAddress()), error);
+    return Mono.empty();
+  }
+
+  private void take(ByteBuf buffer) {
+    Frame frame = Frame.read(buffer);
+    String peer = node;
+    if (peer == null) {
+      greet(context.readHandshake(frame));
+      return;
+    }
+    if (!context.filter.receivesFrom(peer)) {
+      return;
+    }
+    readAt = System.nanoTime();
+    switch (frame.kind()) {
+      case MESSAGE -> context.deliver(peer, frame);
+      case KEEP_ALIVE -> answer(peer, PeerContext.empty(Frame.Kind.KEEP_ALIVE));
+      case GOODBYE -> replace();
+      default ->
+          throw new TransportException(
+              TransportException.Kind.BAD_FRAME, "a second greeting of " + peer, null);
+    }
+  }
+
+  private void greet(Handshake handshake) {
+    if (!(handshake instanceof Handshake.Greeting greeting)) {
+      throw new TransportException(
+          TransportException.Kind.BAD_FRAME, "an answer instead of a greeting", null);
+    }
+    if (!context.filter.receivesFrom(greeting.node())) {
+      return;
+    }
+    Handshake.Refusal refusal = objection(greeting);
+    if (refusal != null) {
+      refuse(refusal);
+      return;
+    }
+    node = greeting.node();
+    readAt = System.nanoTime();
+    onGreeted.accept(this);
+    TransportSettings own = context.settings;
+    int version = Math.min(greeting.version(), Handshake.VERSION);
+    answer(
+        greeting.node(),
+        context.handshake(new Handshake.Welcome(version, own.node(), own.incarnation())));
+  }
+
+  private Handshake.@Nullable Refusal objection(Handshake.Greeting greeting) {
+    TransportSettings own = context.settings;
+    if (greeting.version() < Handshake.OLDEST_VERSION
+        || greeting.oldestVersion() > Handshake.VERSION) {
+      return new Handshake.Refusal(
+          Handshake.Reason.VERSION,
+          "versions %d to %d offered, %d to %d understood"
+              .formatted(
+                  greeting.oldestVersion(),
+                  greeting.version(),
+                  Handshake.OLDEST_VERSION,
+                  Handshake.VERSION));
+    }
+    if (!own.cluster().equals(greeting.cluster())) {
+      return new Handshake.Refusal(
+          Handshake.Reason.CLUSTER, greeting.cluster() + " instead of " + own.cluster());
+    }
+    if (greeting.node() == null || greeting.node().equals(own.node())) {
+      return new Handshake.Refusal(
+          Handshake.Reason.NAME, greeting.node() + " isn't another daemon's name");
+    }
+    if (!context.certified(connection.channel(), greeting.node())) {
+      return new Handshake.Refusal(
+          Handshake.Reason.CERTIFICATE, "no certificate of " + greeting.node());
+    }
+    return null;
+  }
+
+  private void refuse(Handshake.Refusal refusal) {
+    context.classify(
+        String.valueOf(connection.channel().remoteAddress()),
+        new TransportException(
+            TransportException.Kind.REFUSED, refusal.reason() + ": " + refusal.detail(), null));
+    connection
+        .channel()
+        .writeAndFlush(Unpooled.wrappedBuffer(context.handshake(refusal)))
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void answer(String peer, byte[] frame) {
+    Channel channel = connection.channel();
+    // Answers are small and come one for each frame taken; a peer that sends without reading them
+    // would grow our memory, so a connection that takes no more bytes gets none.
+    if (context.filter.sendsTo(peer) && channel.isWritable()) {
+      channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/OutgoingPeer.java
@@ -0,0 +1,351 @@
+package org.skylarkfork.runtime.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * The one outgoing connection to a peer, opened when there is something to send.
+ *
+ * <p>A lost connection drops what waits: it was addressed to a moment that has passed, and the
+ * protocols above resend what still matters.
+ */
+final class OutgoingPeer {
+
+  private enum State {
+    IDLE,
+    CONNECTING,
+    READY,
+    WAITING,
+    CLOSED
+  }
+
+  private static final int MAX_DOUBLINGS = 16;
+
+  private final PeerContext context;
+  private final String node;
+  private final InetSocketAddress address;
+  private final TcpClient client;
+  private final ScheduledExecutorService scheduler;
+  private final UniformRandomProvider random;
+  private final OutgoingQueue queue;
+  private final AtomicBoolean drainAsked = new AtomicBoolean();
+
+  private State state = State.IDLE;
+  private @Nullable Connection connection;
+  private int failures;
+  private long attempt;
+  private long startedAt;
+  private volatile long readAt;
+  private volatile long keptAliveAt;
+  private volatile long sentAt;
+
+  OutgoingPeer(
+      PeerContext context,
+      String node,
+      InetSocketAddress address,
+      TcpClient client,
+      ScheduledExecutorService scheduler,
+      UniformRandomProvider random) {
+    this.context = context;
+    this.node = node;
+    this.address = address;
+    this.client = client;
+    this.scheduler = scheduler;
+    this.random = random;
+    this.queue =
+        new OutgoingQueue(context.settings.limits().queueBytes(), context.counters.dropped);
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Returns the bytes that wait for this peer. */
+  int queuedBytes() {
+    return queue.bytes();
+  }
+
+  /** Queues a frame and connects if need be. */
+  void send(byte[] frame) {
+    queue.add(frame);
+    synchronized (this) {
+      if (state == State.IDLE) {
+        connect();
+        return;
+      }
+    }
+    askToDrain();
+  }
+
+  /** Keeps the connection alive, or ends it if it is overdue, silent or idle. */
+  void check(long now) {
+    String lost;
+    synchronized (this) {
+      lost = checkConnection(now);
+    }
+    reportLost(lost);
+  }
+
+  private @Nullable String checkConnection(long now) {
+    TransportSettings.Limits limits = context.settings.limits();
+    if (state == State.CONNECTING && now - startedAt > limits.connectTimeout().toNanos()) {
+      return end("no welcome in " + limits.connectTimeout(), false);
+    }
+    if (state != State.READY) {
+      return null;
+    }
+    if (now - readAt > limits.silence().toNanos()) {
+      return end("silent", false);
+    }
+    if (now - sentAt > limits.idle().toNanos()) {
+      write(PeerContext.empty(Frame.Kind.GOODBYE));
+      return end("idle", true);
+    }
+    if (now - Math.max(readAt, keptAliveAt) > limits.keepAlive().toNanos()) {
+      keptAliveAt = now;
+      write(PeerContext.empty(Frame.Kind.KEEP_ALIVE));
+    }
+    return null;
+  }
+
+  /** Called without the lock: the reducer may wait for it while its mailbox is full. */
+  private void reportLost(@Nullable String why) {
+    if (why != null) {
+      context.lost(node, why);
+    }
+  }
+
+  /** Sends what waits, as far as the connection takes it, and closes for good. */
+  Mono<Void> close() {
+    Connection open;
+    synchronized (this) {
+      open = state == State.READY ? connection : null;
+      if (open == null) {
+        closeNow();
+        return Mono.empty();
+      }
+    }
+    Connection last = open;
+    return Mono.<Void>create(
+            sink ->
+                last.channel()
+                    .eventLoop()
+                    .execute(
+                        () -> {
+                          drain();
+                          last.channel()
+                              .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                              .addListener(done -> sink.success());
+                        }))
+        .doFinally(signal -> closeNow());
+  }
+
+  private synchronized void closeNow() {
+    state = State.CLOSED;
+    end("closed", true);
+    queue.clear();
+  }
+
+  private void connect() {
+    state = State.CONNECTING;
+    startedAt = System.nanoTime();
+    attempt++;
+    long thisAttempt = attempt;
+    client
+        .remoteAddress(() -> address)
+        .connect()
+        .subscribe(opened -> connected(thisAttempt, opened), error -> failed(thisAttempt, error));
+  }
+
+  private synchronized void connected(long ofAttempt, Connection opened) {
+    if (ofAttempt != attempt || state != State.CONNECTING) {
+      opened.dispose();
+      return;
+    }
+    connection = opened;
+    opened.addHandlerLast(new Writability());
+    opened
+        .inbound()
+        .receive()
+        .subscribe(
+            buffer -> take(opened, buffer),
+            error -> failed(ofAttempt, error),
+            () -> failed(ofAttempt, null));
+    opened.onDispose(() -> failed(ofAttempt, null));
+    TransportSettings own = context.settings;
+    write(
+        context.handshake(
+            new Handshake.Greeting(
+                Handshake.VERSION,
+                Handshake.OLDEST_VERSION,
+                own.node(),
+                own.cluster(),
+                own.incarnation())));
+  }
+
+  private void take(Connection from, ByteBuf buffer) {
+    Frame frame = Frame.read(buffer);
+    if (!context.filter.receivesFrom(node)) {
+      return;
+    }
+    readAt = System.nanoTime();
+    synchronized (this) {
+      if (connection != from) {
+        return;
+      }
+      if (state == State.CONNECTING) {
+        welcomed(from, context.readHandshake(frame));
+      } else if (frame.kind() != Frame.Kind.KEEP_ALIVE) {
+        throw new TransportException(
+            TransportException.Kind.BAD_FRAME, "a " + frame.kind() + " as an answer", null);
+      }
+    }
+    askToDrain();
+  }
+
+  private void welcomed(Connection from, Handshake handshake) {
+    if (handshake instanceof Handshake.Refusal refusal) {
+      throw refused(refusal.reason() + ": " + refusal.detail());
+    }
+    if (!(handshake instanceof Handshake.Welcome welcome) || !node.equals(welcome.node())) {
+      throw refused("another daemon answers at " + address + ": " + handshake);
+    }
+    if (!context.certified(from.channel(), node)) {
+      throw refused("no certificate of " + node + " at " + address);
+    }
+    state = State.READY;
+    failures = 0;
+    sentAt = System.nanoTime();
+    keptAliveAt = sentAt;
+    Logger.debug("peer: connected to {}, process {}", node, welcome.incarnation());
+  }
+
+  private static TransportException refused(String detail) {
+    return new TransportException(TransportException.Kind.REFUSED, detail, null);
+  }
+
+  private void failed(long ofAttempt, @Nullable Throwable error) {
+    String lost;
+    synchronized (this) {
+      if (ofAttempt != attempt || (state != State.CONNECTING && state != State.READY)) {
+        return;
+      }
+      if (error != null) {
+        context.classify(node + " at " + address, error);
+      }
+      if (error != null && Exceptions.unwrap(error) instanceof TransportException) {
+        failures = MAX_DOUBLINGS;
+      }
+      lost = end(error == null ? "closed by the peer" : String.valueOf(error.getMessage()), false);
+    }
+    reportLost(lost);
+  }
+
+  /** Ends the present attempt or connection; returns why if a greeted connection was lost. */
+  private @Nullable String end(String why, boolean inOrder) {
+    final Connection last = connection;
+    final boolean wasReady = state == State.READY;
+    connection = null;
+    if (state == State.READY || state == State.CONNECTING) {
+      state = State.WAITING;
+      scheduler.schedule(this::retry, backoff(inOrder), TimeUnit.NANOSECONDS);
+    }
+    if (last != null) {
+      last.dispose();
+    }
+    if (inOrder) {
+      return null;
+    }
+    queue.clear();
+    if (!wasReady && failures == 1) {
+      Logger.info("peer: can't reach {} at {}: {}; trying again", node, address, why);
+    }
+    return wasReady ? why : null;
+  }
+
+  private long backoff(boolean inOrder) {
+    if (inOrder) {
+      return 0;
+    }
+    Duration shortest = context.settings.limits().shortestBackoff();
+    Duration longest = context.settings.limits().longestBackoff();
+    long doubled = shortest.toNanos() << Math.min(failures, MAX_DOUBLINGS);
+    failures++;
+    long wait = Math.min(doubled, longest.toNanos());
+    // Without the random half all peers of a restarted daemon would come back in one moment.
+    return wait / 2 + random.nextLong(wait / 2 + 1);
+  }
+
+  private synchronized void retry() {
+    if (state == State.WAITING) {
+      state = State.IDLE;
+      if (queue.bytes() > 0) {
+        connect();
+      }
+    }
+  }
+
+  private void write(byte[] frame) {
+    Connection open = connection;
+    if (open != null && context.filter.sendsTo(node)) {
+      open.channel().writeAndFlush(Unpooled.wrappedBuffer(frame));
+    }
+  }
+
+  private void askToDrain() {
+    Connection open;
+    synchronized (this) {
+      open = state == State.READY ? connection : null;
+    }
+    if (open != null && drainAsked.compareAndSet(false, true)) {
+      open.channel().eventLoop().execute(this::drain);
+    }
+  }
+
+  /** Writes as long as the connection takes bytes; the rest stays in the bounded queue. */
+  private void drain() {
+    drainAsked.set(false);
+    Channel channel;
+    synchronized (this) {
+      if (state != State.READY || connection == null) {
+        return;
+      }
+      channel = connection.channel();
+    }
+    while (channel.isActive() && channel.isWritable()) {
+      byte[] frame = queue.poll();
+      if (frame == null) {
+        break;
+      }
+      sentAt = System.nanoTime();
+      if (context.filter.sendsTo(node)) {
+        channel.write(Unpooled.wrappedBuffer(frame));
+        context.counters.sent.increment();
+      }
+    }
+    channel.flush();
+  }
+
+  private final class Writability extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+      askToDrain();
+      handlerContext.fireChannelWritabilityChanged();
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerContext.java
@@ -0,0 +1,151 @@
+package org.skylarkfork.runtime.transport;
+
+import io.netty.channel.Channel;
+import io.netty.handler.ssl.NotSslRecordException;
+import io.netty.handler.ssl.SslHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import javax.net.ssl.SSLException;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.PeerMessage;
+import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.codec.CodecException;
+import org.tinylog.Logger;
+
+/** What all connections of one transport share. */
+final class PeerContext {
+
+  private static final String TLS_HANDLER = "peer.tls";
+  private static final String ERROR_HANDLER = "peer.errors";
+  private static final String FRAME_HANDLER = "peer.frames";
+
+  final TransportSettings settings;
+  final PeerFilter filter;
+  final Counters counters = new Counters();
+  final @Nullable TlsContexts tls;
+  private final Codec codec;
+  private final Consumer<Event> events;
+  private final AtomicLong complainedAt = new AtomicLong(System.nanoTime() - secondsOf(2));
+
+  PeerContext(TransportSettings settings, Codec codec, Consumer<Event> events, PeerFilter filter) {
+    this.settings = settings;
+    this.codec = codec;
+    this.events = events;
+    this.filter = filter;
+    this.tls = settings.tls() == null ? null : new TlsContexts(settings.tls());
+  }
+
+  /** Sets up the handlers of a new connection. */
+  void prepare(Channel channel, boolean accepted) {
+    channel.pipeline().addFirst(ERROR_HANDLER, new DecodeErrors(this));
+    channel.pipeline().addFirst(FRAME_HANDLER, new FrameDecoder(settings.limits().frameBytes()));
+    if (tls != null) {
+      SslHandler handler = accepted ? tls.forServer(channel) : tls.forClient(channel);
+      channel.pipeline().addFirst(TLS_HANDLER, handler);
+    }
+  }
+
+  /** Returns whether the certificate belongs to the node; without TLS each name is believed. */
+  boolean certified(Channel channel, String node) {
+    if (tls == null) {
+      return true;
+    }
+    SslHandler handler = (SslHandler) channel.pipeline().get(TLS_HANDLER);
+    return handler != null && node.equals(TlsContexts.commonName(handler));
+  }
+
+  byte[] handshake(Handshake handshake) {
+    return new Frame(Frame.Kind.HANDSHAKE, codec.toBytes(handshake)).toBytes();
+  }
+
+  byte[] message(PeerMessage message) {
+    return new Frame(Frame.Kind.MESSAGE, codec.toBytes(message)).toBytes();
+  }
+
+  /** Returns a frame without payload. */
+  static byte[] empty(Frame.Kind kind) {
+    return new Frame(kind, new byte[0]).toBytes();
+  }
+
+  /**
+   * Reads a handshake.
+   *
+   * @throws TransportException if the frame is none
+   */
+  Handshake readHandshake(Frame frame) {
+    if (frame.kind() != Frame.Kind.HANDSHAKE) {
+      throw new TransportException(
+          TransportException.Kind.BAD_FRAME, "a " + frame.kind() + " before the greeting", null);
+    }
+    try {
+      return codec.fromBytes(frame.payload(), Handshake.class);
+    } catch (CodecException e) {
+      throw new TransportException(TransportException.Kind.BAD_FRAME, e.getMessage(), e);
+    }
+  }
+
+  /**
+   * Gives a message to the reducer; one of an unknown type is skipped, since a newer version may
+   * have sent it.
+   *
+   * @throws TransportException if the payload is no message
+   */
+  void deliver(String node, Frame frame) {
+    try {
+      PeerMessage message = codec.fromBytes(frame.payload(), PeerMessage.class);
+      counters.received.increment();
+      events.accept(new PeerEvent.MessageReceived(node, message));
+    } catch (CodecException e) {
+      if (e.kind() != CodecException.Kind.UNKNOWN_TYPE) {
+        throw new TransportException(TransportException.Kind.BAD_FRAME, e.getMessage(), e);
+      }
+      counters.unknownMessages.increment();
+      complain("peer: skipped a message of {}: {}", node, e.getMessage());
+    }
+  }
+
+  /** Reports a greeted connection as lost. */
+  void lost(String node, String detail) {
+    counters.lost.increment();
+    Logger.info("peer: lost {}: {}", node, detail);
+    events.accept(new PeerEvent.ConnectionLost(node));
+  }
+
+  /** Counts and logs why a connection was given up; a plain end of it is neither. */
+  void classify(String peer, Throwable error) {
+    Throwable cause = error;
+    while (cause != null
+        && !(cause instanceof SSLException || cause instanceof TransportException)) {
+      cause = cause.getCause();
+    }
+    if (cause == null) {
+      return;
+    }
+    boolean stranger = cause instanceof SSLException && !(cause instanceof NotSslRecordException);
+    boolean misfit =
+        cause instanceof TransportException typed
+            && typed.kind() == TransportException.Kind.REFUSED;
+    (stranger || misfit ? counters.refused : counters.rubbish).increment();
+    complain("peer: dropped {}: {}", peer, cause.getMessage());
+  }
+
+  /** Logs at most once a second, so that a stranger can't fill the disk with our lines. */
+  void complain(String text, String peer, @Nullable String detail) {
+    long now = System.nanoTime();
+    long last = complainedAt.get();
+    if (now - last > secondsOf(1) && complainedAt.compareAndSet(last, now)) {
+      Logger.warn(text, peer, printable(detail));
+    }
+  }
+
+  private static String printable(@Nullable String text) {
+    return text == null ? "" : text.replaceAll("\\p{Cntrl}", "?");
+  }
+
+  private static long secondsOf(long seconds) {
+    return TimeUnit.SECONDS.toNanos(seconds);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
@@ -0,0 +1,267 @@
+package org.skylarkfork.runtime.transport;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.message.PeerMessage;
+import org.skylarkfork.runtime.codec.Codec;
+import org.tinylog.Logger;
+import reactor.core.publisher.Flux;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.NettyInbound;
+import reactor.netty.NettyOutbound;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * Messages between the daemons over TCP.
+ *
+ * <p>Messages go over one outgoing connection for each peer and come in over the peer's own. A
+ * message is delivered at most once; those of one connection keep their order. All methods may be
+ * called by any thread.
+ */
+public final class PeerTransport implements AutoCloseable {
+
+  private static final int THREADS = 2;
+  private static final int MAX_INCOMING = 4096;
+  private static final int CHECKS_A_TIMEOUT = 4;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  private final PeerContext context;
+  private final LoopResources threads = LoopResources.create("peer", 1, THREADS, true);
+  private final Map<String, OutgoingPeer> outgoing = new ConcurrentHashMap<>();
+  private final Map<String, IncomingPeer> greeted = new ConcurrentHashMap<>();
+  private final Set<IncomingPeer> incoming = ConcurrentHashMap.newKeySet();
+  private final EventLoopGroup loops;
+  private final TcpClient client;
+  private @Nullable DisposableServer server;
+
+  /**
+   * Creates a transport that is not started.
+   *
+   * @param settings who this daemon is, and the limits
+   * @param codec writes the frames
+   * @param events takes what happens, on the transport's threads
+   * @param filter may drop frames in silence
+   * @throws TransportException if the certificate files can't be used
+   */
+  public PeerTransport(
+      TransportSettings settings, Codec codec, Consumer<Event> events, PeerFilter filter) {
+    context = new PeerContext(settings, codec, events, filter);
+    loops = threads.onClient(false);
+    client =
+        TcpClient.newConnection()
+            .runOn(threads, false)
+            .bindAddress(() -> new InetSocketAddress(settings.host(), 0))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) settings.limits().connectTimeout().toMillis())
+            .doOnChannelInit((observer, channel, remote) -> context.prepare(channel, false));
+  }
+
+  /** Creates a transport that drops nothing in silence. */
+  public PeerTransport(TransportSettings settings, Codec codec, Consumer<Event> events) {
+    this(settings, codec, events, PeerFilter.PASS_ALL);
+  }
+
+  /**
+   * Opens the listener.
+   *
+   * @throws TransportException if the address can't be used
+   */
+  public void start() {
+    TransportSettings settings = context.settings;
+    try {
+      server =
+          TcpServer.create()
+              .runOn(threads, false)
+              .bindAddress(() -> new InetSocketAddress(settings.host(), settings.port()))
+              .option(ChannelOption.SO_REUSEADDR, true)
+              .childOption(ChannelOption.TCP_NODELAY, true)
+              .doOnChannelInit((observer, channel, remote) -> context.prepare(channel, true))
+              .handle(this::accept)
+              .bindNow();
+    } catch (RuntimeException e) {
+      throw new TransportException(
+          TransportException.Kind.ADDRESS_UNUSABLE,
+          settings.host() + ":" + settings.port() + ": " + e.getMessage(),
+          e);
+    }
+    TransportSettings.Limits limits = settings.limits();
+    long shortest = Math.min(limits.keepAlive().toNanos(), limits.connectTimeout().toNanos());
+    long period = shortest / CHECKS_A_TIMEOUT;
+    loops.next().scheduleAtFixedRate(this::check, period, period, TimeUnit.NANOSECONDS);
+    Logger.info("peer: listening on {}:{}", settings.host(), port());
+  }
+
+  /** Returns the port of the listener; to be called after the start. */
+  public int port() {
+    if (server == null) {
+      throw new IllegalStateException("the transport is not started; call start() first");
+    }
+    return server.port();
+  }
+
+  /** Carries an effect out; never blocks. */
+  public void carryOut(PeerEffect effect) {
+    if (effect instanceof PeerEffect.SendToPeer send) {
+      send(send.node(), send.message());
+    } else if (effect instanceof PeerEffect.LearnPeer learn) {
+      learn(learn.node(), new InetSocketAddress(learn.host(), learn.port()));
+    } else if (effect instanceof PeerEffect.ForgetPeer forget) {
+      forget(forget.node());
+    }
+  }
+
+  /**
+   * Reads the certificate files again; new connections use them if they changed.
+   *
+   * @return whether they had changed
+   * @throws TransportException if the new files can't be used; the old ones stay in use
+   */
+  public boolean reload() {
+    boolean changed = context.tls != null && context.tls.reload();
+    if (changed) {
+      Logger.info("peer: certificates reloaded");
+    }
+    return changed;
+  }
+
+  /** Returns what was done so far. */
+  public TransportCounts counts() {
+    return context.counters.counts();
+  }
+
+  /** Returns the bytes that wait for a peer, at most the limit of the settings. */
+  public int queuedBytes(String node) {
+    OutgoingPeer peer = outgoing.get(node);
+    return peer == null ? 0 : peer.queuedBytes();
+  }
+
+  /** Returns how many connections from others are open. */
+  public int incomingConnections() {
+    return incoming.size();
+  }
+
+  /** Sends what waits, within two seconds, and closes everything. */
+  @Override
+  public void close() {
+    Flux.fromIterable(outgoing.values())
+        .flatMap(OutgoingPeer::close)
+        .then()
+        .timeout(CLOSE_TIMEOUT)
+        .onErrorComplete()
+        .block();
+    incoming.forEach(IncomingPeer::replace);
+    if (server != null) {
+      server.disposeNow(CLOSE_TIMEOUT);
+    }
+    threads.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
+  }
+
+  private void send(String node, PeerMessage message) {
+    OutgoingPeer peer = outgoing.get(node);
+    if (peer == null) {
+      context.counters.dropped.increment();
+      return;
+    }
+    byte[] frame = context.message(message);
+    if (frame.length - Frame.LENGTH_BYTES > context.settings.limits().frameBytes()) {
+      // The receiver would take it for rubbish and drop the connection with all that waits on it.
+      context.counters.dropped.increment();
+      context.complain("peer: a message to {} is too long: {}", node, frame.length + " bytes");
+      return;
+    }
+    peer.send(frame);
+  }
+
+  private void learn(String node, InetSocketAddress address) {
+    OutgoingPeer known = outgoing.get(node);
+    if (known != null && known.address().equals(address)) {
+      return;
+    }
+    long seed = context.settings.incarnation() * 31 + node.hashCode();
+    OutgoingPeer replaced =
+        outgoing.put(
+            node,
+            new OutgoingPeer(
+                context,
+                node,
+                address,
+                client,
+                loops.next(),
+                RandomSource.XO_SHI_RO_256_PP.create(seed)));
+    if (replaced != null) {
+      replaced.close().subscribe();
+    }
+  }
+
+  private void forget(String node) {
+    OutgoingPeer known = outgoing.remove(node);
+    if (known != null) {
+      known.close().subscribe();
+    }
+    IncomingPeer open = greeted.remove(node);
+    if (open != null) {
+      open.replace();
+    }
+  }
+
+  private Publisher<Void> accept(NettyInbound inbound, NettyOutbound outbound) {
+    Connection[] connection = new Connection[1];
+    inbound.withConnection(opened -> connection[0] = opened);
+    IncomingPeer peer = new IncomingPeer(context, connection[0], this::greeted);
+    if (incoming.size() >= MAX_INCOMING) {
+      context.counters.refused.increment();
+      return Flux.empty();
+    }
+    incoming.add(peer);
+    connection[0].onDispose(() -> ended(peer));
+    return peer.serve(inbound);
+  }
+
+  private void greeted(IncomingPeer peer) {
+    String node = peer.node();
+    if (node == null) {
+      return;
+    }
+    IncomingPeer older = greeted.put(node, peer);
+    if (older != null && older != peer) {
+      older.replace();
+    }
+  }
+
+  private void ended(IncomingPeer peer) {
+    incoming.remove(peer);
+    String node = peer.node();
+    if (node != null) {
+      greeted.remove(node, peer);
+    }
+    peer.ended();
+  }
+
+  private void check() {
+    long now = System.nanoTime();
+    try {
+      outgoing.values().forEach(peer -> peer.check(now));
+      incoming.forEach(peer -> peer.check(now));
+    } catch (RuntimeException e) {
+      // An exception would end the schedule, and silent connections would stay open for ever.
+      Logger.error(e, "peer: a check of the connections failed");
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/package-info.java
@@ -0,0 +1,5 @@
+/** Carries messages between the daemons in frames over TCP. */
+@NullMarked
+package org.skylarkfork.runtime.transport;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/PeerTransportTest.java
@@ -0,0 +1,275 @@
+package org.skylarkfork.runtime.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.MembershipMessage;
+import org.skylarkfork.core.message.PeerMessage;
+import org.skylarkfork.runtime.codec.Codec;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeerTransport}. */
+public final class PeerTransportTest {
+
+  private static final int FUZZED = 300;
+
+  private static PeerMessage message(long number) {
+    return new MembershipMessage.Nack(1, number);
+  }
+
+  private static Handshake.Greeting greeting(String node) {
+    return new Handshake.Greeting(1, 1, node, "test", 1);
+  }
+
+  @Test
+  public void testMessagesArriveInOrderBothWays() {
+    try (TestNode a = new TestNode("a", "127.0.0.2", 0);
+        TestNode b = new TestNode("b", "127.0.0.3", 0)) {
+      a.learn(b, "127.0.0.3");
+      b.learn(a, "127.0.0.2");
+      for (int i = 0; i < 500; i++) {
+        a.send("b", message(i));
+        b.send("a", message(-i));
+      }
+      for (int i = 0; i < 500; i++) {
+        assertEquals(b.take(), new PeerEvent.MessageReceived("a", message(i)));
+        assertEquals(a.take(), new PeerEvent.MessageReceived("b", message(-i)));
+      }
+      assertEquals(a.transport.counts().sent(), 500);
+      assertEquals(b.transport.counts().received(), 500);
+    }
+  }
+
+  @Test
+  public void testUnknownPeerAndOverLongMessageAreDroppedAndCounted() {
+    try (TestNode a = new TestNode("a");
+        TestNode b = new TestNode("b")) {
+      a.send("b", message(1));
+      a.learn(b, "127.0.0.1");
+      String tooLong = "x".repeat(TestNode.LIMITS.frameBytes());
+      a.send("b", new MembershipMessage.PingRequest(1, 2, tooLong));
+      a.send("b", message(3));
+      assertEquals(b.take(), new PeerEvent.MessageReceived("a", message(3)));
+      assertEquals(a.transport.counts().dropped(), 2);
+    }
+  }
+
+  @Test
+  public void testRestartedPeerIsReachedAgain() {
+    // A peer's process dies: the others are told that its connection was lost. Under the same
+    // address a new process comes up; messages reach it without anybody's help.
+    try (TestNode a = new TestNode("a")) {
+      int port;
+      try (TestNode b = new TestNode("b")) {
+        port = b.transport.port();
+        a.learn(b, "127.0.0.1");
+        a.send("b", message(1));
+        b.take();
+      }
+      assertEquals(a.take(), new PeerEvent.ConnectionLost("b"));
+      try (TestNode b = new TestNode("b", "127.0.0.1", port)) {
+        TestNode.await(
+            "a message after the restart",
+            () -> {
+              a.send("b", message(2));
+              return !b.events.isEmpty();
+            });
+        assertEquals(b.take(), new PeerEvent.MessageReceived("a", message(2)));
+      }
+    }
+  }
+
+  @Test
+  public void testForgottenPeerGetsNothing() {
+    try (TestNode a = new TestNode("a");
+        TestNode b = new TestNode("b")) {
+      a.learn(b, "127.0.0.1");
+      a.send("b", message(1));
+      b.take();
+      a.transport.carryOut(new PeerEffect.ForgetPeer("b"));
+      a.send("b", message(2));
+      assertEquals(b.take(), new PeerEvent.ConnectionLost("a"));
+      assertEquals(a.transport.counts().dropped(), 1);
+    }
+  }
+
+  @Test
+  public void testNodeCutOffInSilenceIsNoticedByBothSides() {
+    // A switch drops all frames of one node; no connection is closed. Both sides notice by the
+    // missing keep-alive frames within the silence limit. Once frames pass again, so do messages.
+    try (TestNode a = new TestNode("a", "127.0.0.1", 0, TestNode.SOON, null);
+        TestNode b = new TestNode("b", "127.0.0.1", 0, TestNode.SOON, null)) {
+      a.learn(b, "127.0.0.1");
+      a.send("b", message(1));
+      b.take();
+      b.cut(true);
+      a.send("b", message(2));
+      assertEquals(a.take(), new PeerEvent.ConnectionLost("b"));
+      assertEquals(b.take(), new PeerEvent.ConnectionLost("a"));
+      b.cut(false);
+      TestNode.await(
+          "a message after the cut",
+          () -> {
+            a.send("b", message(3));
+            return !b.events.isEmpty();
+          });
+      assertEquals(b.take(), new PeerEvent.MessageReceived("a", message(3)));
+    }
+  }
+
+  @Test
+  public void testSlowPeerNeverGrowsMemory() throws IOException {
+    // A peer accepts the greeting and then reads nothing. The sender keeps at most the bytes of its
+    // queue, drops the oldest and counts them; it neither blocks nor grows.
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        TestNode a = new TestNode("a")) {
+      a.learn("slow", "127.0.0.1", server.getLocalPort());
+      PeerMessage big = new MembershipMessage.PingRequest(1, 2, "x".repeat(30_000));
+      a.send("slow", big);
+      try (RawPeer slow = new RawPeer(server.accept())) {
+        assertEquals(((Handshake.Greeting) slow.readHandshake()).node(), "a");
+        slow.write(new Handshake.Welcome(1, "slow", 1));
+        int most = 0;
+        for (int i = 0; i < 2_000; i++) {
+          a.send("slow", big);
+          most = Math.max(most, a.transport.queuedBytes("slow"));
+        }
+        assertTrue(most <= TestNode.LIMITS.queueBytes(), "queued " + most);
+        assertTrue(a.transport.counts().dropped() > 500, a.transport.counts().toString());
+        System.out.println("transport: slow peer, most bytes queued " + most);
+      }
+    }
+  }
+
+  @Test
+  public void testRubbishIsDroppedAndCounted() throws IOException {
+    // A stranger sends bytes that are no frames, or claims a frame of gigabytes before or after
+    // its greeting. Its connection ends, nothing is delivered, and other peers aren't disturbed.
+    byte[] huge = ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array();
+    try (TestNode b = new TestNode("b");
+        TestNode a = new TestNode("a")) {
+      a.learn(b, "127.0.0.1");
+      for (byte[] rubbish :
+          new byte[][] {"GET / HTTP/1.1\r\n\r\n".getBytes(), huge, {0, 0, 0, 2, 0, 1}}) {
+        try (RawPeer stranger = new RawPeer(b.transport.port())) {
+          stranger.write(rubbish);
+          stranger.awaitEnd();
+        }
+      }
+      assertEquals(b.transport.counts().rubbish(), 3);
+      try (RawPeer greeted = new RawPeer(b.transport.port())) {
+        greeted.write(greeting("x"));
+        assertTrue(greeted.readHandshake() instanceof Handshake.Welcome);
+        greeted.write(huge);
+        greeted.awaitEnd();
+      }
+      assertEquals(b.take(), new PeerEvent.ConnectionLost("x"));
+      assertEquals(b.transport.counts().rubbish(), 4);
+      a.send("b", message(1));
+      assertEquals(b.take(), new PeerEvent.MessageReceived("a", message(1)));
+    }
+  }
+
+  @Test
+  public void testUnfitGreetingIsRefusedWithReason() throws IOException {
+    try (TestNode b = new TestNode("b")) {
+      assertEquals(
+          refusal(b, new Handshake.Greeting(9, 8, "x", "test", 1)), Handshake.Reason.VERSION);
+      assertEquals(
+          refusal(b, new Handshake.Greeting(1, 1, "x", "another", 1)), Handshake.Reason.CLUSTER);
+      assertEquals(refusal(b, greeting("b")), Handshake.Reason.NAME);
+      assertEquals(b.transport.counts().refused(), 3);
+      assertTrue(b.events.isEmpty());
+    }
+  }
+
+  private static Handshake.Reason refusal(TestNode node, Handshake.Greeting greeting)
+      throws IOException {
+    try (RawPeer peer = new RawPeer(node.transport.port())) {
+      peer.write(greeting);
+      Handshake.Refusal refusal = (Handshake.Refusal) peer.readHandshake();
+      peer.awaitEnd();
+      return refusal.reason();
+    }
+  }
+
+  @Test
+  public void testWrongDaemonAtAddressGetsNoMessage() {
+    try (TestNode a = new TestNode("a");
+        TestNode c = new TestNode("c")) {
+      a.learn("b", "127.0.0.1", c.transport.port());
+      a.send("b", message(1));
+      TestNode.await("the refusal", () -> a.transport.counts().refused() > 0);
+      assertTrue(c.events.stream().noneMatch(PeerEvent.MessageReceived.class::isInstance));
+    }
+  }
+
+  @Test
+  public void testMessageOfNewerVersionIsSkipped() throws IOException {
+    Codec codec = new Codec();
+    byte[] known = codec.toBytes(message(1));
+    byte[] later = known.clone();
+    int name = new String(known, java.nio.charset.StandardCharsets.ISO_8859_1).indexOf("Nack");
+    later[name] = 'Z';
+    try (TestNode b = new TestNode("b");
+        RawPeer peer = new RawPeer(b.transport.port())) {
+      peer.write(greeting("x"));
+      peer.readHandshake();
+      peer.write(new Frame(Frame.Kind.MESSAGE, later).toBytes());
+      peer.write(new Frame(Frame.Kind.MESSAGE, known).toBytes());
+      assertEquals(b.take(), new PeerEvent.MessageReceived("x", message(1)));
+      assertEquals(b.transport.counts().unknownMessages(), 1);
+    }
+  }
+
+  @Test
+  public void testPortInUseNamesRemedy() {
+    try (TestNode a = new TestNode("a")) {
+      TransportException refused =
+          expectThrows(
+              TransportException.class, () -> new TestNode("b", "127.0.0.1", a.transport.port()));
+      assertEquals(refused.kind(), TransportException.Kind.ADDRESS_UNUSABLE);
+    }
+  }
+
+  @Test
+  public void testFuzzedStreamsNeitherCrashNorDeliverRubbish() throws IOException {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(31L);
+    Codec codec = new Codec();
+    byte[] first = new Frame(Frame.Kind.HANDSHAKE, codec.toBytes(greeting("x"))).toBytes();
+    byte[] second = new Frame(Frame.Kind.MESSAGE, codec.toBytes(message(7))).toBytes();
+    byte[] sound = Arrays.copyOf(first, first.length + second.length);
+    System.arraycopy(second, 0, sound, first.length, second.length);
+    try (TestNode b = new TestNode("b")) {
+      for (int i = 0; i < FUZZED; i++) {
+        boolean cut = random.nextBoolean();
+        byte[] bytes = Arrays.copyOf(sound, cut ? random.nextInt(sound.length) : sound.length);
+        for (int flips = random.nextInt(4); flips > 0 && bytes.length > 0; flips--) {
+          bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+        }
+        try (RawPeer peer = new RawPeer(b.transport.port())) {
+          peer.write(bytes);
+          peer.endWrites();
+          peer.awaitEnd();
+        }
+      }
+      System.out.println("transport: fuzzed streams " + FUZZED + ", " + b.transport.counts());
+      try (RawPeer peer = new RawPeer(b.transport.port())) {
+        peer.write(sound);
+        TestNode.await(
+            "a sound message",
+            () -> b.events.contains(new PeerEvent.MessageReceived("x", message(7))));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/TestNode.java
@@ -0,0 +1,112 @@
+package org.skylarkfork.runtime.transport;
+
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.message.PeerMessage;
+import org.skylarkfork.runtime.codec.Codec;
+
+/** A started transport with the events it gave; its filter cuts it off from everyone. */
+final class TestNode implements AutoCloseable, PeerFilter {
+
+  /** Times that a busy machine doesn't reach. */
+  static final TransportSettings.Limits LIMITS = limits(Duration.ofSeconds(60));
+
+  /** Notices silence soon. */
+  static final TransportSettings.Limits SOON = limits(Duration.ofMillis(1500));
+
+  final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  final PeerTransport transport;
+  private final String name;
+  private volatile boolean cut;
+
+  TestNode(
+      String name, String host, int port, TransportSettings.Limits limits, @Nullable TlsFiles tls) {
+    this.name = name;
+    transport =
+        new PeerTransport(
+            new TransportSettings(name, "test", 1, host, port, limits, tls),
+            new Codec(),
+            events::add,
+            this);
+    transport.start();
+  }
+
+  TestNode(String name, String host, int port) {
+    this(name, host, port, LIMITS, null);
+  }
+
+  TestNode(String name) {
+    this(name, "127.0.0.1", 0);
+  }
+
+  private static TransportSettings.Limits limits(Duration silence) {
+    return new TransportSettings.Limits(
+        64 << 10,
+        256 << 10,
+        Duration.ofSeconds(20),
+        Duration.ofMillis(200),
+        silence,
+        Duration.ofSeconds(60),
+        Duration.ofMillis(5),
+        Duration.ofMillis(50));
+  }
+
+  void learn(TestNode other, String host) {
+    learn(other.name, host, other.transport.port());
+  }
+
+  void learn(String node, String host, int port) {
+    transport.carryOut(new PeerEffect.LearnPeer(node, host, port));
+  }
+
+  void send(String node, PeerMessage message) {
+    transport.carryOut(new PeerEffect.SendToPeer(node, message));
+  }
+
+  void cut(boolean now) {
+    cut = now;
+  }
+
+  Event take() {
+    try {
+      Event event = events.poll(20, TimeUnit.SECONDS);
+      assertNotNull(event, "no event at " + name);
+      return event;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Waits until a condition holds that has no event. */
+  static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < deadline, "waited in vain: " + what);
+      Thread.yield();
+    }
+  }
+
+  @Override
+  public boolean sendsTo(String node) {
+    return !cut;
+  }
+
+  @Override
+  public boolean receivesFrom(String node) {
+    return !cut;
+  }
+
+  @Override
+  public void close() {
+    transport.close();
+  }
+}
