Node: the replicated parts take the place of the interim ones

Cause: the thin path ran on a fixed configuration and a ledger of one process. Conclusion: the whole path runs on the parts that are meant to stay.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -4,13 +4,23 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import org.skylarkfork.runtime.loop.MonotonicClock;
+import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.transport.PeerFilter;
+import org.tinylog.Logger;
 
 /** Runs one daemon until it is told to stop. */
 @Command(name = "daemon", description = "Runs one daemon; SIGTERM stops it gracefully.")
 public final class DaemonCommand implements Callable<Integer> {
 
+  private static final Duration LONGEST_REQUEST = Duration.ofSeconds(120);
+
   @Required
   @Option(name = "--settings", title = "FILE", description = "Settings in YAML.")
   private String settings;
@@ -18,7 +28,34 @@
   @Override
   public Integer call() throws Exception {
     DaemonSettings read = DaemonSettings.reader().read(Path.of(settings));
-    System.out.println("skylarkfork " + read.node() + " starts.");
-    return ExitCode.SUCCESS;
+    AtomicReference<Throwable> broken = new AtomicReference<>();
+    CountDownLatch stopped = new CountDownLatch(1);
+    MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
+    DaemonNode node =
+        new DaemonNode(
+            read,
+            clock,
+            PeerFilter.PASS_ALL,
+            failure -> {
+              broken.set(failure);
+              stopped.countDown();
+            });
+    node.start();
+    Thread hook = new Thread(() -> stopGracefully(node, read), "stop");
+    Runtime.getRuntime().addShutdownHook(hook);
+    stopped.await();
+    Logger.error(broken.get(), "node: The daemon halts, since an invariant broke.");
+    Runtime.getRuntime().halt(ExitCode.FAILURE);
+    return ExitCode.FAILURE;
+  }
+
+  private static void stopGracefully(DaemonNode node, DaemonSettings settings) {
+    try {
+      Duration limit = settings.entryListLifetime().plus(LONGEST_REQUEST);
+      boolean whole = node.stop(limit);
+      Logger.info("node: Stopped; {}.", whole ? "every request was finished" : "time ran out");
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleUpstreams.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleUpstreams.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
 import org.skylarkfork.standin.announce.LoadedModel;
 import org.skylarkfork.standin.engine.EngineSettings;
 import org.skylarkfork.standin.engine.StandInEngine;
+import org.skylarkfork.standin.rating.RatingSettings;
 import org.skylarkfork.standin.service.ServiceSettings;
 import org.skylarkfork.standin.service.StandInService;
 
@@ -39,6 +41,21 @@
     services.forEach(StandInService::start);
   }
 
+  /** Returns settings of a rating service that knows the engines' qualities. */
+  static RatingSettings ratings() {
+    return RatingSettings.of(
+        Map.of(
+            ExampleConfiguration.SMALL + ":1", 0.6,
+            ExampleConfiguration.SMALL + ":2", 0.7,
+            ExampleConfiguration.LARGE + ":1", 0.9,
+            ExampleConfiguration.LARGE + ":2", 0.95));
+  }
+
+  /** Returns how many upstreams there are. */
+  int count() {
+    return engines.size() + services.size();
+  }
+
   @Override
   public void close() {
     engines.forEach(StandInEngine::close);
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
@@ -2,14 +2,21 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.skylarkfork.core.configuration.ConfigurationChange;
+import org.skylarkfork.runtime.http.Sha256;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.transport.PeerFilter;
+import org.skylarkfork.standin.rating.StandInRating;
 
 /** Runs one daemon with stand-in upstreams in one process, to try things out. */
 @Command(
@@ -18,6 +25,7 @@
 public final class QuickstartCommand implements Callable<Integer> {
 
   private static final String LOOPBACK = "127.0.0.1";
+  private static final String NODE = "quickstart";
   private static final String ZONE = "zone-a";
   private static final Duration START_LIMIT = Duration.ofSeconds(20);
 
@@ -35,24 +43,52 @@
 
   @Override
   public Integer call() throws Exception {
+    Path folder = Files.createTempDirectory("skylarkfork-quickstart");
     CountDownLatch stopped = new CountDownLatch(1);
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
-    try (DaemonNode node = new DaemonNode(settings(), clock, failure -> fail(failure, stopped))) {
-      node.start(ExampleConfiguration.configuration());
-      String address = LOOPBACK + ":" + node.callerAddress().getPort();
-      try (ExampleUpstreams upstreams = new ExampleUpstreams(ZONE, address)) {
-        node.awaitUpstreams(6, START_LIMIT);
-        return serve("http://" + address, stopped);
+    try (StandInRating rating = new StandInRating(ExampleUpstreams.ratings());
+        DaemonNode node =
+            new DaemonNode(
+                settings(folder, rating.start()),
+                clock,
+                PeerFilter.PASS_ALL,
+                failure -> fail(failure, stopped))) {
+      node.start();
+      String entry = LOOPBACK + ":" + node.callerAddress().getPort();
+      try (ExampleUpstreams upstreams = new ExampleUpstreams(ZONE, entry)) {
+        configure(node, upstreams.count());
+        return serve(node, stopped);
       }
+    } finally {
+      DeletedFolders.delete(folder);
     }
   }
 
-  private Integer serve(String base, CountDownLatch stopped)
-      throws java.io.IOException, InterruptedException {
+  private static void configure(DaemonNode node, int upstreams) throws InterruptedException {
+    node.await(node::leads, START_LIMIT);
+    node.change(
+        ExampleConfiguration.OPERATOR_KEY,
+        "quickstart",
+        new ConfigurationChange.ReplaceAll(ExampleConfiguration.configuration()));
+    boolean ready =
+        node.await(node::ready, START_LIMIT)
+            && node.await(
+                () -> node.knownUpstreams().thenApply(known -> known >= upstreams), START_LIMIT);
+    if (!ready) {
+      throw new IllegalStateException(
+          "The daemon was not ready in time. Try again on a machine that is less busy.");
+    }
+  }
+
+  private Integer serve(DaemonNode node, CountDownLatch stopped)
+      throws IOException, InterruptedException {
+    String base = "http://" + LOOPBACK + ":" + node.callerAddress().getPort();
     if (once) {
       return new SampleRequests(base, System.out).run() ? ExitCode.SUCCESS : ExitCode.FAILURE;
     }
     System.out.println("Callers: " + base);
+    System.out.println("Operators: http://" + LOOPBACK + ":" + node.adminAddress().getPort());
+    System.out.println("Operator key: " + ExampleConfiguration.OPERATOR_KEY);
     System.out.println("Try:");
     System.out.printf(TRY, base, ExampleConfiguration.TEAM_KEY);
     Runtime.getRuntime().addShutdownHook(new Thread(stopped::countDown));
@@ -66,9 +102,9 @@
     stopped.countDown();
   }
 
-  private DaemonSettings settings() {
+  private DaemonSettings settings(Path folder, String ratingAddress) {
     return new DaemonSettings(
-        "quickstart",
+        NODE,
         "quickstart",
         "local",
         ZONE,
@@ -76,12 +112,12 @@
         port,
         0,
         0,
-        null,
-        List.of(),
+        folder,
+        List.of(NODE),
         List.of(),
-        null,
+        ratingAddress,
         "quickstart-session-secret",
-        null,
+        Sha256.hex(ExampleConfiguration.OPERATOR_KEY),
         Duration.ofSeconds(10),
         null,
         null);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -5,12 +5,10 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
@@ -26,7 +24,6 @@
 import org.skylarkfork.runtime.trace.Metrics;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -45,7 +42,7 @@
   private final InstantSource clock;
   private final Codec codec;
   private final AdminCalls calls;
-  private final AnswerFormat format;
+  private final Replies replies;
   private final BodyReader bodies;
   private final Map<String, CompletableFuture<OperatorEffect>> waiting = new ConcurrentHashMap<>();
   private @Nullable DisposableServer server;
@@ -82,26 +79,15 @@
     this.codec = codec;
     this.calls =
         new AdminCalls(json, codec, new RequestParser(json, settings.defaultDeadline()), ids);
-    this.format = new AnswerFormat(json);
+    this.replies = new Replies(new AnswerFormat(json), "docs/OPERATIONS.md");
     this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
   }
 
   /** Opens the listener and returns its address. */
   public InetSocketAddress start() {
-    DisposableServer bound =
-        HttpServer.create()
-            .host(settings.host())
-            .port(settings.port())
-            .httpRequestDecoder(
-                decoder ->
-                    decoder
-                        .maxInitialLineLength(settings.maxLineBytes())
-                        .maxHeaderSize(settings.maxHeaderBytes()))
-            .idleTimeout(settings.idleTimeout())
-            .handle(this::handle)
-            .bindNow();
+    DisposableServer bound = Replies.bind(settings, this::handle);
     server = bound;
-    return (InetSocketAddress) bound.address();
+    return Replies.address(bound);
   }
 
   /** Carries an answer to its operator; ignored if the call has timed out. */
@@ -114,7 +100,8 @@
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return route(request, response)
-        .onErrorResume(BadRequestException.class, refused -> refuse(response, refused.error()));
+        .onErrorResume(
+            BadRequestException.class, refused -> replies.refuse(response, refused.error()));
   }
 
   private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
@@ -128,10 +115,10 @@
           : get(parts[0], argument, keyHash, request, response);
     }
     return switch (path) {
-      case "/metrics" -> send(response, 200, METRICS_TYPE, metrics.text());
-      case "/healthz" -> sendJson(response, 200, "{\"status\":\"ok\"}");
+      case "/metrics" -> Replies.whole(response, 200, METRICS_TYPE, metrics.text());
+      case "/healthz" -> Replies.json(response, 200, "{\"status\":\"ok\"}");
       case "/readyz" -> ready(response);
-      default -> noSuchPath(request, response);
+      default -> replies.noSuchPath(request, response);
     };
   }
 
@@ -144,7 +131,7 @@
               .flatMap(
                   body -> ask(calls.change(keyHash, request.requestHeaders(), body), response));
       case "dry-run" -> dryRun(keyHash, request, response);
-      default -> noSuchPath(request, response);
+      default -> replies.noSuchPath(request, response);
     };
   }
 
@@ -177,8 +164,8 @@
       case "in-force" -> ask(calls.inForce(keyHash, argument), response);
       default ->
           operator(keyHash)
-              .then(future(queries.view(resource, argument)))
-              .flatMap(view -> sendJson(response, 200, codec.toJson(view)));
+              .then(Replies.future(queries.view(resource, argument)))
+              .flatMap(view -> Replies.json(response, 200, codec.toJson(view)));
     };
   }
 
@@ -187,7 +174,7 @@
   }
 
   private Mono<Void> operator(String keyHash) {
-    return future(queries.isOperator(keyHash))
+    return Replies.future(queries.isOperator(keyHash))
         .flatMap(
             known ->
                 known
@@ -221,22 +208,22 @@
 
   private Mono<Void> answer(OperatorEffect effect, HttpServerResponse response) {
     if (effect instanceof OperatorEffect.RefuseOperator refused) {
-      return refuse(response, refused.error());
+      return replies.refuse(response, refused.error());
     }
     if (effect instanceof OperatorEffect.ChangeConflict conflict) {
-      return sendJson(response, conflict.error().kind().status(), codec.toJson(conflict));
+      return Replies.json(response, conflict.error().kind().status(), codec.toJson(conflict));
     }
     if (effect instanceof OperatorEffect.ChangeInvalid invalid) {
-      return sendJson(response, invalid.error().kind().status(), codec.toJson(invalid));
+      return Replies.json(response, invalid.error().kind().status(), codec.toJson(invalid));
     }
     if (effect instanceof OperatorEffect.ChangeAccepted accepted) {
       response.header(HttpHeaderNames.ETAG, tag(accepted.revision()));
     }
     if (effect instanceof OperatorEffect.SendConfiguration sent) {
       response.header(HttpHeaderNames.ETAG, tag(sent.configuration().revision()));
-      return sendJson(response, 200, codec.toJson(sent.configuration()));
+      return Replies.json(response, 200, codec.toJson(sent.configuration()));
     }
-    return sendJson(response, 200, codec.toJson(effect));
+    return Replies.json(response, 200, codec.toJson(effect));
   }
 
   private static String tag(long revision) {
@@ -244,42 +231,10 @@
   }
 
   private Mono<Void> ready(HttpServerResponse response) {
-    return future(edge.readiness())
+    return Replies.future(edge.readiness())
         .flatMap(
             readiness ->
-                sendJson(response, readiness.ready() ? 200 : 503, codec.toJson(readiness)));
-  }
-
-  private Mono<Void> noSuchPath(HttpServerRequest request, HttpServerResponse response) {
-    String what = request.method() + " " + request.fullPath();
-    return refuse(
-        response,
-        RoutingError.notRun(
-            ErrorKind.NOT_FOUND, "There is no " + what + ". See docs/OPERATIONS.md."));
-  }
-
-  private Mono<Void> refuse(HttpServerResponse response, RoutingError error) {
-    return sendJson(response, error.kind().status(), format.error(error));
-  }
-
-  private static <T> Mono<T> future(CompletableFuture<T> value) {
-    return Mono.fromFuture(value)
-        .onErrorMap(
-            CompletionException.class,
-            failure -> failure.getCause() == null ? failure : failure.getCause());
-  }
-
-  private static Mono<Void> sendJson(HttpServerResponse response, int status, String body) {
-    return send(response, status, "application/json", body);
-  }
-
-  private static Mono<Void> send(
-      HttpServerResponse response, int status, String type, String body) {
-    return response
-        .status(status)
-        .header(HttpHeaderNames.CONTENT_TYPE, type)
-        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)))
-        .then();
+                Replies.json(response, readiness.ready() ? 200 : 503, codec.toJson(readiness)));
   }
 
   /** Closes the listener and its connections. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -8,7 +8,6 @@
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +25,6 @@
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -34,7 +32,6 @@
 public final class CallerServer implements AutoCloseable {
 
   private static final String SERVICES = "/services/";
-  private static final String JSON_TYPE = "application/json";
   private static final String NEXT_ANNOUNCEMENT = "{\"nextMillis\":1000}";
 
   private final HttpSettings settings;
@@ -46,6 +43,7 @@
   private final RequestParser parser;
   private final AnnouncementParser announcements;
   private final AnswerFormat format;
+  private final Replies replies;
   private final BodyReader bodies;
   private final Map<String, CallerAnswer> answers = new ConcurrentHashMap<>();
   private @Nullable DisposableServer server;
@@ -76,25 +74,15 @@
     this.parser = new RequestParser(json, settings.defaultDeadline());
     this.announcements = new AnnouncementParser(json);
     this.format = new AnswerFormat(json);
+    this.replies = new Replies(format, "docs/CALLERS.md");
     this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
   }
 
   /** Opens the listener and returns its address. */
   public InetSocketAddress start() {
-    DisposableServer bound =
-        HttpServer.create()
-            .host(settings.host())
-            .port(settings.port())
-            .httpRequestDecoder(
-                decoder ->
-                    decoder
-                        .maxInitialLineLength(settings.maxLineBytes())
-                        .maxHeaderSize(settings.maxHeaderBytes()))
-            .idleTimeout(settings.idleTimeout())
-            .handle(this::handle)
-            .bindNow();
+    DisposableServer bound = Replies.bind(settings, this::handle);
     server = bound;
-    return (InetSocketAddress) bound.address();
+    return Replies.address(bound);
   }
 
   /** Carries an answer to its caller; ignored if the caller has left. */
@@ -128,7 +116,8 @@
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return route(request, response)
-        .onErrorResume(BadRequestException.class, refused -> refuse(response, refused.error()));
+        .onErrorResume(
+            BadRequestException.class, refused -> replies.refuse(response, refused.error()));
   }
 
   private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
@@ -141,7 +130,7 @@
     if (request.method().equals(HttpMethod.GET)) {
       return get(request, response);
     }
-    return noSuchPath(request, response);
+    return replies.noSuchPath(request, response);
   }
 
   private Mono<Void> post(HttpServerRequest request, HttpServerResponse response) {
@@ -149,7 +138,7 @@
       case "/v1/chat/completions" -> draft(RequestKind.CHAT, request, response);
       case "/v1/completions" -> draft(RequestKind.COMPLETION, request, response);
       case "/v1/upstreams" -> announced(request, response);
-      default -> noSuchPath(request, response);
+      default -> replies.noSuchPath(request, response);
     };
   }
 
@@ -157,20 +146,12 @@
     return switch (request.fullPath()) {
       case "/v1/models" -> models(request, response);
       case "/v1/entries" -> answer(response, queries.entries());
-      case "/healthz" -> sendJson(response, 200, "{\"status\":\"ok\"}");
+      case "/healthz" -> Replies.json(response, 200, "{\"status\":\"ok\"}");
       case "/readyz" -> ready(response);
-      default -> noSuchPath(request, response);
+      default -> replies.noSuchPath(request, response);
     };
   }
 
-  private Mono<Void> noSuchPath(HttpServerRequest request, HttpServerResponse response) {
-    String what = request.method() + " " + request.fullPath();
-    return refuse(
-        response,
-        RoutingError.notRun(
-            ErrorKind.NOT_FOUND, "There is no " + what + ". See docs/CALLERS.md for the paths."));
-  }
-
   private Mono<Void> draft(
       RequestKind kind, HttpServerRequest request, HttpServerResponse response) {
     RequestParser.keyHash(request.requestHeaders());
@@ -222,7 +203,7 @@
     answers.put(id, answer);
     if (!loop.offer(new CallerEvent.RequestReceived(request))) {
       answers.remove(id);
-      return refuse(
+      return replies.refuse(
           response,
           RoutingError.notRunRetry(
               ErrorKind.NO_CAPACITY, "This entry is overloaded. Use another entry.", 1000));
@@ -243,11 +224,11 @@
   private Mono<Void> write(CallerAnswer answer, CallerEffect head, HttpServerResponse response) {
     if (head instanceof CallerEffect.Refuse refused) {
       facts(response, refused.facts());
-      return refuse(response, refused.error());
+      return replies.refuse(response, refused.error());
     }
     if (head instanceof CallerEffect.SendDraft draft) {
       facts(response, draft.facts());
-      return sendJson(
+      return Replies.json(
           response,
           200,
           format.whole(
@@ -289,7 +270,7 @@
         .flatMap(
             body -> {
               loop.submit(new UpstreamEvent.Announced(announcements.parse(body)));
-              return sendJson(response, 200, NEXT_ANNOUNCEMENT);
+              return Replies.json(response, 200, NEXT_ANNOUNCEMENT);
             });
   }
 
@@ -298,29 +279,13 @@
   }
 
   private Mono<Void> ready(HttpServerResponse response) {
-    return future(queries.readiness())
-        .flatMap(readiness -> sendJson(response, readiness.ready() ? 200 : 503, text(readiness)));
+    return Replies.future(queries.readiness())
+        .flatMap(
+            readiness -> Replies.json(response, readiness.ready() ? 200 : 503, text(readiness)));
   }
 
   private <T> Mono<Void> answer(HttpServerResponse response, CompletableFuture<T> value) {
-    return future(value).flatMap(found -> sendJson(response, 200, text(found)));
-  }
-
-  private static <T> Mono<T> future(CompletableFuture<T> value) {
-    return Mono.fromFuture(value)
-        .onErrorMap(
-            CompletionException.class,
-            failure -> failure.getCause() == null ? failure : failure.getCause());
-  }
-
-  private Mono<Void> refuse(HttpServerResponse response, RoutingError error) {
-    response.header(HttpNames.RUN_STATE, error.runState().header());
-    @Nullable Long retryAfter = error.retryAfterMillis();
-    if (retryAfter != null) {
-      response.header("Retry-After", Long.toString((retryAfter + 999) / 1000));
-      response.header("Retry-After-Ms", Long.toString(retryAfter));
-    }
-    return sendJson(response, error.kind().status(), format.error(error));
+    return Replies.future(value).flatMap(found -> Replies.json(response, 200, text(found)));
   }
 
   private static void facts(HttpServerResponse response, AnswerFacts facts) {
@@ -340,14 +305,6 @@
     }
   }
 
-  private static Mono<Void> sendJson(HttpServerResponse response, int status, String body) {
-    return response
-        .status(status)
-        .header("Content-Type", JSON_TYPE)
-        .sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8)))
-        .then();
-  }
-
   private String text(Object value) {
     try {
       return json.writeValueAsString(value);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
@@ -57,5 +57,8 @@
   /** Operator's id of a change; a resend with the same id gets the first answer. */
   public static final String CHANGE_ID = "Skylarkfork-Change-Id";
 
+  /** Milliseconds after which it is worth asking again. */
+  public static final String RETRY_AFTER_MILLIS = "Retry-After-Ms";
+
   private HttpNames() {}
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -2,96 +2,92 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
-import org.skylarkfork.core.Reducer;
-import org.skylarkfork.core.admission.OpenAdmission;
-import org.skylarkfork.core.attempt.RequestCollaborators;
-import org.skylarkfork.core.attempt.RequestPart;
-import org.skylarkfork.core.attempt.RequestSettings;
-import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.configuration.ConfigurationChange;
 import org.skylarkfork.core.event.LifecycleEvent;
-import org.skylarkfork.core.membership.DirectoryPart;
-import org.skylarkfork.core.membership.DirectorySettings;
-import org.skylarkfork.core.membership.EntryList;
-import org.skylarkfork.core.membership.EntryListSettings;
+import org.skylarkfork.core.event.OperatorEvent;
 import org.skylarkfork.core.membership.Member;
-import org.skylarkfork.core.membership.MembershipPart;
-import org.skylarkfork.core.membership.MembershipSettings;
-import org.skylarkfork.core.membership.Seed;
 import org.skylarkfork.core.membership.ServingState;
-import org.skylarkfork.core.quality.PriorQualityBook;
-import org.skylarkfork.core.quality.QualityBook;
-import org.skylarkfork.core.routing.Candidates;
-import org.skylarkfork.core.routing.CheapestModelPlanner;
-import org.skylarkfork.core.routing.CompiledRules;
-import org.skylarkfork.core.routing.DirectPlanner;
-import org.skylarkfork.core.routing.FixedOrderPlanner;
-import org.skylarkfork.core.routing.LeastReportedLoadChooser;
-import org.skylarkfork.core.routing.RoutePlanner;
-import org.skylarkfork.core.routing.Versions;
-import org.skylarkfork.core.session.SessionPins;
 import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.http.AdminServer;
 import org.skylarkfork.runtime.http.CallerServer;
 import org.skylarkfork.runtime.http.HttpSettings;
+import org.skylarkfork.runtime.http.Sha256;
 import org.skylarkfork.runtime.http.UpstreamClient;
 import org.skylarkfork.runtime.loop.Journal;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.loop.ReducerLoop;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.storage.DiskStorage;
+import org.skylarkfork.runtime.storage.FileDisk;
+import org.skylarkfork.runtime.storage.Storage;
+import org.skylarkfork.runtime.storage.StorageSettings;
 import org.skylarkfork.runtime.trace.Metrics;
 import org.skylarkfork.runtime.trace.TimelineWriter;
 import org.skylarkfork.runtime.trace.TraceHandler;
+import org.skylarkfork.runtime.transport.PeerFilter;
+import org.skylarkfork.runtime.transport.PeerTransport;
+import org.skylarkfork.runtime.transport.TlsFiles;
+import org.skylarkfork.runtime.transport.TransportSettings;
 import org.tinylog.Logger;
 
-/** One daemon: its parts, listeners and clients. */
+/** One daemon: its parts, listeners, clients and storage. */
 public final class DaemonNode implements AutoCloseable {
 
   private static final long POLL_MILLIS = 10;
 
   private final DaemonSettings settings;
-  private final Metrics metrics = new Metrics();
   private final MonotonicClock clock;
+  private final Codec codec = new Codec();
+  private final Metrics metrics = new Metrics();
+  private final long incarnation;
+  private final @Nullable TimelineWriter timeline;
   private final ReducerLoop loop;
-  private final CallerServer callers;
+  private final PeerTransport peers;
+  private final @Nullable Storage storage;
   private final UpstreamClient upstreams;
-  private final @Nullable TimelineWriter timeline;
+  private final CallerServer callers;
   private final NodeQueries queries;
-  private final long incarnation;
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private @Nullable AdminServer admin;
+  private @Nullable NodeParts parts;
   private @Nullable InetSocketAddress callerAddress;
-  private @Nullable DirectoryPart directory;
+  private @Nullable InetSocketAddress adminAddress;
 
   /**
    * Makes a daemon; {@link #start} opens it.
    *
    * @param settings its settings
    * @param clock the daemon's clock
+   * @param filter may drop frames in silence, to try partitions out
    * @param onFailure told if an invariant breaks
    */
-  public DaemonNode(DaemonSettings settings, MonotonicClock clock, Consumer<Throwable> onFailure) {
+  public DaemonNode(
+      DaemonSettings settings,
+      MonotonicClock clock,
+      PeerFilter filter,
+      Consumer<Throwable> onFailure) {
     this.settings = settings;
     this.clock = clock;
     this.incarnation = clock.instant().toEpochMilli();
     this.timeline =
         settings.timelineFile() == null
             ? null
-            : new TimelineWriter(settings.timelineFile(), new Codec(), metrics);
-    TraceHandler traces = new TraceHandler(settings.node(), metrics, timeline);
-    EffectRouter router =
-        new EffectRouter(
-            effect -> callers().carryOut(effect),
-            effect -> upstreams().carryOut(effect),
-            effect -> {},
-            effect -> {},
-            effect -> {},
-            traces::carryOut);
-    this.loop = new ReducerLoop(clock, router, Journal.NONE, onFailure);
+            : new TimelineWriter(settings.timelineFile(), codec, metrics);
+    this.loop = new ReducerLoop(clock, router(), Journal.NONE, onFailure);
     this.queries = new NodeQueries(loop);
+    this.peers = new PeerTransport(transportSettings(), codec, loop::submit, filter);
+    this.storage = openStorage();
     ObjectMapper json = new ObjectMapper();
     this.upstreams = new UpstreamClient(json, settings.ratingService(), loop::submit);
     this.callers =
@@ -104,72 +100,116 @@
             json);
   }
 
-  private CallerServer callers() {
-    return callers;
-  }
-
-  private UpstreamClient upstreams() {
-    return upstreams;
-  }
-
-  /** Opens the listeners and starts to work. */
-  public void start(Configuration configuration) {
-    InetSocketAddress address = callers.start();
-    callerAddress = address;
-    FixedConfiguration view = new FixedConfiguration(configuration);
-    directory = new DirectoryPart(settings.node(), view, DirectorySettings.DEFAULT);
-    MembershipPart membership =
-        new MembershipPart(self(address), seeds(), view, MembershipSettings.DEFAULT, incarnation);
-    EntryList entries = new EntryList(membership, view, EntryListSettings.DEFAULT);
-    QualityBook quality = new PriorQualityBook(view);
-    SessionPins pins = new LocalPins();
-    Candidates candidates =
-        new Candidates(view, new Versions(view, directory, quality, pins, settings.zone()));
-    LocalLedger ledger = new LocalLedger();
-    RequestPart requests =
-        new RequestPart(
-            new RequestCollaborators(
-                view,
-                current -> new CompiledRules(current.rules()),
-                new RoutePlanner(
-                    new CheapestModelPlanner(candidates),
-                    new DirectPlanner(candidates),
-                    new FixedOrderPlanner(candidates)),
-                directory,
-                new LeastReportedLoadChooser(),
-                quality,
-                pins,
-                ledger,
-                new OpenAdmission(),
-                entries),
-            RequestSettings.DEFAULT,
-            incarnation);
-    queries.attach(view, entries);
-    loop.start(new Reducer(List.of(membership, directory, entries, requests, ledger)));
+  private EffectRouter router() {
+    TraceHandler traces = new TraceHandler(settings.node(), metrics, timeline);
+    return new EffectRouter(
+        effect -> callers.carryOut(effect),
+        effect -> upstreams.carryOut(effect),
+        effect -> adminServer().carryOut(effect),
+        effect -> peers.carryOut(effect),
+        effect -> storage().carryOut(effect),
+        traces::carryOut);
+  }
+
+  private TransportSettings transportSettings() {
+    DaemonSettings.Tls tls = settings.tls();
+    return new TransportSettings(
+        settings.node(),
+        settings.cluster(),
+        incarnation,
+        settings.host(),
+        settings.peerPort(),
+        TransportSettings.Limits.DEFAULT,
+        tls == null ? null : new TlsFiles(tls.certificate(), tls.key(), tls.trusted()));
+  }
+
+  private @Nullable Storage openStorage() {
+    Path folder = settings.dataFolder();
+    if (folder == null) {
+      return null;
+    }
+    return new DiskStorage(
+        new StorageSettings(
+            folder, StorageSettings.DEFAULT_SEGMENT_BYTES, UUID.randomUUID().toString()),
+        codec,
+        new FileDisk(),
+        loop::submit);
+  }
+
+  private Storage storage() {
+    if (storage == null) {
+      throw new IllegalStateException("only a daemon with a data folder hosts replicas");
+    }
+    return storage;
+  }
+
+  private AdminServer adminServer() {
+    if (admin == null) {
+      throw new IllegalStateException("start the daemon first");
+    }
+    return admin;
+  }
+
+  private NodeParts parts() {
+    if (parts == null) {
+      throw new IllegalStateException("start the daemon first");
+    }
+    return parts;
+  }
+
+  /** Opens the listeners, recovers what is stored and starts to work. */
+  public void start() {
+    peers.start();
+    callerAddress = callers.start();
+    admin =
+        new AdminServer(
+            HttpSettings.usual(settings.host(), settings.adminPort()),
+            loop,
+            new NodeViews(loop, this::parts, settings),
+            queries,
+            metrics,
+            clock,
+            new RequestIds("call-" + settings.node(), incarnation),
+            new ObjectMapper(),
+            codec);
+    adminAddress = admin.start();
+    NodeParts made = new NodeParts(settings, self(), codec, seed());
+    parts = made;
+    queries.attach(made.configuration(), made.entries());
+    for (GroupId group : made.hostedGroups()) {
+      storage().recover(group);
+    }
+    loop.start(made.reducer(event -> onEvent(event)));
     loop.submit(new LifecycleEvent.Started());
-    Logger.info("node: {} serves callers at {}.", settings.node(), address);
+    Logger.info("node: {} serves callers at {}.", settings.node(), callerAddress);
   }
 
-  private Member self(InetSocketAddress address) {
+  private void onEvent(LifecycleEvent event) {
+    if (event instanceof LifecycleEvent.Ending) {
+      ended.countDown();
+    }
+  }
+
+  private long seed() {
+    return UUID.randomUUID().getMostSignificantBits();
+  }
+
+  private Member self() {
+    List<String> roles =
+        settings.isVoter() ? List.of(Member.ENTRY, Member.CONTROL) : List.of(Member.ENTRY);
     return new Member(
         settings.node(),
         settings.host(),
-        settings.peerPort(),
-        address.getPort(),
-        settings.adminPort(),
+        peers.port(),
+        callerAddress().getPort(),
+        adminAddress().getPort(),
         settings.zone(),
         settings.region(),
-        List.of(Member.ENTRY),
+        roles,
         1,
         incarnation,
         0,
-        ServingState.SERVING);
-  }
-
-  private List<Seed> seeds() {
-    return settings.seeds().stream()
-        .map(seed -> new Seed(seed.node(), seed.host(), seed.port()))
-        .toList();
+        ServingState.NOT_SERVING);
   }
 
   /** Returns the address for callers; only after the start. */
@@ -180,41 +220,100 @@
     return callerAddress;
   }
 
+  /** Returns the address for operators; only after the start. */
+  public InetSocketAddress adminAddress() {
+    if (adminAddress == null) {
+      throw new IllegalStateException("start the daemon first");
+    }
+    return adminAddress;
+  }
+
+  /** Returns the port for other daemons; only after the start. */
+  public int peerPort() {
+    return peers.port();
+  }
+
+  /** Returns whether this daemon takes new work. */
+  public CompletableFuture<Boolean> ready() {
+    return queries.readiness().thenApply(readiness -> readiness.ready());
+  }
+
+  /** Returns whether this daemon leads the configuration group. */
+  public CompletableFuture<Boolean> leads() {
+    return loop.ask(now -> parts().consensus().holdsLease(GroupId.CONFIGURATION, now));
+  }
+
+  /** Returns how many upstreams this daemon knows. */
+  public CompletableFuture<Integer> knownUpstreams() {
+    return loop.ask(now -> parts().directory().all().size());
+  }
+
+  /**
+   * Submits a change of the configuration with the bootstrap key; its fate is asked for over HTTP.
+   *
+   * @param operatorKey key of an operator
+   * @param changeId id of the change
+   * @param change the change
+   */
+  public void change(String operatorKey, String changeId, ConfigurationChange change) {
+    loop.submit(
+        new OperatorEvent.ChangeRequested(
+            changeId, Sha256.hex(operatorKey), changeId, null, change));
+  }
+
   /**
-   * Waits until enough upstreams have announced themselves.
+   * Waits until something holds.
    *
-   * @param count how many
+   * @param condition what is waited for
    * @param limit how long to wait at most
-   * @throws IllegalStateException if too few came in time
+   * @return whether it held in time
    */
-  public void awaitUpstreams(int count, Duration limit) throws InterruptedException {
+  public boolean await(CompletableCondition condition, Duration limit) throws InterruptedException {
     Instant until = clock.instant().plus(limit);
-    while (loop.ask(now -> directory().all().size()).join() < count) {
+    while (!condition.holds().join()) {
       if (clock.instant().isAfter(until)) {
-        throw new IllegalStateException("too few upstreams announced themselves in time");
+        return false;
       }
-      Thread.sleep(POLL_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
     }
+    return true;
   }
 
-  private DirectoryPart directory() {
-    if (directory == null) {
-      throw new IllegalStateException("start the daemon first");
-    }
-    return directory;
+  /** A condition on the daemon's state. */
+  public interface CompletableCondition {
+
+    /** Asks whether it holds now. */
+    CompletableFuture<Boolean> holds();
   }
 
-  /** Asks something of the daemon's state on the reducer's thread. */
-  public <T> CompletableFuture<T> ask(Function<Instant, T> question) {
-    return loop.ask(question);
+  /**
+   * Stops gracefully: leaves the entry list, serves until the last list with this entry has run
+   * out, finishes what runs, and closes.
+   *
+   * @param limit longest time for all of it
+   * @return whether every request was finished in time
+   */
+  public boolean stop(Duration limit) throws InterruptedException {
+    Logger.info("node: {} stops gracefully.", settings.node());
+    loop.submit(new LifecycleEvent.StopRequested());
+    boolean whole = ended.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+    close();
+    return whole;
   }
 
   /** Closes the daemon at once. */
   @Override
   public void close() {
     callers.close();
+    if (admin != null) {
+      admin.close();
+    }
     upstreams.close();
     loop.close();
+    peers.close();
+    if (storage != null) {
+      storage.close();
+    }
     if (timeline != null) {
       timeline.close();
     }
