Orders: roll-outs under a lease with fencing numbers and waits

Cause: a roll-out must go on wherever it is interrupted, and two holders must not order an engine at once, also not one that ignores fencing numbers and not when clocks jump. Change: OrderMachine keeps the lease, the orders recorded before they are sent, the weight store's budget and the roll-outs' progress; CompositeMachine puts it into the configuration group. OrderPart prepares a roll-out one step ahead of the work and unloads what is no longer needed after a delay. A holder counts its lease from the sending of the request; the next one waits for the old lease and the old orders' timeout on its own clock, counted in steps of at most 100 ms, so that a jump of its clock or of the leader's doesn't shorten the wait; a clock set back ends the hold. Conclusion: the lease's safety rests on no clock's reading, only on its speed.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Command.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Command.java
@@ -6,4 +6,5 @@
  * <p>A command is applied on each replica in log order and must give the same result on each. It
  * carries the key that makes a second delivery harmless (a change id, a claim key).
  */
-public sealed interface Command permits GroupCommand, LedgerCommand, ConfigurationCommand {}
+public sealed interface Command
+    permits GroupCommand, LedgerCommand, ConfigurationCommand, OrderCommand {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/CommandResult.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/CommandResult.java
@@ -2,7 +2,11 @@
 
 /** What applying a command gave, sent back to the daemon that submitted it. */
 public sealed interface CommandResult
-    permits CommandResult.Done, CommandResult.Rejected, LedgerResult, ConfigurationResult {
+    permits CommandResult.Done,
+        CommandResult.Rejected,
+        LedgerResult,
+        ConfigurationResult,
+        OrderResult {
 
   /** The command took effect and has nothing more to say. */
   record Done() implements CommandResult {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/CompositeMachine.java
@@ -0,0 +1,59 @@
+package org.skylarkfork.core.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Lets several state machines share one group, each with its own family of commands. */
+public final class CompositeMachine implements StateMachine {
+
+  private final List<Route> routes;
+
+  /**
+   * Makes the machine.
+   *
+   * @param routes the machines; new ones go to the end, since snapshots know them by their place
+   */
+  public CompositeMachine(List<Route> routes) {
+    this.routes = List.copyOf(routes);
+  }
+
+  /**
+   * One of the machines.
+   *
+   * @param family the commands that it takes
+   * @param machine the machine
+   */
+  public record Route(Class<? extends Command> family, StateMachine machine) {}
+
+  @Override
+  public CommandResult apply(long index, Instant stampedAt, Command command) {
+    for (Route route : routes) {
+      if (route.family().isInstance(command)) {
+        return route.machine().apply(index, stampedAt, command);
+      }
+    }
+    return new CommandResult.Rejected(
+        "this group doesn't know "
+            + command.getClass().getSimpleName()
+            + "; submit it to the group of its family");
+  }
+
+  @Override
+  public GroupState snapshot() {
+    List<GroupState> states = new ArrayList<>();
+    routes.forEach(route -> states.add(route.machine().snapshot()));
+    return new CompositeState(states);
+  }
+
+  /** Restores each machine; a state that is not composite is taken as that of the first. */
+  @Override
+  public void restore(GroupState state) {
+    List<GroupState> states =
+        state instanceof CompositeState composite ? composite.states() : List.of(state);
+    for (int place = 0; place < routes.size(); place++) {
+      GroupState own = place < states.size() ? states.get(place) : new GroupState.Empty();
+      routes.get(place).machine().restore(own);
+    }
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupState.java
@@ -1,7 +1,8 @@
 package org.skylarkfork.core.command;
 
 /** The whole state of a replicated group, as kept in a snapshot. */
-public sealed interface GroupState permits GroupState.Empty, LedgerState, ConfigurationState {
+public sealed interface GroupState
+    permits GroupState.Empty, LedgerState, ConfigurationState, OrderState, CompositeState {
 
   /** The state of a group that has applied nothing yet. */
   record Empty() implements GroupState {}
