--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
@@ -98,6 +98,8 @@
     Turn turn = new Turn(node, latest, output);
     if (event instanceof LifecycleEvent.Tick) {
       tick(turn);
+    } else if (event instanceof LifecycleEvent.StopRequested) {
+      groups.values().forEach(group -> group.prepareStop(turn));
     } else if (event instanceof StorageEvent stored) {
       onStorage(stored, turn);
     } else if (event instanceof PeerEvent.MessageReceived received) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Election.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Election.java
@@ -40,10 +40,10 @@
     grants.clear();
     grants.add(replica.node);
     if (hasMajority()) {
-      campaign(turn);
+      campaign(false, turn);
       return;
     }
-    VoteRequest request = request(replica.term() + 1, true);
+    VoteRequest request = request(replica.term() + 1, true, false);
     for (Member voter : replica.members.latest().voters()) {
       if (!voter.node().equals(replica.node)) {
         turn.send(voter.node(), request);
@@ -51,13 +51,18 @@
     }
   }
 
-  private void campaign(Turn turn) {
+  /** Campaigns because the leader asked for it, without waiting for its lease to end. */
+  void takeOver(Turn turn) {
+    campaign(true, turn);
+  }
+
+  private void campaign(boolean handover, Turn turn) {
     replica.adoptTerm(replica.term() + 1);
     replica.voteFor(replica.node);
     replica.become(Role.CANDIDATE, null, turn);
     replica.drawElectionDeadline(turn.now());
     grants.clear();
-    VoteRequest request = request(replica.term(), false);
+    VoteRequest request = request(replica.term(), false, handover);
     for (Member voter : replica.members.latest().voters()) {
       if (!voter.node().equals(replica.node)) {
         replica.durability.afterHardState(voter.node(), replica.term(), request, turn);
@@ -65,9 +70,9 @@
     }
   }
 
-  private VoteRequest request(long term, boolean preVote) {
+  private VoteRequest request(long term, boolean preVote, boolean handover) {
     RaftLog log = replica.log;
-    return new VoteRequest(replica.group, term, log.lastIndex(), log.lastTerm(), preVote);
+    return new VoteRequest(replica.group, term, log.lastIndex(), log.lastTerm(), preVote, handover);
   }
 
   /** Returns whether the votes counted so far, the synced own one among them, are enough. */
@@ -94,7 +99,8 @@
 
   void onRequest(String from, VoteRequest request, Turn turn) {
     boolean newerTerm = request.term() > replica.term();
-    if (newerTerm && replica.leaseMayHold(turn.now())) {
+    boolean leaseGivenUp = request.handover() && !replica.leads();
+    if (newerTerm && !leaseGivenUp && replica.leaseMayHold(turn.now())) {
       respond(from, request, false, turn);
       return;
     }
@@ -145,7 +151,7 @@
         grants.add(from);
       }
       if (hasMajority()) {
-        campaign(turn);
+        campaign(false, turn);
       }
     } else if (!response.preVote() && response.term() == replica.term()) {
       grants.add(from);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -16,6 +16,7 @@
 import org.skylarkfork.core.message.RaftMessage;
 import org.skylarkfork.core.message.RaftMessage.AppendRequest;
 import org.skylarkfork.core.message.RaftMessage.AppendResponse;
+import org.skylarkfork.core.message.RaftMessage.CampaignNow;
 import org.skylarkfork.core.message.RaftMessage.ChunkResponse;
 import org.skylarkfork.core.message.RaftMessage.FoundingRequest;
 import org.skylarkfork.core.message.RaftMessage.FoundingResponse;
@@ -45,6 +46,7 @@
   private final Applier applier;
   private final Founding founding;
   private boolean recovered;
+  private boolean stopping;
 
   RaftGroup(
       GroupSetup setup,
@@ -166,7 +168,7 @@
         && (replication.lostMajority(turn.now()) || replica.durability.stalledSince(stall))) {
       stepDown(turn);
     }
-    if (!snapshotReceiver.saving()) {
+    if (!stopping && !snapshotReceiver.saving()) {
       election.tick(turn);
     }
     founding.tick(turn);
@@ -210,6 +212,8 @@
       founding.onRequest(from, request, turn);
     } else if (message instanceof FoundingResponse response) {
       founding.onResponse(from, response, turn);
+    } else if (message instanceof CampaignNow handover) {
+      onCampaignNow(from, handover, turn);
     } else if (message instanceof JoinRequest request) {
       onJoin(from, request, turn);
     } else if (message instanceof JoinResponse response) {
@@ -217,6 +221,13 @@
     }
   }
 
+  private void onCampaignNow(String from, CampaignNow handover, Turn turn) {
+    boolean current = handover.term() == replica.term() && from.equals(replica.leader());
+    if (current && replica.votes() && !stopping && !snapshotReceiver.saving()) {
+      election.takeOver(turn);
+    }
+  }
+
   private void onJoin(String from, JoinRequest request, Turn turn) {
     if (replica.leads()) {
       memberChanges.joining(from, request.instance());
@@ -273,6 +284,20 @@
     replication.stop();
   }
 
+  /** Hands the office over before the daemon stops, so that callers needn't wait an election. */
+  void prepareStop(Turn turn) {
+    stopping = true;
+    if (!replica.leads()) {
+      return;
+    }
+    String successor = replication.successor();
+    stepDown(turn);
+    if (successor != null) {
+      turn.send(successor, new CampaignNow(replica.group, replica.term()));
+    }
+    finish(turn);
+  }
+
   private void lead(Turn turn) {
     replica.become(Role.LEADER, replica.node, turn);
     replica.append(new GroupCommand.NoOperation(), turn.now());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
@@ -255,6 +255,18 @@
     return answers.size() < members.quorum() ? least : answers.get(members.quorum() - 1);
   }
 
+  /** Returns the voter that has most of the log, or null if this replica is the only one. */
+  @Nullable String successor() {
+    Progress best = null;
+    for (Progress progress : progresses.values()) {
+      boolean votes = replica.members.latest().votes(progress.member);
+      if (votes && (best == null || progress.matchIndex > best.matchIndex)) {
+        best = progress;
+      }
+    }
+    return best == null ? null : best.member.node();
+  }
+
   /** Returns a learner that has all committed entries and answers, or null if there is none. */
   @Nullable Member caughtUpLearner(Instant now) {
     for (Member learner : replica.members.latest().learners()) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SnapshotReceiver.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SnapshotReceiver.java
@@ -10,6 +10,9 @@
 /** Collects a snapshot sent by the leader and has it saved before it takes its place. */
 final class SnapshotReceiver {
 
+  /** Most bytes of a snapshot, so that a false length can't take all memory. */
+  private static final int MAX_BYTES = 256 * 1024 * 1024;
+
   private static final byte[] NOTHING = new byte[0];
 
   private final Replica replica;
@@ -54,6 +57,9 @@
   }
 
   private void collect(SnapshotChunk chunk, Turn turn) {
+    if (chunk.length() < 0 || chunk.length() > MAX_BYTES || chunk.offset() < 0) {
+      return;
+    }
     if (chunk.index() != index || chunk.length() != buffer.length) {
       index = chunk.index();
       buffer = new byte[chunk.length()];
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
@@ -22,10 +22,21 @@
    * @param lastIndex index of the candidate's last entry
    * @param lastTerm term of the candidate's last entry
    * @param preVote whether it only asks if it could win
+   * @param handover whether the leader gave up its office for this campaign, so that no lease
+   *     stands against the vote
    */
-  record VoteRequest(GroupId group, long term, long lastIndex, long lastTerm, boolean preVote)
+  record VoteRequest(
+      GroupId group, long term, long lastIndex, long lastTerm, boolean preVote, boolean handover)
       implements RaftMessage {}
 
+  /**
+   * Tells a voter to campaign at once, since the leader has given up its office.
+   *
+   * @param group the group
+   * @param term the term that the leader led
+   */
+  record CampaignNow(GroupId group, long term) implements RaftMessage {}
+
   /**
    * Answers a request for a vote; a real vote is on the voter's disk before this is sent.
    *
