Core: upstreams' announcements spread as deltas

Cause: each daemon kept only the upstreams that announced themselves to it. Change: the daemon that hears an upstream owns it, times its silence and spreads changes only, those that take an upstream out first: directly to few daemons, through one or two daemons of each zone to many. Random comparisons by hashes repair what was lost and fill new daemons. Upstreams whose owner died or restarted are dropped by each daemon by itself unless another hears them. Loads go only to daemons that use the upstream; of a large pool each uses a subset.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/UpstreamPool.java
@@ -0,0 +1,93 @@
+package org.skylarkfork.core.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.upstream.Announcement;
+
+/**
+ * The upstreams of one model version or service, of which a daemon uses all or a subset.
+ *
+ * <p>A daemon that used all of a large pool would have to follow all their loads. Each uses the
+ * first few in rendezvous order of its own name, most of them in its zone, so that the daemons
+ * spread evenly over a pool and a change of the pool moves few.
+ */
+final class UpstreamPool {
+
+  /** One of so many in a subset is from another zone, for the loss of the own one. */
+  private static final int ELSEWHERE_SHARE = 4;
+
+  private final String self;
+  private final String zone;
+  private final int subset;
+  private final TreeMap<String, Announcement> members = new TreeMap<>();
+  private @Nullable List<Announcement> chosen;
+  private @Nullable List<String> chosenIds;
+
+  UpstreamPool(String self, String zone, int subset) {
+    this.self = self;
+    this.zone = zone;
+    this.subset = subset;
+  }
+
+  boolean isEmpty() {
+    return members.isEmpty();
+  }
+
+  void add(Announcement announcement) {
+    members.put(announcement.id(), announcement);
+    chosen = null;
+    chosenIds = null;
+  }
+
+  void remove(String id) {
+    members.remove(id);
+    chosen = null;
+    chosenIds = null;
+  }
+
+  /** Takes a newer announcement that leaves the choice of the subset as it is. */
+  void replace(Announcement announcement) {
+    members.put(announcement.id(), announcement);
+    chosen = null;
+  }
+
+  /** Returns the upstreams to use, in the order of ids. */
+  List<Announcement> subset() {
+    if (chosen == null) {
+      chosen =
+          members.size() <= subset
+              ? List.copyOf(members.values())
+              : ids().stream().map(members::get).toList();
+    }
+    return chosen;
+  }
+
+  private List<String> ids() {
+    if (chosenIds == null) {
+      chosenIds = choose();
+    }
+    return chosenIds;
+  }
+
+  private List<String> choose() {
+    List<Announcement> near = new ArrayList<>();
+    List<Announcement> far = new ArrayList<>();
+    for (Announcement member : members.values()) {
+      (member.zone().equals(zone) ? near : far).add(member);
+    }
+    int fromFar = Math.max(subset / ELSEWHERE_SHARE, subset - near.size());
+    List<String> ids = first(far, fromFar);
+    ids.addAll(first(near, subset - ids.size()));
+    ids.sort(Comparator.naturalOrder());
+    return ids;
+  }
+
+  private List<String> first(List<Announcement> from, int count) {
+    List<String> ids = from.stream().map(Announcement::id).toList();
+    List<String> ordered = Hashes.rendezvous(self, ids);
+    return new ArrayList<>(ordered.subList(0, Math.min(count, ordered.size())));
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/UpstreamTable.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/UpstreamTable.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.upstream.Announcement;
@@ -23,10 +25,26 @@
   static final int BUCKETS = 256;
 
   private final TreeMap<String, UpstreamRecord> records = new TreeMap<>();
-  private final Map<ModelVersion, TreeMap<String, Announcement>> engines = new HashMap<>();
-  private final Map<String, TreeMap<String, Announcement>> services = new HashMap<>();
+  private final Map<ModelVersion, UpstreamPool> engines = new TreeMap<>();
+  private final Map<String, UpstreamPool> services = new TreeMap<>();
   private final Map<String, String> idByAddress = new HashMap<>();
   private final long[] bucketHashes = new long[BUCKETS];
+  private final String zone;
+  private final String self;
+  private final int subset;
+
+  /**
+   * Makes an empty table.
+   *
+   * @param self name of this daemon, by which its subsets differ from others'
+   * @param zone availability zone that subsets prefer
+   * @param subset most upstreams in a subset
+   */
+  UpstreamTable(String self, String zone, int subset) {
+    this.self = self;
+    this.zone = zone;
+    this.subset = subset;
+  }
 
   @Nullable UpstreamRecord get(String id) {
     return records.get(id);
@@ -36,12 +54,26 @@
     return Collections.unmodifiableCollection(records.values());
   }
 
-  Collection<Announcement> engines(ModelVersion version) {
-    return values(engines.get(version));
+  int size() {
+    return records.size();
+  }
+
+  List<Announcement> engines(ModelVersion version) {
+    UpstreamPool pool = engines.get(version);
+    return pool == null ? List.of() : pool.subset();
   }
 
-  Collection<Announcement> services(String service) {
-    return values(services.get(service));
+  List<Announcement> services(String service) {
+    UpstreamPool pool = services.get(service);
+    return pool == null ? List.of() : pool.subset();
+  }
+
+  /** Returns the names of all upstreams that this daemon uses. */
+  Set<String> used() {
+    Set<String> ids = new TreeSet<>();
+    engines.values().forEach(pool -> pool.subset().forEach(one -> ids.add(one.id())));
+    services.values().forEach(pool -> pool.subset().forEach(one -> ids.add(one.id())));
+    return ids;
   }
 
   /** Returns the record of the live upstream at an address, or null. */
@@ -62,9 +94,13 @@
   /** Replaces the load of an upstream, which counts as no change of its record. */
   void putLoad(String id, LoadReport load) {
     UpstreamRecord known = records.get(id);
-    if (known != null) {
-      Announcement announcement = withLoad(known.announcement(), load);
-      put(new UpstreamRecord(announcement, known.owner(), known.sequence(), known.state()));
+    if (known == null || known.announcement().load().equals(load)) {
+      return;
+    }
+    Announcement announcement = withLoad(known.announcement(), load);
+    records.put(id, known.with(announcement));
+    if (known.takesWork()) {
+      pools(announcement).forEach(pool -> pool.replace(announcement));
     }
   }
 
@@ -92,15 +128,28 @@
     return hashes;
   }
 
-  List<UpstreamRecord> bucket(int bucket) {
-    return records.values().stream().filter(record -> bucketOf(record.id()) == bucket).toList();
+  /** Returns the records of some buckets, lost and ended ones too. */
+  List<UpstreamRecord> inBuckets(Collection<Integer> buckets) {
+    Set<Integer> wanted = new TreeSet<>(buckets);
+    return records.values().stream()
+        .filter(record -> wanted.contains(bucketOf(record.id())))
+        .toList();
   }
 
   static int bucketOf(String id) {
     return (int) (Hashes.of(id) & (BUCKETS - 1));
   }
 
+  /** Returns an announcement with another load and without cache events. */
   static Announcement withLoad(Announcement of, LoadReport load) {
+    return copy(of, load, of.leaving());
+  }
+
+  static Announcement asLeaving(Announcement of) {
+    return copy(of, of.load(), true);
+  }
+
+  private static Announcement copy(Announcement of, LoadReport load, boolean leaving) {
     return new Announcement(
         of.id(),
         of.incarnation(),
@@ -114,7 +163,7 @@
         of.capacity(),
         load,
         of.checksFencing(),
-        of.leaving(),
+        leaving,
         of.gone(),
         List.of());
   }
@@ -131,16 +180,25 @@
     if (!record.takesWork()) {
       return;
     }
+    pools(announcement).forEach(pool -> pool.add(announcement));
+  }
+
+  /** Returns the pools that an upstream belongs to, new ones if need be. */
+  private List<UpstreamPool> pools(Announcement announcement) {
     if (announcement.kind() == UpstreamKind.SERVICE) {
       String service = announcement.service() == null ? "" : announcement.service();
-      services.computeIfAbsent(service, key -> new TreeMap<>()).put(record.id(), announcement);
-      return;
+      return List.of(services.computeIfAbsent(service, key -> newPool()));
     }
+    List<UpstreamPool> pools = new ArrayList<>();
     for (LoadedModel model : announcement.models()) {
-      engines
-          .computeIfAbsent(versionOf(model), key -> new TreeMap<>())
-          .put(record.id(), announcement);
+      ModelVersion version = new ModelVersion(model.model(), model.version());
+      pools.add(engines.computeIfAbsent(version, key -> newPool()));
     }
+    return pools;
+  }
+
+  private UpstreamPool newPool() {
+    return new UpstreamPool(self, zone, subset);
   }
 
   private void unindex(UpstreamRecord record) {
@@ -150,30 +208,9 @@
     Announcement announcement = record.announcement();
     idByAddress.remove(announcement.host() + ":" + announcement.port(), record.id());
     bucketHashes[bucketOf(record.id())] ^= hash(record);
-    String service = announcement.service() == null ? "" : announcement.service();
-    removeFrom(services, service, record.id());
-    for (LoadedModel model : announcement.models()) {
-      removeFrom(engines, versionOf(model), record.id());
-    }
-  }
-
-  private static ModelVersion versionOf(LoadedModel model) {
-    return new ModelVersion(model.model(), model.version());
-  }
-
-  private static <K> void removeFrom(
-      Map<K, TreeMap<String, Announcement>> index, K key, String id) {
-    TreeMap<String, Announcement> of = index.get(key);
-    if (of != null) {
-      of.remove(id);
-      if (of.isEmpty()) {
-        index.remove(key);
-      }
-    }
-  }
-
-  private static Collection<Announcement> values(@Nullable TreeMap<String, Announcement> of) {
-    return of == null ? List.of() : of.values();
+    pools(announcement).forEach(pool -> pool.remove(record.id()));
+    engines.values().removeIf(UpstreamPool::isEmpty);
+    services.values().removeIf(UpstreamPool::isEmpty);
   }
 
   private static long hash(UpstreamRecord record) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/DirectoryMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/DirectoryMessage.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.message;
 
 import java.util.List;
+import org.skylarkfork.core.upstream.Announcement;
 import org.skylarkfork.core.upstream.LoadReport;
 import org.skylarkfork.core.upstream.UpstreamRecord;
 
@@ -24,9 +25,9 @@
   /**
    * Passes an announcement on to the daemon that speaks for the upstream.
    *
-   * @param record the announcement as the sender heard it, with the owner and the number it knows
+   * @param announcement the announcement as the sender heard it
    */
-  record Heard(UpstreamRecord record) implements DirectoryMessage {}
+  record Heard(Announcement announcement) implements DirectoryMessage {}
 
   /**
    * Starts a comparison; answered by {@link BucketHashes} if the receiver knows other things.
@@ -71,8 +72,9 @@
    * @param incarnation number of its process
    * @param sequence number of the record
    * @param owner name of the daemon that speaks for the upstream
+   * @param live whether the upstream counts as there
    */
-  record RecordVersion(String id, long incarnation, long sequence, String owner) {}
+  record RecordVersion(String id, long incarnation, long sequence, String owner, boolean live) {}
 
   /**
    * Asks for records that the sender lacks.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -110,7 +110,7 @@
     membership = new MembershipPart(self, seeds(settings), late, MembershipSettings.DEFAULT, seed);
     configuration = configurationPart();
     late.view = configuration;
-    directory = new DirectoryPart(settings.node(), configuration, DirectorySettings.DEFAULT);
+    directory = new DirectoryPart(membership, configuration, DirectorySettings.DEFAULT, seed);
     entries = new EntryList(membership, configuration, listSettings(settings));
     quality = qualityBook(self.incarnation());
     sessions =
