Node: orders, withdrawals by policy and a log of leaders

Cause: roll-outs and the finding of bad versions were not wired. Change: orders share the configuration group through CompositeMachine; a version found bad is withdrawn by a proposed change where the policy says so; elections and failed disks are logged.

--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/LeaderLog.java
@@ -0,0 +1,41 @@
+package org.skylarkfork.core.consensus;
+
+import java.time.Instant;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.ConsensusEvent;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.StorageEvent;
+
+/** Tells operators and the time line of elections and of storage that failed. */
+public final class LeaderLog implements Part {
+
+  private static final String PART = "raft";
+
+  @Override
+  public void apply(Event event, Instant now, Output output) {
+    if (event instanceof ConsensusEvent.LeaderChanged changed) {
+      leaderChanged(changed, now, output);
+    } else if (event instanceof StorageEvent.Failed failed) {
+      output.effect(
+          new TraceEffect.LogLine(
+              true,
+              PART,
+              failed.group()
+                  + " stopped voting, since its disk failed: "
+                  + failed.detail()
+                  + "; replace the disk and restart"));
+    }
+  }
+
+  private static void leaderChanged(
+      ConsensusEvent.LeaderChanged changed, Instant now, Output output) {
+    String leader = changed.node() == null ? "no leader" : "leader " + changed.node();
+    String sentence = changed.group() + " has " + leader + " in term " + changed.term();
+    output.effect(new TraceEffect.LogLine(false, PART, sentence));
+    output.effect(
+        new TraceEffect.TimelineEntry(
+            now, "group.leader-changed", null, null, null, null, sentence));
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -2,10 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.admission.AdmissionSettings;
@@ -15,18 +17,27 @@
 import org.skylarkfork.core.attempt.RequestCollaborators;
 import org.skylarkfork.core.attempt.RequestPart;
 import org.skylarkfork.core.attempt.RequestSettings;
+import org.skylarkfork.core.command.CompositeMachine;
+import org.skylarkfork.core.command.ConfigurationCommand;
 import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.OrderCommand;
+import org.skylarkfork.core.command.StateMachine;
 import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.configuration.ConfigurationChange;
 import org.skylarkfork.core.configuration.ConfigurationMachine;
 import org.skylarkfork.core.configuration.ConfigurationPart;
 import org.skylarkfork.core.configuration.ConfigurationSettings;
 import org.skylarkfork.core.configuration.ConfigurationView;
 import org.skylarkfork.core.configuration.LocalReplica;
+import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.configuration.Team;
 import org.skylarkfork.core.configuration.ZoneTree;
 import org.skylarkfork.core.consensus.ConsensusPart;
 import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.LeaderLog;
 import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.ConfigurationEvent;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.ledger.LedgerBounds;
 import org.skylarkfork.core.ledger.LedgerMachine;
@@ -43,9 +54,11 @@
 import org.skylarkfork.core.membership.MembershipSettings;
 import org.skylarkfork.core.membership.Seed;
 import org.skylarkfork.core.membership.ServingState;
+import org.skylarkfork.core.order.OrderMachine;
+import org.skylarkfork.core.order.OrderPart;
+import org.skylarkfork.core.order.OrderSettings;
 import org.skylarkfork.core.quality.QualitySettings;
 import org.skylarkfork.core.quality.SharedQualityBook;
-import org.skylarkfork.core.quality.VersionWithdrawer;
 import org.skylarkfork.core.routing.Candidates;
 import org.skylarkfork.core.routing.ChooserSettings;
 import org.skylarkfork.core.routing.CompiledRules;
@@ -79,6 +92,7 @@
   private final long seed;
   private final ConfigurationMachine configurationMachine = new ConfigurationMachine();
   private final LedgerMachine ledgerMachine = new LedgerMachine(LedgerBounds.DEFAULT);
+  private final OrderMachine orderMachine = new OrderMachine();
   private final LedgerShards shards = new LedgerShards(LEDGER_SHARDS);
   private final ConsensusPart consensus;
   private final MembershipPart membership;
@@ -88,6 +102,7 @@
   private final SharedQualityBook quality;
   private final SessionPart sessions;
   private final LedgerPart ledger;
+  private final OrderPart orders;
   private final FairAdmission admission;
   private final RequestPart requests;
   private final DryRunPart dryRun;
@@ -124,6 +139,14 @@
             shards,
             consensus.submitter(),
             new MemberPeers(membership));
+    orders =
+        new OrderPart(
+            OrderSettings.DEFAULT,
+            settings.node() + "-" + self.incarnation(),
+            orderMachine,
+            configuration,
+            directory,
+            consensus.submitter());
     Planner planner = planner();
     dryRun = new DryRunPart(configuration, new CurrentRules(configuration), planner);
     admission =
@@ -138,12 +161,19 @@
     boolean hosts = settings.isVoter();
     GroupSetup configurationGroup =
         new GroupSetup(
-            GroupId.CONFIGURATION, settings.voters(), hosts ? configurationMachine : null);
+            GroupId.CONFIGURATION, settings.voters(), hosts ? configurationAndOrders() : null);
     GroupSetup ledgerGroup =
         new GroupSetup(GroupId.LEDGER, settings.voters(), hosts ? ledgerMachine : null);
     return List.of(configurationGroup, ledgerGroup);
   }
 
+  private StateMachine configurationAndOrders() {
+    return new CompositeMachine(
+        List.of(
+            new CompositeMachine.Route(ConfigurationCommand.class, configurationMachine),
+            new CompositeMachine.Route(OrderCommand.class, orderMachine)));
+  }
+
   private ConfigurationPart configurationPart() {
     ZoneTree sources =
         new ZoneTree(
@@ -176,10 +206,18 @@
         QualitySettings.DEFAULT,
         configuration,
         this::otherEntries,
-        VersionWithdrawer.NONE,
+        NodeParts::proposeWithdrawal,
         seed);
   }
 
+  private static void proposeWithdrawal(
+      ModelVersion version, String changeId, String reason, Instant now, Output output) {
+    output.effect(new TraceEffect.LogLine(true, "quality", "withdraws " + version + ": " + reason));
+    output.raise(
+        new ConfigurationEvent.ChangeProposed(
+            changeId, "quality", new ConfigurationChange.WithdrawVersion(version, null)));
+  }
+
   private List<String> otherEntries() {
     return membership.live().stream()
         .map(Member::name)
@@ -245,20 +283,26 @@
             onLifecycle.accept(lifecycle);
           }
         };
-    return new Reducer(
-        List.of(
-            consensus,
-            membership,
-            configuration,
-            directory,
-            entries,
-            quality,
-            dryRun,
-            requests,
-            admission,
-            sessions,
-            ledger,
-            end));
+    List<Part> parts =
+        new ArrayList<>(
+            List.of(
+                consensus,
+                new LeaderLog(),
+                membership,
+                configuration,
+                directory,
+                entries,
+                quality,
+                dryRun,
+                requests,
+                admission,
+                sessions,
+                ledger));
+    if (settings.isVoter()) {
+      parts.add(orders);
+    }
+    parts.add(end);
+    return new Reducer(parts);
   }
 
   /** Returns the groups whose replicas this daemon hosts. */
@@ -270,6 +314,10 @@
     return consensus;
   }
 
+  OrderMachine orderMachine() {
+    return orderMachine;
+  }
+
   MembershipPart membership() {
     return membership;
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeViews.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeViews.java
@@ -53,6 +53,7 @@
       case "entries" -> parts().entries().entries(now);
       case "groups" -> parts().consensus().statuses();
       case "statement" -> statement(argument);
+      case "orders" -> parts().orderMachine().intents();
       default ->
           throw new BadRequestException(
               RoutingError.notRun(
