Stand-ins: one interface for all, silence also stops running streams

Cause: a program that runs stand-ins had to know each class, and an engine told to be silent went on with the streams that already ran. Change: StandIn has start, address, stop and close; a silent engine emits no token; the rating service and the weight store stop gracefully too.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/BatchLoop.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/BatchLoop.java
@@ -127,9 +127,7 @@
 
   private void endStep() {
     step = null;
-    for (Job job : batch) {
-      counters.tokens().addAndGet(job.emit(limits.tokensPerChunk()));
-    }
+    batch.stream().filter(this::speaks).forEach(this::emit);
     List<Job> finished = batch.stream().filter(Job::finished).toList();
     batch.removeAll(finished);
     counters.finished().addAndGet(finished.size());
@@ -139,6 +137,14 @@
     finished.forEach(Job::complete);
   }
 
+  private boolean speaks(Job job) {
+    return !faults.strikes(FaultKind.SILENCE, job.modelKey(), job.requestId());
+  }
+
+  private void emit(Job job) {
+    counters.tokens().addAndGet(job.emit(limits.tokensPerChunk()));
+  }
+
   private void publishSizes() {
     running = batch.size();
     queued = queue.size();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/CompletionHandler.java
@@ -139,6 +139,7 @@
             bad);
     return new Job(
         call.requestId(),
+        call.model(),
         priority,
         PromptText.prefixes(call.model(), promptTokens),
         promptTokens.size(),
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Job.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/Job.java
@@ -8,6 +8,7 @@
 final class Job {
 
   private final String requestId;
+  private final String modelKey;
   private final int priority;
   private final List<String> prefixes;
   private final int promptTokens;
@@ -21,6 +22,7 @@
    * Makes a job.
    *
    * @param requestId the id that cancels it
+   * @param modelKey the model and version, with a colon between
    * @param priority 0 runs first
    * @param prefixes the prefixes of the prompt
    * @param promptTokens the length of the prompt
@@ -29,12 +31,14 @@
    */
   Job(
       String requestId,
+      String modelKey,
       int priority,
       List<String> prefixes,
       int promptTokens,
       List<String> answer,
       int offset) {
     this.requestId = requestId;
+    this.modelKey = modelKey;
     this.priority = priority;
     this.prefixes = prefixes;
     this.promptTokens = promptTokens;
@@ -54,6 +58,10 @@
     return requestId;
   }
 
+  String modelKey() {
+    return modelKey;
+  }
+
   int priority() {
     return priority;
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.announce.Announcement;
 import org.skylarkfork.standin.announce.Announcer;
 import org.skylarkfork.standin.announce.CacheEvent;
@@ -29,7 +30,7 @@
 import reactor.netty.http.server.HttpServerRoutes;
 
 /** A model engine in this process that speaks the protocol of upstreams over HTTP. */
-public final class StandInEngine implements AutoCloseable {
+public final class StandInEngine implements StandIn {
 
   private static final int OK = 200;
 
@@ -81,11 +82,7 @@
   /** Which prefixes to move; those of all versions for an export without any. */
   private record KvBody(@Nullable List<String> prefixes) {}
 
-  /**
-   * Binds the port and begins to announce.
-   *
-   * @return the bound IP number and port, with a colon between
-   */
+  @Override
   public String start() {
     server = BoundServer.bind(settings.host(), settings.port(), this::routes);
     announcer.start();
@@ -93,12 +90,7 @@
     return address();
   }
 
-  /**
-   * Gives the bound address.
-   *
-   * @return the IP number and port, with a colon between
-   * @throws NullPointerException if the engine was not started
-   */
+  @Override
   public String address() {
     return Objects.requireNonNull(server, "Start the engine first.").address();
   }
@@ -136,17 +128,11 @@
         faults.present());
   }
 
-  /**
-   * Ends gracefully: announces leaving, refuses new work, finishes what runs, says that it is gone
-   * and closes.
-   *
-   * @return completes once all is closed
-   */
+  @Override
   public CompletableFuture<Void> stop() {
     return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
   }
 
-  /** Ends at once, as a crash would: running answers are cut and nothing is announced. */
   @Override
   public void close() {
     announcer.close();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/fault/FaultKind.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/fault/FaultKind.java
@@ -7,7 +7,7 @@
   /** Answers carry wrong words. */
   @JsonProperty("bad-answers")
   BAD_ANSWERS,
-  /** Calls are taken and never answered, and the heartbeat stops. */
+  /** Calls are taken and never answered, running streams stand still and the heartbeat stops. */
   @JsonProperty("silence")
   SILENCE,
   /** The connection closes in the middle of an answer. */
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/package-info.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder documentation of the module's root package. */
+/** What all stand-ins for outside systems have in common. */
 @NullMarked
 package org.skylarkfork.standin;
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/rating/StandInRating.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/rating/StandInRating.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.http.BoundServer;
 import org.skylarkfork.standin.http.Exchange;
+import org.skylarkfork.standin.http.OpenCalls;
 import org.skylarkfork.standin.text.Hash;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
@@ -16,16 +19,18 @@
 import reactor.netty.http.server.HttpServerRoutes;
 
 /** A rating service in this process. */
-public final class StandInRating implements AutoCloseable {
+public final class StandInRating implements StandIn {
 
   private static final int OK = 200;
   private static final int NO_CONTENT = 204;
+  private static final int UNAVAILABLE = 503;
 
   private final RatingSettings settings;
   private final Scores scores;
   private final AtomicLong rated = new AtomicLong();
   private final AtomicLong skipped = new AtomicLong();
   private final AtomicLong missing = new AtomicLong();
+  private final OpenCalls openCalls = new OpenCalls();
   private volatile @Nullable BoundServer server;
 
   /**
@@ -61,28 +66,23 @@
   /** How many answers were rated, skipped and left without a reply. */
   private record State(long rated, long skipped, long missing) {}
 
-  /**
-   * Binds the port.
-   *
-   * @return the bound IP number and port, with a colon between
-   */
+  @Override
   public String start() {
     server = BoundServer.bind(settings.host(), settings.port(), this::routes);
     Logger.info("rating: listens on {}", address());
     return address();
   }
 
-  /**
-   * Gives the bound address.
-   *
-   * @return the IP number and port, with a colon between
-   * @throws NullPointerException if the service was not started
-   */
+  @Override
   public String address() {
     return Objects.requireNonNull(server, "Start the rating service first.").address();
   }
 
-  /** Ends at once. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    return openCalls.leave().thenRunAsync(this::close);
+  }
+
   @Override
   public void close() {
     BoundServer bound = server;
@@ -93,7 +93,7 @@
 
   private void routes(HttpServerRoutes routes) {
     routes
-        .post("/v1/ratings", this::rate)
+        .post("/v1/ratings", (in, out) -> openCalls.track(() -> rate(in, out)))
         .get("/control/state", (in, out) -> Exchange.json(out, OK, state()));
   }
 
@@ -102,6 +102,9 @@
   }
 
   private Mono<Void> rate(HttpServerRequest request, HttpServerResponse response) {
+    if (openCalls.leaving()) {
+      return Exchange.refuse(response, UNAVAILABLE, "Go on without a rating.", "leaving");
+    }
     return Exchange.withBody(request, response, RatingBody.class, body -> answer(response, body));
   }
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.announce.Announcement;
 import org.skylarkfork.standin.announce.Announcer;
 import org.skylarkfork.standin.announce.EngineRole;
@@ -28,7 +29,7 @@
 import reactor.netty.http.server.HttpServerRoutes;
 
 /** A plain service in this process; it counts the runs of each request, so that doubles show. */
-public final class StandInService implements AutoCloseable {
+public final class StandInService implements StandIn {
 
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
@@ -53,11 +54,7 @@
     announcer = new Announcer(settings.announce(), this::announcement);
   }
 
-  /**
-   * Binds the port and begins to announce.
-   *
-   * @return the bound IP number and port, with a colon between
-   */
+  @Override
   public String start() {
     server = BoundServer.bind(settings.host(), settings.port(), this::routes);
     announcer.start();
@@ -65,12 +62,7 @@
     return address();
   }
 
-  /**
-   * Gives the bound address.
-   *
-   * @return the IP number and port, with a colon between
-   * @throws NullPointerException if the service was not started
-   */
+  @Override
   public String address() {
     return Objects.requireNonNull(server, "Start the service first.").address();
   }
@@ -93,17 +85,11 @@
     return runs.report();
   }
 
-  /**
-   * Ends gracefully: announces leaving, refuses new work, finishes what runs, says that it is gone
-   * and closes.
-   *
-   * @return completes once all is closed
-   */
+  @Override
   public CompletableFuture<Void> stop() {
     return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
   }
 
-  /** Ends at once, as a crash would: running answers are cut and nothing is announced. */
   @Override
   public void close() {
     announcer.close();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/weights/StandInWeights.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/weights/StandInWeights.java
@@ -4,10 +4,13 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.http.BoundServer;
 import org.skylarkfork.standin.http.Exchange;
+import org.skylarkfork.standin.http.OpenCalls;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -15,16 +18,18 @@
 import reactor.netty.http.server.HttpServerRoutes;
 
 /** A weight store in this process. */
-public final class StandInWeights implements AutoCloseable {
+public final class StandInWeights implements StandIn {
 
   private static final int OK = 200;
   private static final int TOO_MANY = 429;
+  private static final int UNAVAILABLE = 503;
 
   private final WeightsSettings settings;
   private final Clock clock;
   private final TokenBucket bucket;
   private final AtomicLong fetched = new AtomicLong();
   private final AtomicLong refused = new AtomicLong();
+  private final OpenCalls openCalls = new OpenCalls();
   private volatile @Nullable BoundServer server;
 
   /**
@@ -54,28 +59,23 @@
   /** How many fetches were served and refused. */
   private record State(long fetched, long refused) {}
 
-  /**
-   * Binds the port.
-   *
-   * @return the bound IP number and port, with a colon between
-   */
+  @Override
   public String start() {
     server = BoundServer.bind(settings.host(), settings.port(), this::routes);
     Logger.info("weights: listens on {}", address());
     return address();
   }
 
-  /**
-   * Gives the bound address.
-   *
-   * @return the IP number and port, with a colon between
-   * @throws NullPointerException if the store was not started
-   */
+  @Override
   public String address() {
     return Objects.requireNonNull(server, "Start the weight store first.").address();
   }
 
-  /** Ends at once. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    return openCalls.leave().thenRunAsync(this::close);
+  }
+
   @Override
   public void close() {
     BoundServer bound = server;
@@ -86,13 +86,16 @@
 
   private void routes(HttpServerRoutes routes) {
     routes
-        .get("/v1/weights/{model}/{version}", this::fetch)
+        .get("/v1/weights/{model}/{version}", (in, out) -> openCalls.track(() -> fetch(in, out)))
         .get(
             "/control/state",
             (in, out) -> Exchange.json(out, OK, new State(fetched.get(), refused.get())));
   }
 
   private Mono<Void> fetch(HttpServerRequest request, HttpServerResponse response) {
+    if (openCalls.leaving()) {
+      return Exchange.refuse(response, UNAVAILABLE, "Fetch from another store.", "leaving");
+    }
     Duration pause = bucket.take(clock.instant());
     if (!pause.isZero()) {
       refused.incrementAndGet();
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/engine/EngineFaultTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/engine/EngineFaultTest.java
@@ -9,13 +9,18 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.skylarkfork.standin.Caller;
+import org.skylarkfork.standin.fault.Fault;
+import org.skylarkfork.standin.fault.FaultKind;
 import org.skylarkfork.standin.text.AnswerText;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
 import reactor.netty.http.client.PrematureCloseException;
 
 /** Tests that each fault does what it says. */
@@ -117,6 +122,35 @@
     call.dispose();
   }
 
+  // An engine falls silent in the middle of a stream. The caller has some tokens, no error and no
+  // end; once the engine speaks again, the stream must go on where it stood.
+  @Test
+  public void silenceStopsRunningStreams() {
+    caller.post(FAULT, "{\"kind\":\"slow\",\"delayMillis\":200}");
+    StringBuffer received = new StringBuffer();
+    Mono<String> call =
+        caller.stream(CHAT, chat("a", true), ID, "r-1")
+            .doOnNext(
+                part -> {
+                  if (received.isEmpty()) {
+                    engine.fault(Fault.of(FaultKind.SILENCE));
+                  }
+                  received.append(part);
+                })
+            .then(Mono.fromSupplier(received::toString))
+            .cache();
+    final Disposable running = call.subscribe();
+    caller.await(STATE, state -> state.path("faults").toString().contains("silence"));
+    assertFalse(running.isDisposed());
+    assertEquals(engine.state().finished(), 0);
+
+    engine.fault(Fault.of(FaultKind.NONE));
+
+    String body = call.block(Duration.ofSeconds(30));
+    String text = new Caller.Answer(200, Map.of(), body).text();
+    assertEquals(AnswerText.check("user: a", text), AnswerText.Finding.WHOLE);
+  }
+
   @Test
   public void lateAndSlowAnswersAreWholeInTheEnd() {
     caller.post(FAULT, "{\"kind\":\"late-answers\",\"delayMillis\":5}");
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.CompletableFuture;
 import org.skylarkfork.standin.Caller;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
 import org.skylarkfork.standin.fault.Fault;
@@ -63,6 +64,24 @@
     assertEquals(runs.path("doubles").toString(), "{\"k-1\":2}");
   }
 
+  // A service is stopped while it issues a certificate. The caller must get the whole answer, since
+  // it can't send the call again; a call that comes after the stop must hear that it did not start.
+  @Test
+  public void stopFinishesWhatRunsAndRefusesTheRest() {
+    service.fault(new Fault(FaultKind.LATE_ANSWERS, null, null, 500L));
+    CompletableFuture<Caller.Answer> running =
+        caller.send(HttpMethod.POST, "/issue", "", "X-Request-Id", "r-1").toFuture();
+    caller.await("/control/runs", runs -> runs.path("total").asInt() == 1);
+
+    CompletableFuture<Void> stopped = service.stop();
+    Caller.Answer refusal = caller.post("/issue", "", "X-Request-Id", "r-2");
+
+    assertEquals(refusal.header("x-not-started"), "true");
+    assertEquals(running.join().json().path("requestId").asText(), "r-1");
+    stopped.join();
+    expectThrows(RuntimeException.class, () -> caller.get("/a"));
+  }
+
   @Test
   public void faultsRefuseCutAndCross() {
     service.fault(Fault.of(FaultKind.FULL));
