--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -135,10 +135,10 @@
 
   private Mono<Void> run(
       HttpServerRequest request, HttpServerResponse response, String requestId, String body) {
+    final int count = runs.record(Exchange.text(request, Headers.IDEMPOTENCY_KEY, requestId));
     if (strikes(FaultKind.SILENCE, requestId)) {
       return Mono.never();
     }
-    String key = Exchange.text(request, Headers.IDEMPOTENCY_KEY, requestId);
     Echo echo =
         new Echo(
             settings.service(),
@@ -147,7 +147,7 @@
             request.uri(),
             answeredId(response, requestId),
             body,
-            runs.record(key),
+            count,
             serial.incrementAndGet());
     return Mono.delay(latency(requestId)).then(Mono.defer(() -> send(response, requestId, echo)));
   }
