Configuration: repairs at once, answers from the leader, withdrawals that name a replacement

Cause: a gap found within 100 ms of the last message waited for the next renewal; a lagging replica told an operator that a revision just accepted isn't there; a withdrawal with a replacement was refused while a roll-out ran; after a change of leader, old revisions were counted as just come into force. Change: a wanted repair is kept until it may be sent; the leader answers questions while there is one; a replacement finishes or aborts the roll-out; the new leader counts from its own revision on. Only changed teams are checked.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
@@ -149,7 +149,8 @@
   record AbortRollOut(String model) implements ConfigurationChange {}
 
   /**
-   * Withdraws a version: it gets no new work. A running roll-out to it is aborted.
+   * Withdraws a version: it gets no new work. An open roll-out to it is aborted; a replacement
+   * finishes an open roll-out that leads to it and aborts another one.
    *
    * @param version the version
    * @param replacement version that becomes the model's current one, or null to keep it; null also
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
@@ -102,8 +102,9 @@
     configuration.rollOuts().forEach(this::checkRollOut);
     checkPolicy();
     if (all || differences.stream().anyMatch(d -> concernsKeys(d))) {
-      checkTeams();
+      checkKeys();
     }
+    checkTeams(all, differences);
     if (all || differences.stream().anyMatch(d -> concernsDrains(d))) {
       checkDrained();
     }
@@ -184,25 +185,53 @@
     }
   }
 
-  private void checkTeams() {
+  private void checkKeys() {
+    problems.unique(configuration.operatorKeys(), OperatorKey::id, "operator key");
     Set<String> hashes = new HashSet<>();
     for (OperatorKey key : configuration.operatorKeys()) {
-      checkKey(hashes, key.id(), key.sha256(), "operator key " + key.id());
+      String subject = "operator key " + key.id();
+      checkKey(key.id(), key.sha256(), subject);
+      checkUnique(hashes, key.sha256(), key.id(), "an operator");
     }
-    problems.unique(configuration.operatorKeys(), OperatorKey::id, "operator key");
     for (Team team : configuration.teams()) {
-      checkTeam(team, hashes);
+      for (Team.Key key : team.keys()) {
+        checkUnique(hashes, key.sha256(), key.id(), team.name());
+      }
+    }
+  }
+
+  private void checkUnique(Set<String> hashes, String sha256, String id, String owner) {
+    if (!hashes.add(sha256)) {
+      problems.add(
+          Kind.DUPLICATE,
+          "key " + id + " of " + owner,
+          "another team or operator has the same key; make a new key for one of them");
     }
   }
 
-  private void checkTeam(Team team, Set<String> hashes) {
+  private void checkTeams(boolean all, List<ConfigurationDifference> differences) {
+    if (all) {
+      configuration.teams().forEach(this::checkTeam);
+      return;
+    }
+    for (ConfigurationDifference difference : differences) {
+      if (difference instanceof ConfigurationDifference.TeamDiffers differ) {
+        Team team = differ.after();
+        if (team != null) {
+          checkTeam(team);
+        }
+      }
+    }
+  }
+
+  private void checkTeam(Team team) {
     String subject = "team " + team.name();
     problems.name(team.name(), subject);
     problems.range(team.weight(), 1, MOST_WEIGHT, subject + " weight");
     checkLimits(team.limits(), subject);
     if (problems.size(team.keys(), MOST_TEAM_KEYS, subject + " keys")) {
       problems.unique(team.keys(), Team.Key::id, "key of " + subject);
-      team.keys().forEach(key -> checkKey(hashes, key.id(), key.sha256(), subject));
+      team.keys().forEach(key -> checkKey(key.id(), key.sha256(), subject));
     }
     if (problems.size(team.allowedServices(), MOST_SERVICES, subject + " allowedServices")) {
       team.allowedServices()
@@ -220,14 +249,9 @@
     }
   }
 
-  private void checkKey(Set<String> hashes, String id, String sha256, String subject) {
+  private void checkKey(String id, String sha256, String subject) {
     problems.name(id, subject + " key id");
     problems.hash(sha256, subject + " key " + id);
-    problems.require(
-        hashes.add(sha256),
-        Kind.DUPLICATE,
-        subject + " key " + id,
-        "another team or operator has the same key; make a new key for one of them");
   }
 
   private void checkLimits(Limits limits, String subject) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/InForce.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/InForce.java
@@ -35,8 +35,9 @@
     this.subscribers = subscribers;
   }
 
-  /** Takes note that this daemon leads from now on. */
+  /** Takes note that this daemon leads from now on; older revisions aren't told of again. */
   void tookOffice(Instant now) {
+    told = machine.configuration().revision();
     knowsAllAt = now.plus(settings.longestLease());
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/OperatorCalls.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/OperatorCalls.java
@@ -191,7 +191,7 @@
   }
 
   private void ask(OperatorEvent call, @Nullable String leader, Instant now, Output output) {
-    OperatorEffect answer = reader == null ? null : reader.answer(call, now);
+    OperatorEffect answer = reader == null ? null : reader.answer(call, leader == null, now);
     if (answer != null) {
       output.effect(answer);
       return;
@@ -221,13 +221,17 @@
     if (operator(keyHash(call)) == null) {
       answer = OperatorAnswers.unknownKey(call.callId());
     } else if (reader != null) {
-      answer = reader.answer(call, now);
+      answer = reader.answer(call, leader == null, now);
     }
     if (answer != null) {
       output.effect(new PeerEffect.SendToPeer(question.origin(), new OperatorAnswer(answer)));
     } else if (leader != null && !leader.equals(node) && question.hops() < MOST_HOPS) {
       OperatorCall next = new OperatorCall(question.origin(), question.hops() + 1, call);
       output.effect(new PeerEffect.SendToPeer(leader, next));
+    } else {
+      OperatorEffect refusal =
+          OperatorAnswers.notNow(call.callId(), "the control group has no leader; ask again");
+      output.effect(new PeerEffect.SendToPeer(question.origin(), new OperatorAnswer(refusal)));
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ReplicaReader.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ReplicaReader.java
@@ -23,8 +23,19 @@
     this.inForce = inForce;
   }
 
-  /** Returns the answer, or null if only the leader can give it. */
-  @Nullable OperatorEffect answer(OperatorEvent call, Instant now) {
+  /**
+   * Returns the answer, or null if the leader must give it.
+   *
+   * @param mayBeOld whether an answer without the newest changes will do, as when nobody leads
+   */
+  @Nullable OperatorEffect answer(OperatorEvent call, boolean mayBeOld, Instant now) {
+    if (call instanceof OperatorEvent.InForceRequested wanted) {
+      return inForce(wanted, now);
+    }
+    return mayBeOld || replica.leaderLease().holds(now) ? read(call) : null;
+  }
+
+  private OperatorEffect read(OperatorEvent call) {
     if (call instanceof OperatorEvent.RevisionRequested wanted) {
       return revision(wanted);
     }
@@ -34,9 +45,6 @@
     if (call instanceof OperatorEvent.DifferenceRequested wanted) {
       return difference(wanted);
     }
-    if (call instanceof OperatorEvent.InForceRequested wanted) {
-      return inForce(wanted, now);
-    }
     return OperatorAnswers.refuse(call.callId(), ErrorKind.BAD_REQUEST, "send this to any entry");
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RollOutChanges.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RollOutChanges.java
@@ -82,15 +82,18 @@
       throw ChangeApplier.notFound("version of model " + model.name(), version.version());
     }
     draft.withdrawn = ConfigurationDraft.with(draft.withdrawn, version, Function.identity());
+    String replacement = withdraw.replacement();
+    if (replacement != null
+        && draft.withdrawn.contains(new ModelVersion(model.name(), replacement))) {
+      throw new InapplicableChangeException(
+          Kind.WITHDRAWN,
+          "version " + version,
+          "its replacement " + replacement + " is withdrawn too; name another version");
+    }
     Optional<RollOut> rollOut = find(draft, version.model());
-    // A refusal because a roll-out is running would keep a bad version in use until the operator
-    // has found the roll-out, so the roll-out gives way.
-    if (rollOut.isPresent()
-        && isOpen(rollOut.get())
-        && rollOut.get().to().equals(version.version())) {
-      put(draft, rollOut.get(), rollOut.get().step(), RollOut.State.ABORTED);
+    if (rollOut.isPresent() && isOpen(rollOut.get())) {
+      close(draft, rollOut.get(), version, replacement);
     }
-    String replacement = withdraw.replacement();
     if (replacement == null) {
       replacement = versionBefore(draft, model, version, rollOut);
     }
@@ -99,6 +102,24 @@
     }
   }
 
+  /**
+   * Closes a roll-out that the withdrawal crosses.
+   *
+   * <p>A refusal because a roll-out is running would keep a bad version in use until the operator
+   * has found the roll-out, so the roll-out gives way.
+   */
+  private static void close(
+      ConfigurationDraft draft,
+      RollOut rollOut,
+      ModelVersion version,
+      @Nullable String replacement) {
+    if (rollOut.to().equals(replacement)) {
+      put(draft, rollOut, rollOut.steps().size(), RollOut.State.FINISHED);
+    } else if (replacement != null || rollOut.to().equals(version.version())) {
+      put(draft, rollOut, rollOut.step(), RollOut.State.ABORTED);
+    }
+  }
+
   private static @Nullable String versionBefore(
       ConfigurationDraft draft, Model model, ModelVersion version, Optional<RollOut> rollOut) {
     if (rollOut.isEmpty() || !model.current().equals(version.version())) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Subscription.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Subscription.java
@@ -44,6 +44,7 @@
   private Instant nextSendAt = Instant.EPOCH;
   private long reportedFloor;
   private boolean misfit;
+  private boolean repairWanted;
   private @Nullable CopyChunk lastChunk;
   private Instant lastChunkAt = Instant.EPOCH;
   private final List<ConfigurationDifference> gathered = new ArrayList<>();
@@ -83,6 +84,9 @@
     } else if (cursor > 0 && !now.isBefore(sourceSince.plus(RETURN_TO_PREFERRED))) {
       choose(0, now);
     }
+    if (repairWanted && !now.isBefore(sentAt.plus(SPACING))) {
+      repair(now, output);
+    }
     boolean mayAcknowledge = !now.isBefore(sentAt.plus(SPACING)) && floor(now) > reportedFloor;
     if (!now.isBefore(nextSendAt) || mayAcknowledge) {
       renew(false, now, output);
@@ -135,6 +139,7 @@
       return;
     }
     sentAt = now;
+    repairWanted = false;
     nextSendAt = now.plus(settings.renewal());
     long revision = applied.revision();
     long floor = floor(now);
@@ -200,12 +205,18 @@
     }
   }
 
+  /** Asks for what is missing, at once or as soon as the last message is long enough ago. */
   private void repair(Instant now, Output output) {
     boolean copying = lastChunk != null && now.isBefore(lastChunkAt.plus(settings.renewal()));
-    if (!copying && !now.isBefore(sentAt.plus(SPACING))) {
-      output.effect(new TraceEffect.Count("configuration_repairs", "", 1));
-      renew(true, now, output);
+    if (copying) {
+      return;
+    }
+    if (now.isBefore(sentAt.plus(SPACING))) {
+      repairWanted = true;
+      return;
     }
+    output.effect(new TraceEffect.Count("configuration_repairs", "", 1));
+    renew(true, now, output);
   }
 
   void copied(String from, CopyChunk chunk, Instant now, Output output) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
@@ -173,6 +173,35 @@
     assertFalse(entry.serves());
   }
 
+  /**
+   * A control VM restarts, gets the newest revision from the leader, and only then applies its own
+   * log from the start. The old revisions on its way must not replace the newer one.
+   */
+  @Test
+  public void replicaThatReplaysItsLogDoesNotGoBack() {
+    daemons.change("w", WITHDRAW);
+    daemons.untilInForce(2);
+    Daemons.Daemon voter = daemon("v2");
+    voter.restart();
+    daemons.lead("v1");
+    daemons.run(Duration.ofMillis(60));
+    assertEquals(voter.revision(), 2);
+    voter.catchUp();
+    assertEquals(voter.revision(), 2);
+  }
+
+  /** A lost step is noticed by the next one and asked for at once, not at the next renewal. */
+  @Test
+  public void gapIsRepairedAtOnce() {
+    daemons.lost = message -> message instanceof ConfigurationMessage.Push;
+    daemons.change("w", WITHDRAW);
+    daemons.run(Duration.ofMillis(40));
+    daemons.lost = message -> false;
+    daemons.change("d", new ConfigurationChange.DrainVm("e10"));
+    daemons.run(Duration.ofMillis(300));
+    daemons.byName.values().forEach(daemon -> assertEquals(daemon.revision(), 3, daemon.name));
+  }
+
   /**
    * A daemon that was away too long for the steps gets a full copy in parts, though one is lost.
    */
