Runtime: the bound on an engine's silence no longer cuts long answers

Cause: the bound was put on a stream that emits nothing, so it ran from the start of the answer: each draft that streamed for longer was cut and resumed, up to its last attempt. Change: the bound is on the time between two reads of the response. Conclusion: silence is told apart from length.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
@@ -41,8 +41,12 @@
     String path =
         effect.request().kind() == RequestKind.CHAT ? "/v1/chat/completions" : "/v1/completions";
     Reading reading = new Reading(effect, call);
+    // A bound on the whole answer would cut each draft that streams for longer than an engine may
+    // be
+    // silent; this one is on the time between two reads.
+    HttpClient impatient = client.responseTimeout(Duration.ofMillis(effect.timeoutMillis()));
     call.connection(
-        Moments.observed(client, call)
+        Moments.observed(impatient, call)
             .headers(
                 headers -> {
                   headers.set("Content-Type", "application/json");
@@ -55,7 +59,6 @@
             .uri("http://" + effect.host() + ":" + effect.port() + path)
             .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
             .response(reading::read)
-            .timeout(Duration.ofMillis(effect.timeoutMillis()))
             .subscribe(
                 ignored -> {},
                 failure -> call.fail(String.valueOf(failure.getMessage())),
