--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -20,7 +20,7 @@
  *
  * <p>An empty disk may be a wiped one. A wiped voter that founded the group again would lose what
  * the others hold, so the first voter in the settings founds only after each other one has said
- * that its disk is empty as well.
+ * that its disk is empty as well. A voter that is down therefore delays the founding.
  */
 final class Founding {
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/PromisesTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/PromisesTest.java
@@ -12,10 +12,12 @@
 import org.skylarkfork.core.command.Command;
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.GroupState;
 import org.skylarkfork.core.command.HardState;
 import org.skylarkfork.core.command.LogEntry;
 import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.command.Members;
+import org.skylarkfork.core.command.Snapshot;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.PeerEffect;
 import org.skylarkfork.core.effect.StorageEffect;
@@ -37,6 +39,7 @@
 public class PromisesTest {
 
   private static final GroupId GROUP = GroupId.LEDGER;
+  private static final GroupId OTHER = new GroupId("ledger", 1);
   private static final Members MEMBERS =
       new Members(List.of(new Member("a", 1), new Member("b", 2), new Member("c", 3)), List.of());
 
@@ -45,17 +48,22 @@
   private ConsensusPart part;
   private Reducer reducer;
   private long writes;
+  private long truncatedFrom;
 
   /** Starts replica a, which has two entries of terms 1 and 2 on its disk. */
   @BeforeMethod
   public void start() {
     now = Instant.parse("2026-01-01T00:00:00Z");
     writes = 0;
+    truncatedFrom = 0;
     sent.clear();
     LedgerMachine machine = new LedgerMachine(LedgerBounds.DEFAULT);
     GroupSetup setup = new GroupSetup(GROUP, List.of("a", "b", "c"), machine);
+    LedgerMachine otherMachine = new LedgerMachine(LedgerBounds.DEFAULT);
+    GroupSetup other = new GroupSetup(OTHER, List.of("a", "b", "c"), otherMachine);
     RaftSettings settings = RaftSettings.defaults();
-    part = new ConsensusPart("a", List.of(setup), settings, new TestCluster.MemoryCodec(), 7);
+    part =
+        new ConsensusPart("a", List.of(setup, other), settings, new TestCluster.MemoryCodec(), 7);
     reducer = new Reducer(List.of(part));
     List<LogEntry> entries =
         List.of(
@@ -151,6 +159,28 @@
     assertTrue(part.status(GROUP).members().votes(repaired));
   }
 
+  // Power fails after a leader's snapshot was saved and before the entries that it contradicts were
+  // dropped. Kept, they would stand in the log as if they continued the snapshot.
+  @Test
+  public void entriesContradictedBySnapshotAreDropped() {
+    Snapshot snapshot = new Snapshot(10, 5, now, MEMBERS, new GroupState.Empty());
+    List<LogEntry> stale = List.of(entry(11, 3, new GroupCommand.Probe("stale")));
+    apply(new StorageEvent.Recovered(OTHER, new HardState(5, null, 1), snapshot, stale));
+    assertEquals(part.status(OTHER).lastIndex(), 10);
+    assertEquals(truncatedFrom, 11);
+  }
+
+  // The disk under one group fails. That group's voter stops; the daemon's other group goes on.
+  @Test
+  public void failedGroupLeavesOthersAlone() {
+    apply(new StorageEvent.Recovered(OTHER, new HardState(2, null, 1), null, List.of()));
+    lead();
+    apply(new StorageEvent.Failed(OTHER, "no space left on device"));
+    receive("b", acknowledge(2, 3));
+    assertTrue(part.status(OTHER).storageFailed());
+    assertEquals(part.status(GROUP).commitIndex(), 3);
+  }
+
   private void campaign() {
     pass(700);
     receive("b", new VoteResponse(GROUP, 3, 2, true, true));
@@ -213,7 +243,8 @@
           && send.message() instanceof RaftMessage message) {
         sent.add(message);
       } else if (effect instanceof StorageEffect.Persist write) {
-        writes = write.sequence();
+        writes = write.group().equals(GROUP) ? write.sequence() : writes;
+        truncatedFrom = Math.max(truncatedFrom, write.truncateFrom());
       }
     }
   }
