--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.daemon;
 
 import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,10 +14,24 @@
     defaultCommand = HelpCommand.class,
     commands = {
       HelpCommand.class,
-      CheckCommand.class,
+      QuickstartCommand.class,
       DaemonCommand.class,
-      QuickstartCommand.class
-    })
+      CheckCommand.class,
+      StandinCommand.class
+    },
+    groups =
+        @Group(
+            name = "admin",
+            description = "Shows and changes what operators decide, through any daemon.",
+            defaultCommand = HelpCommand.class,
+            commands = {
+              AdminShowCommand.class,
+              AdminChangeCommand.class,
+              AdminWithdrawCommand.class,
+              AdminDrainCommand.class,
+              AdminRollOutCommand.class,
+              AdminDryRunCommand.class
+            }))
 public final class Skylarkfork {
 
   private Skylarkfork() {}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/StandinCommand.java
@@ -0,0 +1,83 @@
+package org.skylarkfork.daemon;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.skylarkfork.standin.engine.EngineSettings;
+import org.skylarkfork.standin.engine.StandInEngine;
+import org.skylarkfork.standin.rating.RatingSettings;
+import org.skylarkfork.standin.rating.StandInRating;
+import org.skylarkfork.standin.service.ServiceSettings;
+import org.skylarkfork.standin.service.StandInService;
+import org.skylarkfork.standin.weights.StandInWeights;
+import org.skylarkfork.standin.weights.WeightsSettings;
+
+/** Runs a stand-in for an outside system until it is told to stop. */
+@Command(
+    name = "standin",
+    description = "Runs a stand-in engine, service, rating service or weight store.")
+public final class StandinCommand implements Callable<Integer> {
+
+  @Required
+  @AllowedRawValues(allowedValues = {"engine", "service", "rating", "weights"})
+  @Arguments(title = "KIND", description = "engine, service, rating or weights.")
+  private String kind;
+
+  @Required
+  @Option(name = "--settings", title = "FILE", description = "Settings in YAML.")
+  private String settings;
+
+  @Override
+  public Integer call() throws Exception {
+    CountDownLatch stopped = new CountDownLatch(1);
+    AutoCloseable running = start(Path.of(settings));
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  close(running);
+                  stopped.countDown();
+                },
+                "stop"));
+    stopped.await();
+    return ExitCode.SUCCESS;
+  }
+
+  private AutoCloseable start(Path file) {
+    return switch (kind) {
+      case "engine" -> {
+        StandInEngine engine = new StandInEngine(EngineSettings.reader().read(file));
+        engine.start();
+        yield engine;
+      }
+      case "service" -> {
+        StandInService service = new StandInService(ServiceSettings.reader().read(file));
+        service.start();
+        yield service;
+      }
+      case "rating" -> {
+        StandInRating rating = new StandInRating(RatingSettings.reader().read(file));
+        rating.start();
+        yield rating;
+      }
+      default -> {
+        StandInWeights weights = new StandInWeights(WeightsSettings.reader().read(file));
+        weights.start();
+        yield weights;
+      }
+    };
+  }
+
+  private static void close(AutoCloseable running) {
+    try {
+      running.close();
+    } catch (Exception failure) {
+      System.err.println("The stand-in did not close in order: " + failure.getMessage());
+    }
+  }
+}
