--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftAnswer.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftAnswer.java
@@ -28,8 +28,8 @@
     this.ending = ending;
   }
 
-  boolean drawSample() {
-    return sampler.draw();
+  boolean drawSample(ModelVersion version) {
+    return sampler.draw(version);
   }
 
   /** Adds tokens to the answer, and sends them on if the caller gets them as they come. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
@@ -136,7 +136,7 @@
     Duration first = left.compareTo(usual) < 0 ? left : usual;
     Duration watchdog = first.plus(settings.watchdogGrace());
     if (active.attempts == 0) {
-      active.sampled = answers.drawSample();
+      active.sampled = answers.drawSample(version);
     }
     Attempt attempt = attempts.begin(active, upstream, version, watchdog, turn);
     attempt.resumeOffset = active.answer.tokens();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RatingSampler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RatingSampler.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.quality.AttemptOutcome;
 import org.skylarkfork.core.quality.QualityBook;
@@ -26,8 +27,9 @@
     this.random = random;
   }
 
-  boolean draw() {
-    return random.nextDouble() < share;
+  /** Draws whether an answer is to be rated; more often while it is not clear if it is good. */
+  boolean draw(ModelVersion version) {
+    return random.nextDouble() < quality.ratingShare(version, share);
   }
 
   /** Asks for the rating of an answer; beyond a bound the sample is dropped. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/BadVersionDetector.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/BadVersionDetector.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.Configuration;
@@ -24,10 +26,14 @@
   /** Fewest values of one key for a reference of its own. */
   private static final int LEAST_OF_KEY = 30;
 
+  /** Logarithm of the gain from which more answers are rated, to know sooner. */
+  private static final double ALERT = 2;
+
   private final EvidenceHistory history;
   private final QualitySettings settings;
   private final Map<ModelVersion, Long> testedFrom = new HashMap<>();
   private final Map<ModelVersion, FirstTime> firstTimes = new HashMap<>();
+  private final Set<ModelVersion> alerts = new HashSet<>();
 
   BadVersionDetector(EvidenceHistory history, QualitySettings settings) {
     this.history = history;
@@ -44,14 +50,19 @@
       ModelVersion version, Configuration configuration, double chance, long epoch) {
     testedFrom.computeIfAbsent(version, unused -> epoch);
     keepFirstTime(version, epoch);
-    double threshold = -Math.log(chance / Signal.values().length);
+    alerts.remove(version);
     Finding strongest = null;
     for (Signal signal : Signal.values()) {
       Optional<Comparison> comparison = comparison(version, configuration, signal, epoch);
       if (comparison.isEmpty()) {
         continue;
       }
-      double evidence = comparison.get().logEvidence(settings.windowEpochs());
+      List<SequentialTest.EpochGains> gains = comparison.get().gains(settings.windowEpochs());
+      if (signal == Signal.RATING && SequentialTest.logAlert(gains) >= ALERT) {
+        alerts.add(version);
+      }
+      double evidence = SequentialTest.logEvidence(gains);
+      double threshold = -Math.log(chance * signal.share());
       if (evidence >= threshold && (strongest == null || evidence > strongest.logEvidence())) {
         strongest = comparison.get().finding(evidence);
       }
@@ -74,6 +85,11 @@
     return comparison(version, configuration, Signal.RATING, epoch).isPresent();
   }
 
+  /** Returns whether more ratings would soon tell if the version is bad. */
+  boolean wantsRatings(ModelVersion version) {
+    return alerts.contains(version);
+  }
+
   /** Begins the test anew; earlier evidence no longer counts. */
   void restart(ModelVersion version, long epoch) {
     testedFrom.put(version, epoch);
@@ -176,7 +192,7 @@
           .isPresent();
     }
 
-    double logEvidence(int windowEpochs) {
+    List<SequentialTest.EpochGains> gains(int windowEpochs) {
       TreeMap<Long, double[]> gains = new TreeMap<>();
       long first = Math.max(from, epoch - Math.min(windowEpochs, signal.windowEpochs()));
       counts.forEach(
@@ -185,7 +201,7 @@
                   .ifPresent(expected -> addGains(gains, epochs.tailMap(first), expected)));
       List<SequentialTest.EpochGains> list = new ArrayList<>();
       gains.forEach((at, sum) -> list.add(new SequentialTest.EpochGains(at - from, sum)));
-      return SequentialTest.logEvidence(list);
+      return list;
     }
 
     private void addGains(
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/SequentialTest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/SequentialTest.java
@@ -50,6 +50,23 @@
     return total.log();
   }
 
+  /**
+   * Returns the logarithm of the greatest gain of any stake and start, not weighted.
+   *
+   * <p>It rises sooner than the evidence but proves nothing: it is for deciding where to look.
+   */
+  static double logAlert(List<EpochGains> epochs) {
+    double[] running = new double[STAKES.length];
+    double greatest = 0;
+    for (int i = epochs.size() - 1; i >= 0; i--) {
+      for (int stake = 0; stake < STAKES.length; stake++) {
+        running[stake] += epochs.get(i).logGains()[stake];
+        greatest = Math.max(greatest, running[stake]);
+      }
+    }
+    return greatest;
+  }
+
   /** Returns the logarithm of a start's weight; of all such series, it falls about the slowest. */
   private static double logWeight(long age) {
     double number = age + 2.0;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/SharedQualityBook.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/SharedQualityBook.java
@@ -110,6 +110,11 @@
     return estimator.tokens(version, SizeClass.of(promptTokens));
   }
 
+  @Override
+  public double ratingShare(ModelVersion version, double usual) {
+    return detector.wantsRatings(version) ? 1 : usual;
+  }
+
   @Override
   public boolean isSuspect(ModelVersion version) {
     return verdicts.isSuspect(version);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/Signal.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/quality/Signal.java
@@ -5,13 +5,13 @@
 /** What a version is compared by; each gives values from 0, bad, to 1, good. */
 enum Signal {
   /** Ratings of answers. */
-  RATING(Counters.RATING_CLASSES, 360),
+  RATING(Counters.RATING_CLASSES, 360, 0.5),
   /** Attempts that ended with an error. */
-  ERRORS(2, 360),
+  ERRORS(2, 360, 0.2),
   /** Answers that were empty or cut. */
-  BROKEN_ANSWERS(2, 360),
+  BROKEN_ANSWERS(2, 360, 0.2),
   /** First tokens that came late, against a version that works under the same load. */
-  FIRST_TOKEN(2, 60);
+  FIRST_TOKEN(2, 60, 0.1);
 
   private static final double SLOW_QUANTILE = 0.9;
 
@@ -20,10 +20,17 @@
 
   private final int classes;
   private final int windowEpochs;
+  private final double share;
 
-  Signal(int classes, int windowEpochs) {
+  Signal(int classes, int windowEpochs, double share) {
     this.classes = classes;
     this.windowEpochs = windowEpochs;
+    this.share = share;
+  }
+
+  /** Returns its share of the bound for false alarms; the shares sum to 1. */
+  double share() {
+    return share;
   }
 
   int classes() {
