--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -17,7 +17,8 @@
       QuickstartCommand.class,
       DaemonCommand.class,
       CheckCommand.class,
-      StandinCommand.class
+      StandinCommand.class,
+      LoadCommand.class
     },
     groups =
         @Group(
