Ledger: a bill handed in again keeps its number; answers without body are refused

Cause: a request whose bill was not committed in time hands the same bill in again. It got a second number, and a bill without a caller's key is known by its number only, so the team paid twice. Besides, a recorded answer whose body was over the bound went to a resend as an empty 201. Change: EntryBills knows the numbers of open bills by request and remembers late commits for 10 minutes. CallRun refuses a recorded answer without its body as run. Conclusion: one bill a request, also where the answer waited through a loss of the leader.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
@@ -15,6 +15,7 @@
 import org.skylarkfork.core.event.UpstreamEvent;
 import org.skylarkfork.core.event.UpstreamEvent.Moment;
 import org.skylarkfork.core.ledger.ClaimOutcome;
+import org.skylarkfork.core.ledger.LedgerMachine;
 import org.skylarkfork.core.request.AnswerFacts;
 import org.skylarkfork.core.request.RunState;
 import org.skylarkfork.core.upstream.Announcement;
@@ -25,6 +26,14 @@
   private static final long CLAIM_RETRY_MILLIS = 1000;
   private static final int SERVER_ERROR = 500;
 
+  // An answer without its body must not look like a whole one.
+  private static final RoutingError BODY_NOT_KEPT =
+      new RoutingError(
+          ErrorKind.CONFLICT,
+          "The call ran, but its answer was too large to be kept. Ask the service for its effect.",
+          RunState.RAN,
+          null);
+
   private final ActiveRequests requests;
   private final RequestCollaborators parts;
   private final RequestSettings settings;
@@ -113,8 +122,10 @@
       active.notice = "recorded answer of request " + answered.facts().requestId();
       AnswerFacts facts = active.facts(null, answered.facts().upstream());
       CallerEffect last =
-          new CallerEffect.SendServiceAnswer(
-              active.id(), answered.status(), answered.headers(), answered.body(), facts);
+          answered.headers().contains(LedgerMachine.BODY_DROPPED)
+              ? new CallerEffect.Refuse(active.id(), BODY_NOT_KEPT, facts)
+              : new CallerEffect.SendServiceAnswer(
+                  active.id(), answered.status(), answered.headers(), answered.body(), facts);
       // The bill is handed in again: the first entry may have ended between outcome and bill.
       ending.end(active, last, null, ending.bill(active, active.request.service(), null), turn);
       return;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/EntryBills.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/EntryBills.java
@@ -30,6 +30,7 @@
 final class EntryBills {
 
   private static final Duration BATCH_TRY = Duration.ofSeconds(5);
+  private static final Duration LATE_KEPT = Duration.ofMinutes(10);
 
   private final LedgerSettings settings;
   private final String entry;
@@ -39,7 +40,9 @@
   private final TreeMap<Long, Bill> unsettled = new TreeMap<>();
   private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
   private final Map<Long, List<NumberedBill>> inFlight = new HashMap<>();
-  private final List<String> notAwaited = new ArrayList<>();
+  private final Map<String, Long> numbers = new HashMap<>();
+  private final Map<String, Instant> settledLate = new LinkedHashMap<>();
+  private final List<Billed> answered = new ArrayList<>();
   private final List<List<NumberedBill>> failed = new ArrayList<>();
   private final Deque<List<NumberedBill>> again = new ArrayDeque<>();
   private final NumberSet settled = new NumberSet(0, List.of());
@@ -58,33 +61,50 @@
   }
 
   /**
-   * Numbers a bill.
+   * Numbers a bill, or goes on waiting for one that was handed in before.
+   *
+   * <p>A request whose answer waited too long hands its bill in again. Under a second number it
+   * would be counted twice, as a bill without a caller's key is known by its number only.
    *
    * @param hasBackup whether a backup can keep it until it is committed
    */
   void add(Bill bill, boolean hasBackup, Instant now) {
+    Long known = numbers.get(bill.requestId());
+    if (known != null) {
+      await(known, bill, hasBackup, now);
+      return;
+    }
+    if (settledLate.remove(bill.requestId()) != null) {
+      answered.add(new Billed(bill.requestId(), true));
+      return;
+    }
     lastNumber++;
     unsettled.put(lastNumber, bill);
-    if (bill.lookup() && (!hasBackup || settings.lookupWait().isZero())) {
-      notAwaited.add(bill.requestId());
-    } else {
-      Duration patience = bill.lookup() ? settings.lookupWait() : settings.billWait();
-      waiting.put(lastNumber, new Waiting(bill.requestId(), now.plus(patience), bill.lookup()));
-    }
+    numbers.put(bill.requestId(), lastNumber);
+    await(lastNumber, bill, hasBackup, now);
     isUrgent |= !bill.lookup();
     if (now.isBefore(oldestUnsubmitted)) {
       oldestUnsubmitted = now;
     }
   }
 
+  private void await(long number, Bill bill, boolean hasBackup, Instant now) {
+    if (bill.lookup() && (!hasBackup || settings.lookupWait().isZero())) {
+      answered.add(new Billed(bill.requestId(), false));
+    } else {
+      Duration patience = bill.lookup() ? settings.lookupWait() : settings.billWait();
+      waiting.put(number, new Waiting(bill.requestId(), now.plus(patience), bill.lookup()));
+    }
+  }
+
   /**
    * Submits what is due.
    *
    * @param hasBackup whether a backup keeps the bills meanwhile, so that lookups may collect
    */
   void drain(boolean hasBackup, Instant now, Output output) {
-    notAwaited.forEach(requestId -> output.raise(new Billed(requestId, false)));
-    notAwaited.clear();
+    answered.forEach(output::raise);
+    answered.clear();
     while (inFlight.size() < settings.batchesInFlight() && isDue(hasBackup, now)) {
       List<NumberedBill> batch = again.isEmpty() ? nextBatch() : again.removeFirst();
       submit(batch, now, output);
@@ -123,7 +143,7 @@
   }
 
   /** Takes the result of a batch and returns whether the submission was one of these. */
-  boolean onAnswered(long submissionId, CommandResult result, Output output) {
+  boolean onAnswered(long submissionId, CommandResult result, Instant now, Output output) {
     if (!(result instanceof BillsRecorded)) {
       return onFailed(submissionId);
     }
@@ -132,16 +152,24 @@
       return false;
     }
     for (NumberedBill numbered : batch) {
-      unsettled.remove(numbered.number());
-      settled.add(numbered.number());
-      Waiting one = waiting.remove(numbered.number());
-      if (one != null) {
-        output.raise(new Billed(one.requestId, true));
-      }
+      settle(numbered, now, output);
     }
     return true;
   }
 
+  private void settle(NumberedBill numbered, Instant now, Output output) {
+    String requestId = numbered.bill().requestId();
+    unsettled.remove(numbered.number());
+    numbers.remove(requestId);
+    settled.add(numbered.number());
+    Waiting one = waiting.remove(numbered.number());
+    if (one != null) {
+      output.raise(new Billed(requestId, true));
+    } else if (!numbered.bill().lookup()) {
+      settledLate.put(requestId, now.plus(LATE_KEPT));
+    }
+  }
+
   /**
    * Takes the failure of a batch and returns whether it was one of these.
    *
@@ -175,6 +203,7 @@
   void onTick(Instant now, Output output) {
     again.addAll(failed);
     failed.clear();
+    settledLate.values().removeIf(until -> !now.isBefore(until));
     var inOrder = waiting.values().iterator();
     while (inOrder.hasNext()) {
       Waiting one = inOrder.next();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerPart.java
@@ -119,7 +119,7 @@
     if (event instanceof Tick) {
       onTick(now, output);
     } else if (event instanceof SubmissionAnswered answered) {
-      onAnswered(answered, output);
+      onAnswered(answered, now, output);
     } else if (event instanceof SubmissionFailed failed) {
       onFailed(failed, now, output);
     } else if (event instanceof MessageReceived received) {
@@ -141,7 +141,7 @@
     held.onTick(peers, now, output);
   }
 
-  private void onAnswered(SubmissionAnswered answered, Output output) {
+  private void onAnswered(SubmissionAnswered answered, Instant now, Output output) {
     long id = answered.submissionId();
     if (claims.onAnswered(id, answered.result(), output)
         || held.onAnswered(id, answered.result())) {
@@ -149,7 +149,7 @@
     }
     Shard shard = byGroup.get(answered.group());
     if (shard != null) {
-      shard.bills.onAnswered(id, answered.result(), output);
+      shard.bills.onAnswered(id, answered.result(), now, output);
     }
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
@@ -19,6 +19,8 @@
 import org.skylarkfork.core.event.UpstreamEvent;
 import org.skylarkfork.core.event.UpstreamEvent.Moment;
 import org.skylarkfork.core.ledger.ClaimOutcome;
+import org.skylarkfork.core.ledger.LedgerMachine;
+import org.skylarkfork.core.request.AnswerFacts;
 import org.skylarkfork.core.request.Bytes;
 import org.skylarkfork.core.request.RunState;
 import org.testng.annotations.Test;
@@ -80,6 +82,23 @@
     assertEquals(own.ledger.bills.get("jury/k").costMicros(), 50);
   }
 
+  @Test
+  public void recordedAnswerWithoutItsBodyIsNotGivenAsWhole() {
+    // The caller resends a call whose answer was over the bound for recorded bodies. It is told
+    // that
+    // the call ran, not given an empty answer with status 201.
+    RequestFixture own = new RequestFixture();
+    AnswerFacts facts = new AnswerFacts("o", null, null, "s", 1, 50, null, null);
+    own.ledger.owners.put("jury/k", "request of another entry");
+    own.ledger.outcomes.put(
+        "jury/k",
+        new ClaimOutcome.Answered(201, List.of(LedgerMachine.BODY_DROPPED), Bytes.EMPTY, facts));
+    own.ask("r", RequestFixture.call("POST", "k"));
+    own.settle();
+    assertEquals(own.last(CallerEffect.Refuse.class).error().runState(), RunState.RAN);
+    assertEquals(own.ends("r"), 1);
+  }
+
   @Test
   public void resendsNeverRunWhileTheFirstIsOpenOrUnknown() {
     // The first entry's call is running, or was lost with its entry. A resend through this entry
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/ledger/LedgerPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/ledger/LedgerPartTest.java
@@ -132,6 +132,27 @@
     assertEquals(fixture.machine.statement("club").requests(), 1);
   }
 
+  // The team pays a draft once although its answer hands the bill in again and again while the
+  // group has no leader, and once more after the commit; each time it carries no caller's key.
+  @Test
+  public void billHandedInAgainKeepsItsNumber() {
+    LedgerFixture fixture = new LedgerFixture(4);
+    Entry entry = fixture.start("entry-1");
+    fixture.hasLeader = false;
+    Bill bill = LedgerMachineTest.bill("r1", "r1", 10);
+    for (int i = 0; i < 3; i++) {
+      entry.part.bill(bill, fixture.now);
+      fixture.run(Duration.ofSeconds(3));
+      assertEquals(entry.answers.get(i), new Billed("r1", false));
+    }
+    fixture.hasLeader = true;
+    fixture.run(LONG);
+    entry.part.bill(bill, fixture.now);
+    fixture.run(SHORT);
+    assertEquals(entry.answers.get(3), new Billed("r1", true));
+    assertEquals(fixture.machine.statement("club").requests(), 1);
+  }
+
   // The statement equals what was answered as billed, to the unit. Messages, submissions and their
   // answers are lost and doubled, entries crash and restart under their old name, the group loses
   // its leader; only a bill that no backup kept yet may die with its entry, before its answer.
