--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
@@ -137,7 +137,7 @@
    */
   @Test
   public void restartedRelayAcknowledgesOnlyAfterLeasesItForgot() {
-    daemons.run(Duration.ofSeconds(5));
+    daemons.run(Duration.ofSeconds(40)); // until each is back at its preferred source
     daemons.cutOff.addAll(Set.of("e13", "e14", "e15"));
     daemon("e10").restart();
     daemons.run(Duration.ofMillis(500));
