Node: gauges of each part's state and reload of certificates

Cause: operators saw counts but no state, and new certificates were only read at the start. Change: gauges for revision, members, upstreams, requests, queues, groups and peer traffic, refreshed at each scrape; certificate files are read again every 30 s.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminQueries.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminQueries.java
@@ -16,4 +16,7 @@
    * @return the view; fails with {@code BadRequestException} if there is none of that name
    */
   CompletableFuture<Object> view(String view, String argument);
+
+  /** Brings the gauges up to date with the daemon's state. */
+  CompletableFuture<Boolean> refreshGauges();
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -115,7 +115,9 @@
           : get(parts[0], argument, keyHash, request, response);
     }
     return switch (path) {
-      case "/metrics" -> Replies.whole(response, 200, METRICS_TYPE, metrics.text());
+      case "/metrics" ->
+          Replies.future(queries.refreshGauges())
+              .flatMap(fresh -> Replies.whole(response, 200, METRICS_TYPE, metrics.text()));
       case "/healthz" -> Replies.json(response, 200, "{\"status\":\"ok\"}");
       case "/readyz" -> ready(response);
       default -> replies.noSuchPath(request, response);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -9,6 +9,8 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -38,6 +40,7 @@
 import org.skylarkfork.runtime.transport.PeerFilter;
 import org.skylarkfork.runtime.transport.PeerTransport;
 import org.skylarkfork.runtime.transport.TlsFiles;
+import org.skylarkfork.runtime.transport.TransportException;
 import org.skylarkfork.runtime.transport.TransportSettings;
 import org.tinylog.Logger;
 
@@ -45,6 +48,7 @@
 public final class DaemonNode implements AutoCloseable {
 
   private static final long POLL_MILLIS = 10;
+  private static final long RELOAD_SECONDS = 30;
 
   private final DaemonSettings settings;
   private final MonotonicClock clock;
@@ -58,6 +62,8 @@
   private final UpstreamClient upstreams;
   private final CallerServer callers;
   private final NodeQueries queries;
+  private final ScheduledExecutorService certificates =
+      Executors.newSingleThreadScheduledExecutor(DaemonNode::certificateThread);
   private final CountDownLatch ended = new CountDownLatch(1);
   private @Nullable AdminServer admin;
   private @Nullable NodeParts parts;
@@ -100,6 +106,12 @@
             json);
   }
 
+  private static Thread certificateThread(Runnable task) {
+    Thread thread = new Thread(task, "certificates");
+    thread.setDaemon(true);
+    return thread;
+  }
+
   private EffectRouter router() {
     TraceHandler traces = new TraceHandler(settings.node(), metrics, timeline);
     return new EffectRouter(
@@ -165,7 +177,7 @@
         new AdminServer(
             HttpSettings.usual(settings.host(), settings.adminPort()),
             loop,
-            new NodeViews(loop, this::parts, settings),
+            new NodeViews(loop, this::parts, settings, new NodeGauges(metrics), peers::counts),
             queries,
             metrics,
             clock,
@@ -181,9 +193,23 @@
     }
     loop.start(made.reducer(event -> onEvent(event)));
     loop.submit(new LifecycleEvent.Started());
+    if (settings.tls() != null) {
+      certificates.scheduleAtFixedRate(
+          this::reloadCertificates, RELOAD_SECONDS, RELOAD_SECONDS, TimeUnit.SECONDS);
+    }
     Logger.info("node: {} serves callers at {}.", settings.node(), callerAddress);
   }
 
+  private void reloadCertificates() {
+    try {
+      if (peers.reload()) {
+        Logger.info("peer: New certificates are in use.");
+      }
+    } catch (TransportException unusable) {
+      Logger.warn("peer: New certificates can't be used: {}.", unusable.getMessage());
+    }
+  }
+
   private void onEvent(LifecycleEvent event) {
     if (event instanceof LifecycleEvent.Ending) {
       ended.countDown();
@@ -304,6 +330,7 @@
   /** Closes the daemon at once. */
   @Override
   public void close() {
+    certificates.shutdownNow();
     callers.close();
     if (admin != null) {
       admin.close();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -338,6 +338,10 @@
     return requests;
   }
 
+  FairAdmission admission() {
+    return admission;
+  }
+
   LedgerMachine ledgerMachine() {
     return ledgerMachine;
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeViews.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeViews.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.runtime.http.BadRequestException;
 import org.skylarkfork.runtime.loop.ReducerLoop;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.transport.TransportCounts;
 
 /** Answers operators' questions from the state of the parts(). */
 final class NodeViews implements AdminQueries {
@@ -17,8 +18,17 @@
   private final ReducerLoop loop;
   private final Supplier<NodeParts> source;
   private final DaemonSettings settings;
+  private final NodeGauges gauges;
+  private final Supplier<TransportCounts> transport;
 
-  NodeViews(ReducerLoop loop, Supplier<NodeParts> source, DaemonSettings settings) {
+  NodeViews(
+      ReducerLoop loop,
+      Supplier<NodeParts> source,
+      DaemonSettings settings,
+      NodeGauges gauges,
+      Supplier<TransportCounts> transport) {
+    this.gauges = gauges;
+    this.transport = transport;
     this.loop = loop;
     this.source = source;
     this.settings = settings;
@@ -62,6 +72,15 @@
     };
   }
 
+  @Override
+  public CompletableFuture<Boolean> refreshGauges() {
+    return loop.ask(
+        now -> {
+          gauges.refresh(parts(), transport.get(), now);
+          return true;
+        });
+  }
+
   private Object statement(String team) {
     if (!settings.isVoter()) {
       throw new BadRequestException(
