--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/DirectorySettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/DirectorySettings.java
@@ -36,7 +36,7 @@
   public static final DirectorySettings DEFAULT =
       new DirectorySettings(
           Duration.ofSeconds(1),
-          4,
+          20,
           3,
           Duration.ofMinutes(10),
           Duration.ofMillis(100),
