Attempt: a sample kept to be rated never breaks its stream

Cause: the text kept for a rating counted against the bound on held answers, and at the bound the stream that it was copied from was broken off. Change: at the bound the sample of a stream is dropped; only held answers are refused.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequests.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequests.java
@@ -111,6 +111,10 @@
     heldBytes += active.answer.bytes() - before;
   }
 
+  void dropText(ActiveRequest active) {
+    heldBytes -= active.answer.dropText();
+  }
+
   void clearAnswer(ActiveRequest active) {
     heldBytes -= active.answer.clear();
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/AnswerBuffer.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/AnswerBuffer.java
@@ -36,15 +36,20 @@
     }
   }
 
-  /** Empties the buffer and returns how many bytes it held. */
-  long clear() {
+  /** Forgets the text that was only kept to be rated, and returns how many bytes it had. */
+  long dropText() {
     final long held = bytes;
     text.setLength(0);
-    tokens = 0;
     bytes = 0;
     return held;
   }
 
+  /** Empties the buffer and returns how many bytes it held. */
+  long clear() {
+    tokens = 0;
+    return dropText();
+  }
+
   long tokens() {
     return tokens;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
@@ -20,6 +20,7 @@
 final class DraftRun {
 
   private static final int MOST_PLANS = 3;
+  private static final long RETRY_AFTER_MILLIS = 1000;
 
   private final ActiveRequests requests;
   private final RequestCollaborators parts;
@@ -176,12 +177,25 @@
     attempt.tokens += event.tokens();
     answers.append(active, attempt, event, turn);
     if (requests.heldBytes() > settings.maxHeldBytes()) {
-      String message = "This entry holds as many answer bytes as it can. Send it again later.";
-      RunState state = active.runState();
-      giveUp(active, new RoutingError(ErrorKind.NO_CAPACITY, message, state, 1000L), turn);
+      makeRoom(active, turn);
     }
   }
 
+  /**
+   * Keeps to the bound on held answers: without the sample if it is one, else without the answer.
+   */
+  private void makeRoom(ActiveRequest active, Turn turn) {
+    if (active.streamsThrough()) {
+      active.sampled = false;
+      requests.dropText(active);
+      return;
+    }
+    String message = "This entry holds as many answer bytes as it can. Send it again later.";
+    RunState state = active.runState();
+    giveUp(
+        active, new RoutingError(ErrorKind.NO_CAPACITY, message, state, RETRY_AFTER_MILLIS), turn);
+  }
+
   /** Gives up an attempt whose answer can't be trusted any more, and goes on elsewhere. */
   void cut(ActiveRequest active, Attempt attempt, String detail, Turn turn) {
     attempts.cancel(active, attempt, false, turn);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/DraftTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/DraftTest.java
@@ -374,6 +374,21 @@
     assertEquals(own.part.heldBytes(), 0);
   }
 
+  @Test
+  public void dropsSampleAndNotStreamAtTheBoundOnHeldBytes() {
+    RequestFixture own =
+        new RequestFixture(RequestFixture.settings(0.1, 5, 1.0), new OpenAdmission(), 1);
+    own.ask("r", RequestFixture.stream());
+    own.tokens("r.1", 0, 1);
+    assertTrue(own.part.heldBytes() > 0, "the text is kept to be rated");
+    own.tokens("r.1", 1, 3000);
+    assertEquals(own.part.heldBytes(), 0);
+    own.finish("r.1", 3001);
+    own.settle();
+    assertEquals(own.list(CallerEffect.EndStream.class).size(), 1);
+    assertTrue(own.list(UpstreamEffect.RequestRating.class).isEmpty());
+  }
+
   @Test
   public void ratesSampledAnswersAfterwards() {
     RequestFixture own =
