Core: tests for two safeguards of membership and sessions

Cause: nine safeguards were taken out by hand, one at a time. Tests failed for no handover, messages of a replaced process, the loss of an owner, the tie between equal pins and late heartbeats of an ended upstream, but passed without the local health score and with the later of two pins winning. Change: a cut VM is watched for 23 s, in which fixed timeouts would have ended, and pins race with different times. Rendezvous order computes each weight once, not in each comparison.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/Hashes.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/Hashes.java
@@ -29,15 +29,15 @@
     return hash ^ (hash >>> 33);
   }
 
-  /** Returns the weight of a candidate for a key; the candidate of highest weight comes first. */
-  public static long weight(String key, String candidate) {
-    return mix(of(key) ^ Long.rotateLeft(of(candidate), 31));
-  }
-
   /** Returns candidates in rendezvous order for a key; each removal moves only its own keys. */
   public static List<String> rendezvous(String key, Collection<String> candidates) {
-    Comparator<String> byWeight =
-        Comparator.comparingLong((String candidate) -> weight(key, candidate)).reversed();
-    return candidates.stream().sorted(byWeight.thenComparing(Comparator.naturalOrder())).toList();
+    long keyHash = of(key);
+    return candidates.stream()
+        .map(name -> new Weighted(name, mix(keyHash ^ Long.rotateLeft(of(name), 31))))
+        .sorted(Comparator.comparingLong(Weighted::weight).reversed().thenComparing(Weighted::name))
+        .map(Weighted::name)
+        .toList();
   }
+
+  private record Weighted(String name, long weight) {}
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/MembershipPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/MembershipPartTest.java
@@ -41,6 +41,7 @@
         assertEquals(daemon.liveNames().size(), 8);
       }
     }
+    network.run(Duration.ofSeconds(15));
     assertEquals(lost.deathsSeen(), 0);
     network.run(Duration.ofSeconds(90));
     network.cut(lost.self.host(), false);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/session/SessionPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/session/SessionPartTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,9 +41,9 @@
   }
 
   /**
-   * Two requests of a new session come through two entries in the same millisecond, and are pinned
+   * Two requests of a new session come through two entries at nearly the same time, and are pinned
    * to different versions before either entry hears of the other. Afterwards the session has one
-   * version at all entries, whichever owner heard which pin first.
+   * version at all entries, that of the earlier pin, whichever owner heard which pin first.
    */
   @Test
   public void equalTimePinsEndAsOne() {
@@ -50,11 +51,13 @@
       TestNetwork network = new TestNetwork(seed).with(5);
       ask(network, network.daemons.get(0), "s", null);
       ask(network, network.daemons.get(1), "s", null);
-      network.daemons.get(0).sessions.pin(TEAM, "s", TWO, network.now);
+      Instant first = network.now.plusMillis(seed % 3);
+      network.daemons.get(0).sessions.pin(TEAM, "s", TWO, first);
       network.daemons.get(1).sessions.pin(TEAM, "s", ONE, network.now);
       network.run(Duration.ofSeconds(1));
       for (TestDaemon daemon : network.daemons) {
-        assertEquals(ask(network, daemon, "s", null).orElseThrow(), TWO, "seed " + seed);
+        ModelVersion earlier = seed % 3 == 0 ? TWO : ONE;
+        assertEquals(ask(network, daemon, "s", null).orElseThrow(), earlier, "seed " + seed);
       }
     }
   }
