--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/OperatorEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/OperatorEffect.java
@@ -150,4 +150,13 @@
    * @param until when its lease has run out at the latest
    */
   record AwaitedEntry(String node, long revision, Instant until) {}
+
+  /**
+   * Tells that all groups took a control VM in, as a learner at first, or out.
+   *
+   * @param callId id of the call
+   * @param node node name of the control VM
+   * @param admit whether it was taken in
+   */
+  record ControlVmChanged(String callId, String node, boolean admit) implements OperatorEffect {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/OperatorEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/OperatorEvent.java
@@ -85,4 +85,13 @@
    */
   record InForceRequested(String callId, String operatorKeyHash, long revision)
       implements OperatorEvent {}
+
+  /**
+   * An operator takes a control VM into all replicated groups or out of them; the key was checked.
+   *
+   * @param callId id of the call
+   * @param node node name of the control VM
+   * @param admit whether it is taken in, else it is taken out
+   */
+  record ControlVmRequested(String callId, String node, boolean admit) implements OperatorEvent {}
 }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -31,7 +31,8 @@
               AdminWithdrawCommand.class,
               AdminDrainCommand.class,
               AdminRollOutCommand.class,
-              AdminDryRunCommand.class
+              AdminDryRunCommand.class,
+              AdminControlVmCommand.class
             }))
 public final class Skylarkfork {
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminCalls.java
@@ -91,6 +91,16 @@
     return new OperatorEvent.DryRun(ids.get(), text(query, "team"), request);
   }
 
+  /** Parses {@code POST /admin/v1/control-vms} with a node and whether it is admitted. */
+  OperatorEvent controlVm(byte[] body) {
+    JsonNode root = object(body);
+    String node = root.path("node").asText("");
+    if (node.isEmpty() || !root.path("admit").isBoolean()) {
+      throw bad("Give 'node', the node name, and 'admit', true or false.");
+    }
+    return new OperatorEvent.ControlVmRequested(ids.get(), node, root.path("admit").asBoolean());
+  }
+
   /** A call without a change id gets one of its own, so that its resend is a new change. */
   private String changeId(HttpHeaders headers) {
     String id = headers.get(HttpNames.CHANGE_ID);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -132,6 +132,10 @@
               .read(request)
               .flatMap(
                   body -> ask(calls.change(keyHash, request.requestHeaders(), body), response));
+      case "control-vms" ->
+          operator(keyHash)
+              .then(bodies.read(request))
+              .flatMap(body -> ask(calls.controlVm(body), response));
       case "dry-run" -> dryRun(keyHash, request, response);
       default -> replies.noSuchPath(request, response);
     };
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -33,6 +33,7 @@
 import org.skylarkfork.core.configuration.Team;
 import org.skylarkfork.core.configuration.ZoneTree;
 import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.ControlVmPart;
 import org.skylarkfork.core.consensus.GroupSetup;
 import org.skylarkfork.core.consensus.LeaderLog;
 import org.skylarkfork.core.consensus.RaftSettings;
@@ -82,6 +83,7 @@
 final class NodeParts {
 
   private static final int LEDGER_SHARDS = 1;
+  private static final List<GroupId> ALL_GROUPS = List.of(GroupId.CONFIGURATION, GroupId.LEDGER);
 
   /**
    * How far an entry may exceed its even share of the upstreams, since callers don't spread evenly.
@@ -288,6 +290,7 @@
             List.of(
                 consensus,
                 new LeaderLog(),
+                new ControlVmPart(ALL_GROUPS, consensus.submitter()),
                 membership,
                 configuration,
                 directory,
@@ -307,7 +310,7 @@
 
   /** Returns the groups whose replicas this daemon hosts. */
   List<GroupId> hostedGroups() {
-    return settings.isVoter() ? List.of(GroupId.CONFIGURATION, GroupId.LEDGER) : List.of();
+    return settings.isVoter() ? ALL_GROUPS : List.of();
   }
 
   ConsensusPart consensus() {
