Measuring program: one daemon's decisions against baselines in virtual time

Cause: the decisions were measured one mechanism at a time; no run put the parts of a whole daemon under both deployments' load with faults. Change: skylarkfork measure drives the real reducer (requests, fair admission, planner, chooser, shared quality book, sessions, directory, ledger) against small fakes of engines, services, rating and the ledger group with a virtual clock; faults singly and in pairs; JSON and one HTML page.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -18,7 +18,8 @@
       DaemonCommand.class,
       CheckCommand.class,
       StandinCommand.class,
-      LoadCommand.class
+      LoadCommand.class,
+      MeasureCommand.class
     },
     groups =
         @Group(
