Node: the process ends on the core's effect

Cause: the daemon ended as the parts were told of the end, which may be before their last messages were sent. Change: EndProcess, the effect that follows the parts' last ones, ends it.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -120,7 +120,8 @@
         effect -> adminServer().carryOut(effect),
         effect -> peers.carryOut(effect),
         effect -> storage().carryOut(effect),
-        traces::carryOut);
+        traces::carryOut,
+        effect -> ended.countDown());
   }
 
   private TransportSettings transportSettings() {
@@ -191,7 +192,7 @@
     for (GroupId group : made.hostedGroups()) {
       storage().recover(group);
     }
-    loop.start(made.reducer(event -> onEvent(event)));
+    loop.start(made.reducer());
     loop.submit(new LifecycleEvent.Started());
     if (settings.tls() != null) {
       certificates.scheduleAtFixedRate(
@@ -210,12 +211,6 @@
     }
   }
 
-  private void onEvent(LifecycleEvent event) {
-    if (event instanceof LifecycleEvent.Ending) {
-      ended.countDown();
-    }
-  }
-
   private long seed() {
     return UUID.randomUUID().getMostSignificantBits();
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/EffectRouter.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/EffectRouter.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import org.skylarkfork.core.effect.CallerEffect;
 import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.LifecycleEffect;
 import org.skylarkfork.core.effect.OperatorEffect;
 import org.skylarkfork.core.effect.PeerEffect;
 import org.skylarkfork.core.effect.StorageEffect;
@@ -19,6 +20,7 @@
  * @param peers traffic to other daemons
  * @param storage writes to the data folder
  * @param traces time line, metrics and log
+ * @param lifecycle what the daemon does with itself
  */
 record EffectRouter(
     Consumer<CallerEffect> callers,
@@ -26,7 +28,8 @@
     Consumer<OperatorEffect> operators,
     Consumer<PeerEffect> peers,
     Consumer<StorageEffect> storage,
-    Consumer<TraceEffect> traces)
+    Consumer<TraceEffect> traces,
+    Consumer<LifecycleEffect> lifecycle)
     implements EffectHandler {
 
   @Override
@@ -43,6 +46,8 @@
       storage.accept(write);
     } else if (effect instanceof TraceEffect trace) {
       traces.accept(trace);
+    } else if (effect instanceof LifecycleEffect own) {
+      lifecycle.accept(own);
     }
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
@@ -39,7 +38,6 @@
 import org.skylarkfork.core.consensus.RaftSettings;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.event.ConfigurationEvent;
-import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.ledger.LedgerBounds;
 import org.skylarkfork.core.ledger.LedgerMachine;
 import org.skylarkfork.core.ledger.LedgerPart;
@@ -273,18 +271,8 @@
         .toList();
   }
 
-  /**
-   * Returns a reducer over all parts.
-   *
-   * @param onLifecycle told of the daemon's own events after all parts
-   */
-  Reducer reducer(Consumer<LifecycleEvent> onLifecycle) {
-    Part end =
-        (event, now, output) -> {
-          if (event instanceof LifecycleEvent lifecycle) {
-            onLifecycle.accept(lifecycle);
-          }
-        };
+  /** Returns a reducer over all parts. */
+  Reducer reducer() {
     List<Part> parts =
         new ArrayList<>(
             List.of(
@@ -304,7 +292,6 @@
     if (settings.isVoter()) {
       parts.add(orders);
     }
-    parts.add(end);
     return new Reducer(parts);
   }
 
