Proof: several daemons under load and faults, and a checker of the promises

Cause: each promise had its own tests, but nothing showed that they hold together, with real daemons, while several things fail.

Change: 'skylarkfork proof' starts three voters and some entries with engines, services and a rating service in one process, sends a load and carries out crashes, a wiped disk with the loss of a second voter after its repair, a silent cut with operators racing on both sides, a restart of all, withdrawals, drains, roll-outs, planned stops, leaving and misbehaving upstreams, in an order drawn from a seed. Afterwards the checker reads the callers' records, the upstreams' runs, the time lines, the operators' answers and the statements. A load record tells how many sends were lost, for only without any a refusal as not run can be held against the entry.

A first form of the check took an entry without a disk that applies old revisions one by one after its restart for a reversal; it holds no lease then and takes no work. The check now asks that no work goes out under an older revision than the daemon had or than was in force everywhere, which is what callers can meet; a fall within one life of a daemon is still one.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DeletedFolders.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DeletedFolders.java
@@ -9,12 +9,12 @@
 import java.util.stream.Stream;
 
 /** Deletes folders that a command made for itself. */
-final class DeletedFolders {
+public final class DeletedFolders {
 
   private DeletedFolders() {}
 
   /** Deletes a folder with all that is in it. */
-  static void delete(Path folder) {
+  public static void delete(Path folder) {
     try (Stream<Path> found = Files.walk(folder)) {
       List<Path> deepestFirst = found.sorted(Comparator.reverseOrder()).toList();
       for (Path path : deepestFirst) {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleConfiguration.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleConfiguration.java
@@ -14,35 +14,35 @@
 import org.skylarkfork.runtime.http.Sha256;
 
 /** The configuration that quickstart loads: two models, two services and two teams. */
-final class ExampleConfiguration {
+public final class ExampleConfiguration {
 
   /** Key of the team that may use all. */
-  static final String TEAM_KEY = "quickstart-team-key";
+  public static final String TEAM_KEY = "quickstart-team-key";
 
   /** Key of the team that may only use the small model. */
-  static final String SMALL_TEAM_KEY = "quickstart-small-team-key";
+  public static final String SMALL_TEAM_KEY = "quickstart-small-team-key";
 
   /** Key of the operator. */
-  static final String OPERATOR_KEY = "quickstart-operator-key";
+  public static final String OPERATOR_KEY = "quickstart-operator-key";
 
   /** Cheap model. */
-  static final String SMALL = "ruling-small";
+  public static final String SMALL = "ruling-small";
 
   /** Model of higher quality and price. */
-  static final String LARGE = "ruling-large";
+  public static final String LARGE = "ruling-large";
 
   /** Service whose calls may be repeated. */
-  static final String LOOKUP = "register";
+  public static final String LOOKUP = "register";
 
   /** Service whose POST calls run at most once. */
-  static final String CERTIFICATES = "certificates";
+  public static final String CERTIFICATES = "certificates";
 
   private static final int EQUAL_WEIGHT = 1;
 
   private ExampleConfiguration() {}
 
   /** Returns the configuration. */
-  static Configuration configuration() {
+  public static Configuration configuration() {
     return new Configuration(
         1,
         List.of(
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
@@ -0,0 +1,89 @@
+package org.skylarkfork.daemon;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.daemon.proof.FaultName;
+import org.skylarkfork.daemon.proof.ProofChecker;
+import org.skylarkfork.daemon.proof.ProofEvidence;
+import org.skylarkfork.daemon.proof.ProofReport;
+import org.skylarkfork.daemon.proof.ProofRun;
+import org.skylarkfork.daemon.proof.ProofSettings;
+import org.skylarkfork.runtime.settings.Units;
+import org.skylarkfork.standin.load.LoadOutcome;
+
+/** Proves the promises with several daemons in this process, under load and faults. */
+@Command(
+    name = "proof",
+    description = "Disturbs several daemons under load and checks every promise afterwards.")
+public final class ProofCommand implements Callable<Integer> {
+
+  @Option(name = "--seed", title = "N", description = "Seed of load and faults; 1 if absent.")
+  private long seed = 1;
+
+  @Option(name = "--duration", title = "DURATION", description = "Time of the load; 60s if absent.")
+  private String duration = "60s";
+
+  @Option(name = "--entries", title = "N", description = "Daemons besides the voters; 2 if absent.")
+  private int entries = 2;
+
+  @Option(name = "--rate", title = "N", description = "Requests a second; 20 if absent.")
+  private double rate = 20;
+
+  @Option(
+      name = "--faults",
+      title = "NAMES",
+      description = "all, none, or names with commas between, such as crash-leader,withdraw.")
+  private String faults = "all";
+
+  @Option(name = "--keep", title = "FOLDER", description = "Keeps data and time lines there.")
+  private @Nullable String keep;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Path folder =
+        keep == null
+            ? Files.createTempDirectory("skylarkfork-proof")
+            : Files.createDirectories(Path.of(keep));
+    try {
+      ProofSettings settings =
+          new ProofSettings(folder, seed, Units.duration(duration), entries, rate, names(), 0);
+      ProofEvidence evidence = new ProofRun(settings).run();
+      System.out.println("seed " + seed + ", " + evidence.faults() + " faults");
+      System.out.println(outcomes(evidence));
+      boolean kept = ProofReport.print(new ProofChecker(evidence).check(), System.out);
+      return kept ? ExitCode.SUCCESS : ExitCode.FAILURE;
+    } finally {
+      if (keep == null) {
+        DeletedFolders.delete(folder);
+      }
+    }
+  }
+
+  private static Map<LoadOutcome, Integer> outcomes(ProofEvidence evidence) {
+    Map<LoadOutcome, Integer> counts = new EnumMap<>(LoadOutcome.class);
+    evidence.records().forEach(record -> counts.merge(record.outcome(), 1, Integer::sum));
+    return counts;
+  }
+
+  private List<FaultName> names() {
+    if (faults.equals("none")) {
+      return List.of();
+    }
+    if (faults.equals("all")) {
+      return List.of(FaultName.values());
+    }
+    return Arrays.stream(faults.split(","))
+        .map(name -> FaultName.valueOf(name.strip().replace('-', '_').toUpperCase(Locale.ROOT)))
+        .toList();
+  }
+}
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -19,7 +19,8 @@
       CheckCommand.class,
       StandinCommand.class,
       LoadCommand.class,
-      MeasureCommand.class
+      MeasureCommand.class,
+      ProofCommand.class
     },
     groups =
         @Group(
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
@@ -128,6 +128,16 @@
         faults.present());
   }
 
+  /**
+   * Gives the number of runs of a request.
+   *
+   * @param requestId the id of the request, as the entry gave it
+   * @return the number, 0 if it never ran
+   */
+  public int runsOf(String requestId) {
+    return runs.runsOf(requestId);
+  }
+
   @Override
   public CompletableFuture<Void> stop() {
     return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/load/LoadRecord.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/load/LoadRecord.java
@@ -11,6 +11,7 @@
  * @param session its session, or null
  * @param team index of the team's key
  * @param sends how often it was sent
+ * @param lost how many of these sends ended without an answer of the entry
  * @param requestId id that the last entry gave it, or null
  * @param outcome how it ended
  * @param status HTTP status of the last answer, or 0
@@ -28,6 +29,7 @@
     @Nullable String session,
     int team,
     int sends,
+    int lost,
     @Nullable String requestId,
     LoadOutcome outcome,
     int status,
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/load/LoadRunner.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/load/LoadRunner.java
@@ -98,25 +98,27 @@
 
   private Mono<LoadRecord> one(LoadSender sender, LoadCall call) {
     long start = System.nanoTime();
-    return attempt(sender, call, 1, "", start).subscribeOn(Schedulers.boundedElastic());
+    return attempt(sender, call, 1, 0, "", start).subscribeOn(Schedulers.boundedElastic());
   }
 
   private Mono<LoadRecord> attempt(
-      LoadSender sender, LoadCall call, int sends, String avoid, long start) {
+      LoadSender sender, LoadCall call, int sends, int lostBefore, String avoid, long start) {
     String entry = entries.pick(avoid);
     return sender
         .send(call, entry)
         .flatMap(
             reply -> {
+              int lost =
+                  reply.outcome() == LoadOutcome.CONNECTION_LOST ? lostBefore + 1 : lostBefore;
               boolean again =
                   sends <= settings.resends()
                       && (reply.outcome() == LoadOutcome.NOT_RUN && reply.status() >= 429
                           || reply.outcome() == LoadOutcome.CONNECTION_LOST);
               if (!again) {
-                return Mono.just(record(call, reply, sends, start));
+                return Mono.just(record(call, reply, sends, lost, start));
               }
               return Mono.delay(wait(reply, sends), Schedulers.boundedElastic())
-                  .flatMap(tick -> attempt(sender, call, sends + 1, entry, start));
+                  .flatMap(tick -> attempt(sender, call, sends + 1, lost, entry, start));
             });
   }
 
@@ -128,7 +130,8 @@
     return wait.compareTo(LONGEST_WAIT) > 0 ? LONGEST_WAIT : wait;
   }
 
-  private static LoadRecord record(LoadCall call, LoadReply reply, int sends, long start) {
+  private static LoadRecord record(
+      LoadCall call, LoadReply reply, int sends, int lost, long start) {
     long now = System.nanoTime();
     return new LoadRecord(
         call.number(),
@@ -137,6 +140,7 @@
         call.session(),
         call.team(),
         sends,
+        lost,
         reply.requestId(),
         reply.outcome(),
         reply.status(),
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -85,6 +85,16 @@
     return runs.report();
   }
 
+  /**
+   * Gives the number of runs of a request.
+   *
+   * @param key the caller's idempotency key, or the request id of a call without one
+   * @return the number, 0 if it never ran
+   */
+  public int runsOf(String key) {
+    return runs.runsOf(key);
+  }
+
   @Override
   public CompletableFuture<Void> stop() {
     return announcer.leave(openCalls.leave()).whenComplete((done, error) -> close());
