Settings: check and daemon refuse values that can't work, by line and remedy

Cause: 'check' looked at the schema only, so a voter without a data folder, a missing folder, equal ports or an IP number such as 300.0.0.1 were met at the start or later. Conclusion: what fits the schema but can't work is named before the start.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/CheckCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/CheckCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.settings.DaemonSettingsCheck;
 import org.skylarkfork.runtime.settings.SettingsException;
 
 /** Checks a daemon's settings without starting it. */
@@ -19,7 +20,7 @@
   @Override
   public Integer call() {
     try {
-      DaemonSettings read = DaemonSettings.reader().read(Path.of(settings));
+      DaemonSettings read = DaemonSettingsCheck.reader().read(Path.of(settings));
       System.out.println("The settings of " + read.node() + " are in order.");
       return ExitCode.SUCCESS;
     } catch (SettingsException wrong) {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -12,6 +12,7 @@
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.settings.DaemonSettingsCheck;
 import org.skylarkfork.runtime.transport.PeerFilter;
 import org.tinylog.Logger;
 
@@ -27,7 +28,7 @@
 
   @Override
   public Integer call() throws Exception {
-    DaemonSettings read = DaemonSettings.reader().read(Path.of(settings));
+    DaemonSettings read = DaemonSettingsCheck.reader().read(Path.of(settings));
     AtomicReference<Throwable> broken = new AtomicReference<>();
     CountDownLatch stopped = new CountDownLatch(1);
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/SettingsReader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/SettingsReader.java
@@ -36,16 +36,29 @@
 
   private final Class<T> type;
   private final Schema schema;
+  private final Function<T, List<SettingsProblem>> check;
   private final ObjectMapper yaml;
 
   /**
-   * Makes a reader.
+   * Makes a reader that checks the schema only.
    *
    * @param type the record that holds the settings
    * @param schema JSON schema, as a resource beside the record's class
    */
   public SettingsReader(Class<T> type, String schema) {
+    this(type, schema, settings -> List.of());
+  }
+
+  /**
+   * Makes a reader.
+   *
+   * @param type the record that holds the settings
+   * @param schema JSON schema, as a resource beside the record's class
+   * @param check finds what is wrong in settings that fit the schema
+   */
+  public SettingsReader(Class<T> type, String schema, Function<T, List<SettingsProblem>> check) {
     this.type = type;
+    this.check = check;
     this.schema = schema(type, schema);
     this.yaml = new ObjectMapper(new YAMLFactory());
     SimpleModule units = new SimpleModule();
@@ -94,6 +107,15 @@
     if (!errors.isEmpty()) {
       throw new SettingsException(described(errors, lines));
     }
+    T settings = converted(tree);
+    List<SettingsProblem> problems = check.apply(settings);
+    if (!problems.isEmpty()) {
+      throw new SettingsException(placed(problems, lines));
+    }
+    return settings;
+  }
+
+  private T converted(JsonNode tree) {
     try {
       return yaml.treeToValue(tree, type);
     } catch (JsonProcessingException wrong) {
@@ -101,6 +123,27 @@
     }
   }
 
+  private static List<String> placed(List<SettingsProblem> problems, Map<String, Integer> lines) {
+    return problems.stream()
+        .sorted(Comparator.comparingInt(problem -> line(problem.pointer(), lines)))
+        .map(
+            problem ->
+                "Line "
+                    + line(problem.pointer(), lines)
+                    + ": "
+                    + place(problem.pointer())
+                    + problem.sentence())
+        .toList();
+  }
+
+  private static int line(String pointer, Map<String, Integer> lines) {
+    return lines.getOrDefault(pointer, 1);
+  }
+
+  private static String place(String pointer) {
+    return pointer.isEmpty() ? "" : pointer.substring(1).replace('/', '.') + ": ";
+  }
+
   private JsonNode tree(String text) {
     try {
       JsonNode tree = yaml.readTree(text);
@@ -131,13 +174,13 @@
 
   private static List<String> described(List<Error> errors, Map<String, Integer> lines) {
     return errors.stream()
-        .map(error -> new Problem(line(error, lines), error))
+        .map(error -> new Problem(errorLine(error, lines), error))
         .sorted(Comparator.comparingInt(Problem::line))
         .map(Problem::sentence)
         .toList();
   }
 
-  private static int line(Error error, Map<String, Integer> lines) {
+  private static int errorLine(Error error, Map<String, Integer> lines) {
     String pointer = error.getInstanceLocation().toString();
     if (error.getProperty() != null) {
       Integer line = lines.get(pointer + "/" + error.getProperty());
@@ -145,7 +188,7 @@
         return line;
       }
     }
-    return lines.getOrDefault(pointer, 1);
+    return line(pointer, lines);
   }
 
   private record Problem(int line, Error error) {
@@ -155,10 +198,7 @@
     }
 
     private String what() {
-      String place = error.getInstanceLocation().toString();
-      return (place.isEmpty() ? "" : place.substring(1).replace('/', '.') + ": ")
-          + error.getMessage()
-          + ".";
+      return place(error.getInstanceLocation().toString()) + error.getMessage() + ".";
     }
 
     private String remedy() {
