HTTP edge: clear refusals, noticed leavers and bounded answers

Cause: the listeners' edges had only been tried with well-formed calls. A call without a key made the handler throw before any answer, so its connection was closed in silence. A caller that left mid-stream was reported as served, since the HTTP library ends the stream without an error: the engine worked on. A caller that stopped to read was never dropped, since the error waited behind the unread frames. A caller that ended its sending side after a whole request lost its answer. Answers of services and error bodies were collected without a bound. A service could replace the router's own headers, and of repeated headers one was lost.

Change: ConnectionGuard refuses what is no whole and clear request with a typed error and its headers, answers half-closed callers and finds by an interim response whether a silent one has left. Replies turn every failure before an answer into a typed refusal with request id and attempts. BoundedBody bounds what is collected from either side. Paths, methods and header values are checked before they are passed on. The list of entries may be kept for its lifetime by its cache header.

Conclusion: each refusal of the list costs no upstream work.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -79,13 +79,13 @@
     this.codec = codec;
     this.calls =
         new AdminCalls(json, codec, new RequestParser(json, settings.defaultDeadline()), ids);
-    this.replies = new Replies(new AnswerFormat(json), "docs/OPERATIONS.md");
+    this.replies = new Replies(new AnswerFormat(json), "docs/OPERATIONS.md", ids);
     this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
   }
 
   /** Opens the listener and returns its address. */
   public InetSocketAddress start() {
-    DisposableServer bound = Replies.bind(settings, this::handle);
+    DisposableServer bound = replies.bind(settings, this::handle);
     server = bound;
     return Replies.address(bound);
   }
@@ -99,13 +99,11 @@
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-    return route(request, response)
-        .onErrorResume(
-            BadRequestException.class, refused -> replies.refuse(response, refused.error()));
+    return replies.guarded(response, () -> route(request, response));
   }
 
   private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
-    String path = request.fullPath();
+    String path = Replies.path(request);
     if (path.startsWith(ROOT)) {
       String keyHash = RequestParser.keyHash(request.requestHeaders());
       String[] parts = path.substring(ROOT.length()).split("/", 2);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/BodyReader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/BodyReader.java
@@ -1,7 +1,5 @@
 package org.skylarkfork.runtime.http;
 
-import io.netty.buffer.ByteBuf;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
 import org.skylarkfork.core.error.ErrorKind;
@@ -32,10 +30,7 @@
     if (declared != null && exceeds(declared)) {
       return Mono.error(tooLarge());
     }
-    return request
-        .receive()
-        .collect(ByteArrayOutputStream::new, this::append)
-        .map(ByteArrayOutputStream::toByteArray)
+    return BoundedBody.collect(request.receive(), maxBytes, this::tooLarge)
         .timeout(timeout)
         .onErrorMap(TimeoutException.class, late -> tooSlow());
   }
@@ -48,15 +43,6 @@
     }
   }
 
-  private void append(ByteArrayOutputStream collected, ByteBuf part) {
-    if (collected.size() + part.readableBytes() > maxBytes) {
-      throw tooLarge();
-    }
-    byte[] bytes = new byte[part.readableBytes()];
-    part.readBytes(bytes);
-    collected.writeBytes(bytes);
-  }
-
   private BadRequestException tooLarge() {
     return new BadRequestException(
         RoutingError.notRun(
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerAnswer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerAnswer.java
@@ -24,7 +24,9 @@
   private final CompletableFuture<CallerEffect> head = new CompletableFuture<>();
   private final Sinks.Many<String> frames = Sinks.many().unicast().onBackpressureBuffer();
   private final AtomicLong waiting = new AtomicLong();
+  private volatile Runnable drop = () -> {};
   private @Nullable AnswerFacts facts;
+  private volatile boolean cut;
   private boolean ended;
 
   CallerAnswer(CallerRequest request, Instant created) {
@@ -71,12 +73,21 @@
     if (waiting.addAndGet(frame.length()) > MAX_WAITING_CHARACTERS) {
       ended = true;
       frames.tryEmitError(new SlowCallerException(request.requestId()));
+      drop.run();
       return false;
     }
     frames.tryEmitNext(frame);
     return true;
   }
 
+  /**
+   * Takes what closes the connection. A caller that has stopped to read never comes to the error
+   * behind the waiting frames, and the engine would work on for it until its own end.
+   */
+  void onDrop(Runnable close) {
+    drop = close;
+  }
+
   /** Ends the stream. */
   void end() {
     ended = true;
@@ -85,7 +96,16 @@
 
   /** Returns the frames in order, for one subscriber. */
   Flux<String> frames() {
-    return frames.asFlux().doOnNext(frame -> waiting.addAndGet(-frame.length()));
+    cut = true;
+    return frames
+        .asFlux()
+        .doOnNext(frame -> waiting.addAndGet(-frame.length()))
+        .doOnComplete(() -> cut = false);
+  }
+
+  /** Returns whether a stream was begun and its last frame not yet handed to the connection. */
+  boolean isCut() {
+    return cut;
   }
 
   /** Tells that a caller read its answer too slowly. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -31,6 +31,7 @@
 /** The listener for callers and for the announcements of upstreams. */
 public final class CallerServer implements AutoCloseable {
 
+  private static final long MILLIS_PER_SECOND = 1000;
   private static final String SERVICES = "/services/";
   private static final String NEXT_ANNOUNCEMENT = "{\"nextMillis\":1000}";
 
@@ -74,13 +75,13 @@
     this.parser = new RequestParser(json, settings.defaultDeadline());
     this.announcements = new AnnouncementParser(json);
     this.format = new AnswerFormat(json);
-    this.replies = new Replies(format, "docs/CALLERS.md");
+    this.replies = new Replies(format, "docs/CALLERS.md", requestIds);
     this.bodies = new BodyReader(settings.maxBodyBytes(), settings.bodyTimeout());
   }
 
   /** Opens the listener and returns its address. */
   public InetSocketAddress start() {
-    DisposableServer bound = Replies.bind(settings, this::handle);
+    DisposableServer bound = replies.bind(settings, this::handle);
     server = bound;
     return Replies.address(bound);
   }
@@ -115,13 +116,11 @@
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-    return route(request, response)
-        .onErrorResume(
-            BadRequestException.class, refused -> replies.refuse(response, refused.error()));
+    return replies.guarded(response, () -> route(request, response));
   }
 
   private Mono<Void> route(HttpServerRequest request, HttpServerResponse response) {
-    if (request.fullPath().startsWith(SERVICES)) {
+    if (Replies.path(request).startsWith(SERVICES)) {
       return call(request, response);
     }
     if (request.method().equals(HttpMethod.POST)) {
@@ -134,7 +133,7 @@
   }
 
   private Mono<Void> post(HttpServerRequest request, HttpServerResponse response) {
-    return switch (request.fullPath()) {
+    return switch (Replies.path(request)) {
       case "/v1/chat/completions" -> draft(RequestKind.CHAT, request, response);
       case "/v1/completions" -> draft(RequestKind.COMPLETION, request, response);
       case "/v1/upstreams" -> announced(request, response);
@@ -143,9 +142,9 @@
   }
 
   private Mono<Void> get(HttpServerRequest request, HttpServerResponse response) {
-    return switch (request.fullPath()) {
+    return switch (Replies.path(request)) {
       case "/v1/models" -> models(request, response);
-      case "/v1/entries" -> answer(response, queries.entries());
+      case "/v1/entries" -> entries(response);
       case "/healthz" -> Replies.json(response, 200, "{\"status\":\"ok\"}");
       case "/readyz" -> ready(response);
       default -> replies.noSuchPath(request, response);
@@ -167,7 +166,11 @@
 
   private Mono<Void> call(HttpServerRequest request, HttpServerResponse response) {
     RequestParser.keyHash(request.requestHeaders());
-    String rest = request.uri().substring(request.uri().indexOf(SERVICES) + SERVICES.length());
+    int start = request.uri().indexOf(SERVICES);
+    if (start < 0) {
+      return replies.noSuchPath(request, response);
+    }
+    String rest = request.uri().substring(start + SERVICES.length());
     int end = endOfName(rest);
     String service = rest.substring(0, end);
     String path =
@@ -210,11 +213,20 @@
     }
     return Mono.fromFuture(answer.head(), true)
         .flatMap(head -> write(answer, head, response))
-        .doOnSuccess(done -> finished(id, new CallerEvent.AnswerDelivered(id)))
+        .doOnSuccess(done -> finished(id, written(answer)))
         .doOnError(failure -> finished(id, new CallerEvent.CallerLeft(id)))
         .doOnCancel(() -> finished(id, new CallerEvent.CallerLeft(id)));
   }
 
+  /**
+   * The HTTP library ends a stream without an error when its caller leaves. Was that taken for the
+   * whole answer, the engine would work on and the answer be billed as delivered.
+   */
+  private static CallerEvent written(CallerAnswer answer) {
+    String id = answer.request().requestId();
+    return answer.isCut() ? new CallerEvent.CallerLeft(id) : new CallerEvent.AnswerDelivered(id);
+  }
+
   private void finished(String requestId, CallerEvent event) {
     if (answers.remove(requestId) != null) {
       loop.submit(event);
@@ -243,13 +255,14 @@
       facts(response, service.facts());
       response.status(service.status());
       for (Header header : service.headers()) {
-        response.header(header.name(), header.value());
+        response.addHeader(header.name(), header.value());
       }
       return response.sendByteArray(Mono.just(service.body().value())).then();
     }
     facts(response, answer.facts());
     response.header("Content-Type", "text/event-stream; charset=utf-8");
     response.header("Cache-Control", "no-cache");
+    response.withConnection(connection -> answer.onDrop(connection::dispose));
     return response
         .send(
             answer
@@ -278,6 +291,17 @@
     return answer(response, queries.models(RequestParser.keyHash(request.requestHeaders())));
   }
 
+  /** Callers and caches may keep the list as long as its own lifetime says, and no longer. */
+  private Mono<Void> entries(HttpServerResponse response) {
+    return Replies.future(queries.entries())
+        .flatMap(
+            list -> {
+              long lifetime = json.valueToTree(list).path("lifetimeMillis").asLong(0);
+              response.header("Cache-Control", "max-age=" + lifetime / MILLIS_PER_SECOND);
+              return Replies.json(response, 200, text(list));
+            });
+  }
+
   private Mono<Void> ready(HttpServerResponse response) {
     return Replies.future(queries.readiness())
         .flatMap(
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ConnectionGuard.java
@@ -0,0 +1,234 @@
+package org.skylarkfork.runtime.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelInputShutdownReadComplete;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+
+/**
+ * Refuses what is no whole and clear HTTP request, and answers callers that end their sending side.
+ *
+ * <p>A caller that has gone looks like one that only ended its sending side. Was it taken for the
+ * first, a caller that half-closes would never get its answer; was it taken for the second, engines
+ * would work for callers that left. An interim response tells them apart: a caller that left resets
+ * the connection on it. HTTP clients skip interim responses.
+ */
+final class ConnectionGuard extends ChannelDuplexHandler {
+
+  private static final String INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
+  private static final String CHUNKED = "chunked";
+  private static final long PROBE_MILLIS = 500;
+  private static final long DRAIN_MILLIS = 1_000;
+  private static final int LEAST_FINAL_STATUS = 200;
+
+  private final AnswerFormat format;
+  private final Supplier<String> ids;
+  private int unanswered;
+  private boolean reading;
+  private boolean writing;
+  private boolean inputEnded;
+  private boolean refused;
+
+  ConnectionGuard(AnswerFormat format, Supplier<String> ids) {
+    this.format = format;
+    this.ids = ids;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (refused) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+      Throwable cause = part.decoderResult().cause();
+      ReferenceCountUtil.release(message);
+      refuse(context, status(cause), error(cause));
+      return;
+    }
+    if (message instanceof HttpRequest request) {
+      String problem = problem(request);
+      if (problem != null) {
+        ReferenceCountUtil.release(message);
+        refuse(context, ErrorKind.BAD_REQUEST.status(), bad(problem));
+        return;
+      }
+      unanswered++;
+      reading = true;
+    }
+    if (message instanceof LastHttpContent) {
+      reading = false;
+    }
+    context.fireChannelRead(message);
+  }
+
+  /**
+   * Returns what makes the request's length or target ambiguous, or null if nothing does.
+   *
+   * <p>A proxy before this daemon that took another length than this one would see other requests
+   * on the connection, and one caller could put a request in another's name.
+   */
+  private static @Nullable String problem(HttpRequest request) {
+    List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (encodings.size() > 1
+        || encodings.size() == 1 && !CHUNKED.equalsIgnoreCase(encodings.get(0).trim())) {
+      return "'Transfer-Encoding' may only be chunked.";
+    }
+    if (!encodings.isEmpty() && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      return "'Content-Length' and 'Transfer-Encoding' were both sent. Send one of them.";
+    }
+    if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+      return "'Host' was sent more than once. Send it once.";
+    }
+    return null;
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (refused) {
+      context.read();
+    }
+    context.fireChannelReadComplete();
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    if (message instanceof HttpResponse response
+        && response.status().code() >= LEAST_FINAL_STATUS) {
+      writing = true;
+    }
+    if (message instanceof LastHttpContent) {
+      writing = false;
+      unanswered--;
+      if (inputEnded && unanswered <= 0) {
+        context.write(message, promise.unvoid()).addListener(ChannelFutureListener.CLOSE);
+        return;
+      }
+    }
+    context.write(message, promise);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      inputEnded = true;
+      inputEnded(context);
+    } else if (!(event instanceof ChannelInputShutdownReadComplete)) {
+      context.fireUserEventTriggered(event);
+    }
+  }
+
+  private void inputEnded(ChannelHandlerContext context) {
+    if (refused || unanswered <= 0) {
+      context.close();
+    } else if (reading) {
+      refuse(
+          context,
+          ErrorKind.BAD_REQUEST.status(),
+          bad("The connection's sending side was closed half-way. Send the whole request."));
+    } else {
+      probeLater(context);
+    }
+  }
+
+  private void probeLater(ChannelHandlerContext context) {
+    context.executor().schedule(() -> probe(context), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void probe(ChannelHandlerContext context) {
+    if (!context.channel().isActive() || unanswered <= 0) {
+      return;
+    }
+    if (!writing) {
+      send(context, INTERIM).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+    probeLater(context);
+  }
+
+  /** Answers past the listener, which has not seen the request or waits for the rest of it. */
+  private void refuse(ChannelHandlerContext context, int status, RoutingError error) {
+    refused = true;
+    int othersWaiting = unanswered - (reading ? 1 : 0);
+    if (writing || othersWaiting > 0) {
+      context.close();
+      return;
+    }
+    String body = format.error(error);
+    String head =
+        "HTTP/1.1 "
+            + status
+            + " Refused\r\nConnection: close\r\nContent-Type: application/json\r\n"
+            + (HttpNames.REQUEST_ID + ": " + ids.get() + "\r\n")
+            + (HttpNames.ATTEMPTS + ": 0\r\n" + HttpNames.COST_MICROS + ": 0\r\n")
+            + (HttpNames.RUN_STATE + ": " + error.runState().header() + "\r\n")
+            + ("Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n");
+    send(context, head + body).addListener(sent -> closeGently(context));
+  }
+
+  /**
+   * Reads on for a moment before it closes. A connection that is closed with unread bytes is reset,
+   * and the caller would see the reset in place of the answer.
+   */
+  private void closeGently(ChannelHandlerContext context) {
+    Channel channel = context.channel();
+    if (!channel.isActive() || inputEnded || !(channel instanceof DuplexChannel duplex)) {
+      context.close();
+      return;
+    }
+    duplex.shutdownOutput();
+    context.executor().schedule(() -> context.close(), DRAIN_MILLIS, TimeUnit.MILLISECONDS);
+    context.read();
+  }
+
+  private static ChannelFuture send(ChannelHandlerContext context, String text) {
+    return context
+        .pipeline()
+        .context(HttpServerCodec.class)
+        .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+
+  private static int status(Throwable cause) {
+    if (cause instanceof TooLongHttpLineException) {
+      return 414;
+    }
+    return cause instanceof TooLongHttpHeaderException ? 431 : ErrorKind.BAD_REQUEST.status();
+  }
+
+  private static RoutingError error(Throwable cause) {
+    if (cause instanceof TooLongHttpLineException) {
+      return RoutingError.notRun(
+          ErrorKind.TOO_LARGE, "The request line is over its bound. Send a shorter path or query.");
+    }
+    if (cause instanceof TooLongHttpHeaderException) {
+      return RoutingError.notRun(
+          ErrorKind.TOO_LARGE, "The headers are over their bound. Send fewer or shorter ones.");
+    }
+    return bad("The request is not HTTP/1.1: " + cause.getMessage() + ". Correct it.");
+  }
+
+  private static RoutingError bad(String message) {
+    return RoutingError.notRun(ErrorKind.BAD_REQUEST, message);
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
@@ -29,10 +29,12 @@
 
   private final HttpClient client;
   private final ObjectMapper json;
+  private final int maxAnswerBytes;
 
-  DraftClient(HttpClient client, ObjectMapper json) {
+  DraftClient(HttpClient client, ObjectMapper json, int maxAnswerBytes) {
     this.client = client;
     this.json = json;
+    this.maxAnswerBytes = maxAnswerBytes;
   }
 
   /** Starts an attempt; its events go through the call. */
@@ -42,8 +44,7 @@
         effect.request().kind() == RequestKind.CHAT ? "/v1/chat/completions" : "/v1/completions";
     Reading reading = new Reading(effect, call);
     // A bound on the whole answer would cut each draft that streams for longer than an engine may
-    // be
-    // silent; this one is on the time between two reads.
+    // be silent; this one is on the time between two reads.
     HttpClient impatient = client.responseTimeout(Duration.ofMillis(effect.timeoutMillis()));
     call.connection(
         Moments.observed(impatient, call)
@@ -86,6 +87,7 @@
     private final UpstreamCall call;
     private final SseReader frames = new SseReader();
     private long offset;
+    private long received;
     private @Nullable String echoedId;
     private String finishReason = "stop";
     private Usage usage = Usage.NONE;
@@ -106,6 +108,10 @@
     }
 
     private void take(ByteBuf part) {
+      received += part.readableBytes();
+      if (received > maxAnswerBytes) {
+        throw new IllegalArgumentException("the stream is over " + maxAnswerBytes + " bytes");
+      }
       byte[] bytes = new byte[part.readableBytes()];
       part.readBytes(bytes);
       frames.feed(bytes).forEach(this::frame);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Refusals.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Refusals.java
@@ -18,10 +18,11 @@
         "true".equalsIgnoreCase(response.responseHeaders().get(HttpNames.NOT_STARTED));
     Moment moment = notStarted ? Moment.REFUSED_NOT_STARTED : Moment.REFUSED_STARTED;
     return content
-        .aggregate()
         .asString()
-        .defaultIfEmpty("")
-        .doOnNext(text -> call.fail(moment, response.status().code() + " " + shortened(text)))
+        .scan("", (start, part) -> shortened(start + part))
+        .takeUntil(start -> start.length() >= MOST_CHARACTERS)
+        .last("")
+        .doOnNext(text -> call.fail(moment, response.status().code() + " " + text))
         .then();
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
@@ -1,17 +1,26 @@
 package org.skylarkfork.runtime.http;
 
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BiFunction;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Publisher;
 import org.skylarkfork.core.error.ErrorKind;
 import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.request.RunState;
+import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -24,20 +33,23 @@
 
   private final AnswerFormat format;
   private final String pathsPage;
+  private final Supplier<String> ids;
 
   /**
    * Makes replies for a listener.
    *
    * @param format writes errors
    * @param pathsPage page of the docs that lists the listener's paths
+   * @param ids makes unique ids of refused requests
    */
-  Replies(AnswerFormat format, String pathsPage) {
+  Replies(AnswerFormat format, String pathsPage, Supplier<String> ids) {
     this.format = format;
     this.pathsPage = pathsPage;
+    this.ids = ids;
   }
 
   /** Opens a listener with its bounds. */
-  static DisposableServer bind(
+  DisposableServer bind(
       HttpSettings settings,
       BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
     return HttpServer.create()
@@ -48,11 +60,68 @@
                 decoder
                     .maxInitialLineLength(settings.maxLineBytes())
                     .maxHeaderSize(settings.maxHeaderBytes()))
+        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .doOnChannelInit((observer, channel, remote) -> guard(channel.pipeline()))
         .idleTimeout(settings.idleTimeout())
         .handle(handler)
         .bindNow();
   }
 
+  private void guard(ChannelPipeline pipeline) {
+    pipeline.addAfter(
+        NettyPipeline.HttpCodec, "skylarkfork.guard", new ConnectionGuard(format, ids));
+  }
+
+  /**
+   * Answers a call, and refuses it with a typed error if that fails before an answer has begun.
+   *
+   * @param route finds and calls what answers; may throw
+   */
+  Mono<Void> guarded(HttpServerResponse response, Supplier<Mono<Void>> route) {
+    return Mono.defer(route).onErrorResume(failure -> failed(response, failure));
+  }
+
+  private Mono<Void> failed(HttpServerResponse response, Throwable failure) {
+    if (failure instanceof BadRequestException refused) {
+      return refuse(response, refused.error());
+    }
+    if (response.hasSentHeaders()
+        || failure instanceof IOException
+        || failure instanceof AbortedException) {
+      return Mono.error(failure);
+    }
+    if (failure instanceof RejectedExecutionException) {
+      return refuse(
+          response,
+          RoutingError.notRunRetry(
+              ErrorKind.NOT_SERVING, "This daemon has stopped. Use another entry.", 1000));
+    }
+    Logger.error(failure, "http: A call failed for a fault of the daemon.");
+    return refuse(
+        response,
+        new RoutingError(
+            ErrorKind.INTERNAL,
+            "The daemon is at fault. Report it with the request id.",
+            RunState.UNKNOWN,
+            null));
+  }
+
+  /**
+   * Returns the path of a call without its query.
+   *
+   * @throws BadRequestException if the target is no valid URI
+   */
+  static String path(HttpServerRequest request) {
+    try {
+      return request.fullPath();
+    } catch (IllegalArgumentException malformed) {
+      throw new BadRequestException(
+          RoutingError.notRun(
+              ErrorKind.BAD_REQUEST,
+              "The path or query holds characters that must be percent-encoded. Encode them."));
+    }
+  }
+
   /** Returns the address of an open listener. */
   static InetSocketAddress address(DisposableServer server) {
     return (InetSocketAddress) server.address();
@@ -82,7 +151,7 @@
 
   /** Refuses a call for a path that does not exist. */
   Mono<Void> noSuchPath(HttpServerRequest request, HttpServerResponse response) {
-    String what = request.method() + " " + request.fullPath();
+    String what = request.method() + " " + path(request);
     return refuse(
         response,
         RoutingError.notRun(
@@ -91,6 +160,11 @@
 
   /** Refuses a call and says whether it ran and when to come back. */
   Mono<Void> refuse(HttpServerResponse response, RoutingError error) {
+    if (!response.responseHeaders().contains(HttpNames.REQUEST_ID)) {
+      response.header(HttpNames.REQUEST_ID, ids.get());
+      response.header(HttpNames.ATTEMPTS, "0");
+      response.header(HttpNames.COST_MICROS, "0");
+    }
     response.header(HttpNames.RUN_STATE, error.runState().header());
     @Nullable Long retryAfter = error.retryAfterMillis();
     if (retryAfter != null) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/RequestParser.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/RequestParser.java
@@ -1,16 +1,21 @@
 package org.skylarkfork.runtime.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeType;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.error.ErrorKind;
 import org.skylarkfork.core.error.RoutingError;
@@ -30,7 +35,20 @@
   private static final int MAX_KEY_LENGTH = 256;
   private static final String BEARER = "Bearer ";
   private static final List<String> DROPPED_HEADERS =
-      List.of("authorization", "connection", "host", "content-length", "transfer-encoding");
+      List.of(
+          "authorization",
+          "connection",
+          "expect",
+          "host",
+          "content-length",
+          "keep-alive",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+  private static final List<String> REFUSED_METHODS = List.of("CONNECT", "TRACE");
 
   private final ObjectMapper json;
   private final Duration defaultDeadline;
@@ -90,6 +108,7 @@
       HttpHeaders headers,
       byte[] body,
       Instant now) {
+    checkTarget(service, method, path);
     return new CallerRequest(
         requestId,
         keyHash(headers),
@@ -129,7 +148,7 @@
   private JsonNode object(byte[] body) {
     JsonNode root;
     try {
-      root = json.readTree(body);
+      root = json.reader().with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).readTree(body);
     } catch (JsonProcessingException malformed) {
       throw bad("The body is not JSON: " + malformed.getOriginalMessage() + ". Send one object.");
     } catch (java.io.IOException unreadable) {
@@ -216,17 +235,45 @@
     return node.asBoolean();
   }
 
+  private static void checkTarget(String service, String method, String path) {
+    if (service.isEmpty() || service.equals(".") || service.equals("..")) {
+      throw bad("Name a service, such as /services/register/lists.");
+    }
+    if (REFUSED_METHODS.contains(method)) {
+      throw bad("Services can't be called with " + method + ". Use another method.");
+    }
+    try {
+      new URI("http://upstream" + path);
+    } catch (URISyntaxException malformed) {
+      throw bad("The path holds characters that must be percent-encoded. Encode them.");
+    }
+  }
+
   private static List<Header> copied(HttpHeaders headers) {
+    Set<String> dropped = new HashSet<>(DROPPED_HEADERS);
+    for (String names : headers.getAll("Connection")) {
+      for (String name : names.split(",")) {
+        dropped.add(name.trim().toLowerCase(Locale.ROOT));
+      }
+    }
     List<Header> copy = new ArrayList<>();
     for (Map.Entry<String, String> entry : headers) {
       String name = entry.getKey().toLowerCase(Locale.ROOT);
-      if (!DROPPED_HEADERS.contains(name)) {
-        copy.add(new Header(name, entry.getValue().trim()));
+      if (!dropped.contains(name)) {
+        copy.add(new Header(name, printable(name, entry.getValue().trim())));
       }
     }
     return copy;
   }
 
+  /** Refuses control characters, with which a value could be read as further headers. */
+  private static String printable(String name, String value) {
+    if (value.chars().anyMatch(one -> one != '\t' && Character.isISOControl(one))) {
+      throw bad("'" + name + "' holds control characters. Remove them.");
+    }
+    return value;
+  }
+
   private static @Nullable String bounded(HttpHeaders headers, String name) {
     String value = headers.get(name);
     if (value == null || value.isEmpty()) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ServiceClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ServiceClient.java
@@ -13,7 +13,7 @@
 import org.skylarkfork.core.request.Bytes;
 import org.skylarkfork.core.request.Header;
 import reactor.core.publisher.Mono;
-import reactor.netty.ByteBufMono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
@@ -21,23 +21,38 @@
 final class ServiceClient {
 
   private static final List<String> DROPPED_HEADERS =
-      List.of("connection", "transfer-encoding", "content-length", "keep-alive", "x-request-id");
+      List.of(
+          "connection",
+          "transfer-encoding",
+          "content-length",
+          "keep-alive",
+          "proxy-authenticate",
+          "trailer",
+          "upgrade",
+          "x-request-id");
+  private static final String OWN_HEADERS = "skylarkfork-";
 
   private final HttpClient client;
+  private final int maxAnswerBytes;
 
-  ServiceClient(HttpClient client) {
+  ServiceClient(HttpClient client, int maxAnswerBytes) {
     this.client = client;
+    this.maxAnswerBytes = maxAnswerBytes;
   }
 
   /** Starts an attempt; its one event goes through the call. */
   void send(UpstreamEffect.DispatchCall effect, UpstreamCall call) {
+    if (effect.request().headers().stream().anyMatch(ServiceClient::isUnsafe)) {
+      call.fail(Moment.BEFORE_CONNECT, "a header holds control characters");
+      return;
+    }
     byte[] body = effect.request().body().value();
     call.connection(
         Moments.observed(client, call)
             .headers(
                 headers -> {
                   for (Header header : effect.request().headers()) {
-                    headers.set(header.name(), header.value());
+                    headers.add(header.name(), header.value());
                   }
                   headers.set(HttpNames.REQUEST_ID, effect.request().requestId());
                   headers.set("Content-Length", body.length);
@@ -45,7 +60,8 @@
             .request(HttpMethod.valueOf(effect.request().method()))
             .uri("http://" + effect.host() + ":" + effect.port() + effect.request().path())
             .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-            .responseSingle((response, content) -> read(response, content, call))
+            .response((response, content) -> read(response, content, call))
+            .then()
             .timeout(Duration.ofMillis(effect.timeoutMillis()))
             .subscribe(
                 ignored -> {},
@@ -53,14 +69,16 @@
                 () -> call.fail("the answer ended early")));
   }
 
-  private static Mono<Void> read(
-      HttpClientResponse response, ByteBufMono content, UpstreamCall call) {
+  /** The HTTP library writes a value with a line end as it is, which would add a header. */
+  private static boolean isUnsafe(Header header) {
+    return header.value().chars().anyMatch(one -> one != '\t' && Character.isISOControl(one));
+  }
+
+  private Mono<Void> read(HttpClientResponse response, ByteBufFlux content, UpstreamCall call) {
     call.reached(Moment.ANSWER_BEGUN);
     boolean notStarted =
         "true".equalsIgnoreCase(response.responseHeaders().get(HttpNames.NOT_STARTED));
-    return content
-        .asByteArray()
-        .defaultIfEmpty(new byte[0])
+    return BoundedBody.collect(content, maxAnswerBytes, this::tooLong)
         .doOnNext(
             body -> {
               if (notStarted) {
@@ -72,12 +90,16 @@
         .then();
   }
 
+  private IllegalArgumentException tooLong() {
+    return new IllegalArgumentException("the answer is over " + maxAnswerBytes + " bytes");
+  }
+
   private static UpstreamEvent answered(
       HttpClientResponse response, byte[] body, UpstreamCall call) {
     List<Header> headers = new ArrayList<>();
     for (Map.Entry<String, String> entry : response.responseHeaders()) {
       String name = entry.getKey().toLowerCase(Locale.ROOT);
-      if (!DROPPED_HEADERS.contains(name)) {
+      if (!DROPPED_HEADERS.contains(name) && !name.startsWith(OWN_HEADERS)) {
         headers.add(new Header(name, entry.getValue()));
       }
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/SupportClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/SupportClient.java
@@ -21,6 +21,7 @@
 
   private static final int OK = 200;
   private static final int CONFLICT = 409;
+  private static final int MAX_REPLY_BYTES = 1024 * 1024;
   private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
 
   private final HttpClient client;
@@ -132,15 +133,18 @@
         .post()
         .uri(uri)
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)))
-        .responseSingle(
+        .response(
             (response, content) ->
-                content
-                    .asByteArray()
-                    .defaultIfEmpty(new byte[0])
+                BoundedBody.collect(content, MAX_REPLY_BYTES, SupportClient::tooLong)
                     .map(answer -> new Reply(response.status().code(), tree(answer))))
+        .single()
         .timeout(timeout);
   }
 
+  private static IllegalArgumentException tooLong() {
+    return new IllegalArgumentException("the answer is over " + MAX_REPLY_BYTES + " bytes");
+  }
+
   private static String url(String host, int port, String path) {
     return "http://" + host + ":" + port + path;
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -17,6 +17,7 @@
 public final class UpstreamClient implements AutoCloseable {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1_000;
 
   private final ConnectionProvider pool;
@@ -35,6 +36,15 @@
    * @param events takes what comes of the calls
    */
   public UpstreamClient(ObjectMapper json, @Nullable String ratingAddress, Consumer<Event> events) {
+    this(json, ratingAddress, events, MAX_ANSWER_BYTES);
+  }
+
+  /** Makes a client with another bound on answers. */
+  UpstreamClient(
+      ObjectMapper json,
+      @Nullable String ratingAddress,
+      Consumer<Event> events,
+      int maxAnswerBytes) {
     this.events = events;
     this.pool =
         ConnectionProvider.builder("upstreams")
@@ -45,9 +55,9 @@
             .build();
     HttpClient pooled = configured(HttpClient.create(pool));
     HttpClient fresh = configured(HttpClient.newConnection());
-    this.drafts = new DraftClient(pooled, json);
-    this.services = new ServiceClient(pooled);
-    this.servicesOnce = new ServiceClient(fresh);
+    this.drafts = new DraftClient(pooled, json, maxAnswerBytes);
+    this.services = new ServiceClient(pooled, maxAnswerBytes);
+    this.servicesOnce = new ServiceClient(fresh, maxAnswerBytes);
     this.support = new SupportClient(pooled, json, ratingAddress, events);
   }
 
