--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -27,6 +27,8 @@
 import org.skylarkfork.runtime.http.Sha256;
 import org.skylarkfork.runtime.http.UpstreamClient;
 import org.skylarkfork.runtime.loop.Journal;
+import org.skylarkfork.runtime.loop.JournalFile;
+import org.skylarkfork.runtime.loop.JournalStart;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.loop.ReducerLoop;
 import org.skylarkfork.runtime.settings.DaemonSettings;
@@ -56,6 +58,8 @@
   private final Metrics metrics = new Metrics();
   private final long incarnation;
   private final @Nullable TimelineWriter timeline;
+  private final @Nullable JournalFile journal;
+  private final long seed = UUID.randomUUID().getMostSignificantBits();
   private final ReducerLoop loop;
   private final PeerTransport peers;
   private final @Nullable Storage storage;
@@ -90,7 +94,10 @@
         settings.timelineFile() == null
             ? null
             : new TimelineWriter(settings.timelineFile(), codec, metrics);
-    this.loop = new ReducerLoop(clock, router(), Journal.NONE, onFailure);
+    this.journal =
+        settings.journalFile() == null ? null : new JournalFile(settings.journalFile(), codec);
+    this.loop =
+        new ReducerLoop(clock, router(), journal == null ? Journal.NONE : journal, onFailure);
     this.queries = new NodeQueries(loop);
     this.peers = new PeerTransport(transportSettings(), codec, loop::submit, filter);
     this.storage = openStorage();
@@ -186,9 +193,12 @@
             new ObjectMapper(),
             codec);
     adminAddress = admin.start();
-    NodeParts made = new NodeParts(settings, self(), codec, seed());
+    NodeParts made = new NodeParts(settings, self(), codec, seed);
     parts = made;
     queries.attach(made.configuration(), made.entries());
+    if (journal != null) {
+      journal.begin(new JournalStart(seed, self()));
+    }
     for (GroupId group : made.hostedGroups()) {
       storage().recover(group);
     }
@@ -211,10 +221,6 @@
     }
   }
 
-  private long seed() {
-    return UUID.randomUUID().getMostSignificantBits();
-  }
-
   private Member self() {
     List<String> roles =
         settings.isVoter() ? List.of(Member.ENTRY, Member.CONTROL) : List.of(Member.ENTRY);
@@ -333,6 +339,9 @@
     upstreams.close();
     loop.close();
     peers.close();
+    if (journal != null) {
+      journal.close();
+    }
     if (storage != null) {
       storage.close();
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/DaemonSettings.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/DaemonSettings.java
@@ -25,6 +25,8 @@
  *     holds one, or null if it holds one already
  * @param entryListLifetime how long callers keep the list of entries
  * @param timelineFile file for the time line, or null for none
+ * @param journalFile file for every event with its effects, to replay a fault, or null for none; it
+ *     holds prompts and answers
  * @param tls certificates towards other daemons, or null for plain connections
  */
 public record DaemonSettings(
@@ -44,6 +46,7 @@
     @Nullable String bootstrapOperatorKeySha256,
     Duration entryListLifetime,
     @Nullable Path timelineFile,
+    @Nullable Path journalFile,
     @Nullable Tls tls) {
 
   private static final Duration DEFAULT_LIST_LIFETIME = Duration.ofSeconds(10);
@@ -55,6 +58,46 @@
     entryListLifetime = entryListLifetime == null ? DEFAULT_LIST_LIFETIME : entryListLifetime;
   }
 
+  /** Makes settings without a journal. */
+  public DaemonSettings(
+      String node,
+      String cluster,
+      String region,
+      String zone,
+      String host,
+      int callerPort,
+      int adminPort,
+      int peerPort,
+      @Nullable Path dataFolder,
+      List<String> voters,
+      List<Seed> seeds,
+      @Nullable String ratingService,
+      String sessionSecret,
+      @Nullable String bootstrapOperatorKeySha256,
+      Duration entryListLifetime,
+      @Nullable Path timelineFile,
+      @Nullable Tls tls) {
+    this(
+        node,
+        cluster,
+        region,
+        zone,
+        host,
+        callerPort,
+        adminPort,
+        peerPort,
+        dataFolder,
+        voters,
+        seeds,
+        ratingService,
+        sessionSecret,
+        bootstrapOperatorKeySha256,
+        entryListLifetime,
+        timelineFile,
+        null,
+        tls);
+  }
+
   /**
    * A daemon to join.
    *
