--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -17,6 +17,7 @@
       QuickstartCommand.class,
       DaemonCommand.class,
       CheckCommand.class,
+      TimelineCommand.class,
       StandinCommand.class,
       LoadCommand.class,
       MeasureCommand.class,
