Metrics: one name for two types no longer fails every scrape

Cause: admission_waiting was observed as a distribution and set as a gauge; with 7 daemons on one machine GET /metrics answered 500 from the first queued request on. The other order would have thrown in the thread that decides all requests. Change: the gauges have names of their own, admission_waiting_requests and admission_running_requests, and a name taken by another type is left out and counted in metric_name_conflicts. Conclusion: a scrape can't fail by names.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/AdminClient.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/AdminClient.java
@@ -98,7 +98,7 @@
     HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
     JsonNode body = json.readTree(response.body());
     if (response.statusCode() >= FIRST_ERROR) {
-      throw new AdminException(message(response.statusCode(), body));
+      throw new AdminException(response.statusCode(), message(response.statusCode(), body));
     }
     return body;
   }
@@ -116,8 +116,16 @@
   static final class AdminException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    AdminException(String message) {
+    private final int status;
+
+    AdminException(int status, String message) {
       super(message);
+      this.status = status;
+    }
+
+    /** Returns the HTTP status. */
+    int status() {
+      return status;
     }
   }
 }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/AdminOptions.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/AdminOptions.java
@@ -17,6 +17,7 @@
   private static final String KEY_VARIABLE = "SKYLARKFORK_OPERATOR_KEY";
   private static final long POLL_MILLIS = 200;
   private static final int MOST_POLLS = 150;
+  private static final int NOT_SERVING = 503;
 
   @Option(
       name = "--address",
@@ -89,8 +90,7 @@
   private boolean inForce(AdminClient client, long revision)
       throws IOException, InterruptedException {
     for (int poll = 0; poll < MOST_POLLS; poll++) {
-      JsonNode state = client.get("in-force/" + revision);
-      if (state.path("inForce").asBoolean(false)) {
+      if (isInForce(client, revision)) {
         System.out.println("Revision " + revision + " is in force everywhere.");
         return true;
       }
@@ -100,6 +100,19 @@
     return false;
   }
 
+  /** Asks once; while the control group elects a leader, nobody knows and it is asked again. */
+  private static boolean isInForce(AdminClient client, long revision)
+      throws IOException, InterruptedException {
+    try {
+      return client.get("in-force/" + revision).path("inForce").asBoolean(false);
+    } catch (AdminClient.AdminException refused) {
+      if (refused.status() != NOT_SERVING) {
+        throw refused;
+      }
+      return false;
+    }
+  }
+
   /** Shows a result as the operator asked. */
   void show(JsonNode result) {
     System.out.println(json ? result.toPrettyString() : JsonTable.render(result));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
@@ -23,8 +23,8 @@
     metrics.set("upstreams_known", "", parts.directory().all().size());
     metrics.set("requests_active", "", parts.requests().activeRequests());
     metrics.set("answers_held_bytes", "", parts.requests().heldBytes());
-    metrics.set("admission_waiting", "", parts.admission().waiting());
-    metrics.set("admission_running", "", parts.admission().running());
+    metrics.set("admission_waiting_requests", "", parts.admission().waiting());
+    metrics.set("admission_running_requests", "", parts.admission().running());
     parts.consensus().statuses().forEach(this::group);
     transport(transport);
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/trace/Metrics.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/trace/Metrics.java
@@ -10,12 +10,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 
 /** The metrics of one daemon, made on first use. */
 public final class Metrics {
 
   private static final String PREFIX = "skylarkfork_";
   private static final String LABEL = "kind";
+  private static final String CONFLICTS = "metric_name_conflicts";
   private static final double[] SECONDS = {
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60
   };
@@ -36,17 +39,19 @@
     if (amount < 0) {
       return;
     }
-    counters
-        .computeIfAbsent(
+    Counter counter =
+        made(
+            counters,
             name,
             missing ->
                 Counter.builder()
                     .name(PREFIX + missing)
                     .help("Count of " + missing.replace('_', ' ') + ".")
                     .labelNames(LABEL)
-                    .register(registry))
-        .labelValues(label)
-        .inc(amount);
+                    .register(registry));
+    if (counter != null) {
+      counter.labelValues(label).inc(amount);
+    }
   }
 
   /**
@@ -57,8 +62,9 @@
    * @param value the value
    */
   public void observe(String name, String label, double value) {
-    histograms
-        .computeIfAbsent(
+    Histogram histogram =
+        made(
+            histograms,
             name,
             missing ->
                 Histogram.builder()
@@ -67,9 +73,10 @@
                     .classicOnly()
                     .classicUpperBounds(SECONDS)
                     .labelNames(LABEL)
-                    .register(registry))
-        .labelValues(label)
-        .observe(value);
+                    .register(registry));
+    if (histogram != null) {
+      histogram.labelValues(label).observe(value);
+    }
   }
 
   /**
@@ -80,17 +87,34 @@
    * @param value the value
    */
   public void set(String name, String label, double value) {
-    gauges
-        .computeIfAbsent(
+    Gauge gauge =
+        made(
+            gauges,
             name,
             missing ->
                 Gauge.builder()
                     .name(PREFIX + missing)
                     .help("Present " + missing.replace('_', ' ') + ".")
                     .labelNames(LABEL)
-                    .register(registry))
-        .labelValues(label)
-        .set(value);
+                    .register(registry));
+    if (gauge != null) {
+      gauge.labelValues(label).set(value);
+    }
+  }
+
+  /**
+   * Returns a metric, or null if its name is taken by one of another type.
+   *
+   * <p>The library throws then. Thrown on, that would fail each scrape, or the thread that decides
+   * all requests; a value that isn't shown harms neither, and the counter tells of the mistake.
+   */
+  private <M> @Nullable M made(Map<String, M> known, String name, Function<String, M> maker) {
+    try {
+      return known.computeIfAbsent(name, maker);
+    } catch (IllegalArgumentException conflict) {
+      count(CONFLICTS, name, 1);
+      return null;
+    }
   }
 
   /** Returns all metrics in the Prometheus text format. */
