HTTP edge: no reads behind the input's end

Cause: after a caller had ended its sending side, the HTTP library asked the transport to read on; epoll fails on that and an error with a stack trace was logged for each such caller.

Change: the guard holds such reads and the events of half-closed connections back.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ConnectionGuard.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ConnectionGuard.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
+import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -107,12 +108,20 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
-    if (refused) {
+    if (refused && !inputEnded) {
       context.read();
     }
     context.fireChannelReadComplete();
   }
 
+  /** Ends reads behind the input's end; the transport fails on them. */
+  @Override
+  public void read(ChannelHandlerContext context) {
+    if (!inputEnded) {
+      context.read();
+    }
+  }
+
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     if (message instanceof HttpResponse response
@@ -135,7 +144,8 @@
     if (event instanceof ChannelInputShutdownEvent) {
       inputEnded = true;
       inputEnded(context);
-    } else if (!(event instanceof ChannelInputShutdownReadComplete)) {
+    } else if (!(event instanceof ChannelInputShutdownReadComplete)
+        && !(event instanceof ChannelOutputShutdownEvent)) {
       context.fireUserEventTriggered(event);
     }
   }
