Attempts: an upstream that refuses at once is not taken for a fast one

A refusal before the start ended its attempt as healthy and in a moment, so the chooser took the refusing engines for the fastest and sent them more; this used up the retry budget, and requests were refused for which others had room. Change: each failed attempt ends as unhealthy, so that a refusing upstream is taken out and tried again gently; quick failures don't lower the measured time. Without budget a request that was not started waits a pause in place of being refused.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/AttemptBudget.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/AttemptBudget.java
@@ -24,6 +24,10 @@
     left = Math.min(most, left + share);
   }
 
+  boolean isEmpty() {
+    return left < 1;
+  }
+
   /** Takes an extra attempt if there is one left. */
   boolean tryTake() {
     if (left < 1) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
@@ -272,6 +272,9 @@
       return;
     }
     boolean giveUp = active.neverAgain || active.callerGone;
+    if (!giveUp && retries.waits(active, moment, turn.now())) {
+      return;
+    }
     RoutingError error =
         giveUp ? retries.failed(active, detail) : retries.refusal(active, moment, false, detail);
     if (error != null) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
@@ -280,6 +280,9 @@
       parts.quality().record(Outcomes.of(active, attempt, told, turn.now()), turn.now());
     }
     boolean resuming = active.answer.tokens() > 0;
+    if (!resuming && retries.waits(active, moment, turn.now())) {
+      return;
+    }
     RoutingError error = retries.refusal(active, moment, resuming, detail);
     if (error != null) {
       giveUp(active, error, turn);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
@@ -210,7 +210,7 @@
       return;
     }
     Attempt attempt = active.running.get(event.attemptId());
-    attempts.end(active, attempt, !RunStates.upstreamAtFault(event.moment()), turn);
+    attempts.end(active, attempt, false, turn);
     failed(active, attempt, event.moment(), event.detail(), turn);
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Retries.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Retries.java
@@ -57,6 +57,22 @@
     return null;
   }
 
+  /**
+   * Lets a request that a full upstream did not start wait while the budget is used up.
+   *
+   * <p>A part of the upstreams that refuses everything would otherwise use up the budget, and
+   * requests would be refused for which the others have room. A pause needs no budget: it can't
+   * multiply a burst, since each is twice as long as the one before and attempts stay bounded.
+   *
+   * @return whether it waits
+   */
+  boolean waits(ActiveRequest active, Moment moment, Instant now) {
+    return moment == Moment.REFUSED_NOT_STARTED
+        && budget.isEmpty()
+        && active.stepAttempts < settings.maxAttempts()
+        && pause(active, now);
+  }
+
   /** Makes the refusal of a request that is given up after a failure. */
   RoutingError failed(ActiveRequest active, String detail) {
     boolean notRun = active.runState() == RunState.NOT_RUN;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RunStates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RunStates.java
@@ -32,13 +32,4 @@
   static boolean reachedUpstream(Moment moment) {
     return moment != Moment.BEFORE_CONNECT && moment != Moment.CONNECTED;
   }
-
-  /**
-   * Returns whether the upstream is at fault; one that is full is not.
-   *
-   * @param moment how far the attempt had got
-   */
-  static boolean upstreamAtFault(Moment moment) {
-    return moment != Moment.REFUSED_NOT_STARTED;
-  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/UpstreamTrack.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/routing/UpstreamTrack.java
@@ -114,7 +114,10 @@
       return -1;
     }
     long millis = Duration.between(begun, now).toMillis();
-    meanMillis = meanMillis <= 0 ? millis : meanMillis + NEWEST_WEIGHT * (millis - meanMillis);
+    // An upstream that refuses at once would look the fastest of all and draw all requests.
+    if (healthy || millis > meanMillis) {
+      meanMillis = meanMillis <= 0 ? millis : meanMillis + NEWEST_WEIGHT * (millis - meanMillis);
+    }
     return millis;
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
@@ -225,6 +225,22 @@
     assertEquals(refuse.error().runState(), RunState.NOT_RUN);
     assertTrue(refuse.error().retryAfterMillis() > 0);
     assertEquals(own.ends("r"), 1);
+    assertEquals(own.unhealthy.keySet(), Set.of("s1", "s2", "s3"));
+  }
+
+  @Test
+  public void refusedUnstartedWithoutBudgetWaitsInsteadOfFailing() {
+    // Some servers refuse everything and the retry budget is used up. The call was not started, so
+    // it waits a pause and goes to a server that has room; its caller sees only the answer.
+    RequestFixture own =
+        new RequestFixture(RequestFixture.settings(0, 0, 0), new OpenAdmission(), 1);
+    own.ask("r", RequestFixture.call("GET", null));
+    own.fail("r.1", Moment.REFUSED_NOT_STARTED);
+    assertEquals(own.attempts(), List.of("r.1"));
+    own.pass(Duration.ofMillis(60));
+    own.answer("r.2", 200, "12:03");
+    own.settle();
+    assertEquals(own.list(CallerEffect.SendServiceAnswer.class).size(), 1);
   }
 
   @Test
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
@@ -65,6 +65,7 @@
   final FakePins pins = new FakePins();
   final Map<String, Announcement> upstreams = new TreeMap<>();
   final Map<String, Integer> inFlight = new HashMap<>();
+  final Map<String, Integer> unhealthy = new HashMap<>();
   final List<AttemptOutcome> outcomes = new ArrayList<>();
   final List<Effect> effects = new ArrayList<>();
   final RequestPart part;
@@ -402,6 +403,9 @@
   @Override
   public void ended(String upstream, CallerRequest request, boolean healthy, Instant at) {
     inFlight.merge(upstream, -1, Integer::sum);
+    if (!healthy) {
+      unhealthy.merge(upstream, 1, Integer::sum);
+    }
   }
 
   @Override
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/PowerOfTwoChooserTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/PowerOfTwoChooserTest.java
@@ -50,6 +50,31 @@
     assertTrue(counts.values().stream().allMatch(count -> count <= 20), counts.toString());
   }
 
+  /*
+   * One engine refuses all drafts at once, the other answers each after a second. If refusals
+   * counted as answers, the engine that refuses would look the fastest and draw nearly all drafts.
+   */
+  @Test
+  public void engineThatRefusesAtOnceDrawsFewRequests() {
+    Announcement refusing = RoutingFakes.engine("e0", "a", 16, 0, VERSION);
+    Announcement answering = RoutingFakes.engine("e1", "a", 16, 0, VERSION);
+    Map<String, Integer> counts = new HashMap<>();
+    for (int second = 0; second < 100; second++) {
+      Instant now = NOW.plusSeconds(second);
+      CallerRequest request = next();
+      String chosen =
+          chooser
+              .choose(List.of(refusing, answering), request, Set.of(), now)
+              .map(Announcement::id)
+              .orElseThrow();
+      counts.merge(chosen, 1, Integer::sum);
+      chooser.dispatched(chosen, request, now);
+      boolean refuses = chosen.equals("e0");
+      chooser.ended(chosen, request, !refuses, refuses ? now : now.plusSeconds(1));
+    }
+    assertTrue(counts.getOrDefault("e0", 0) <= 12, counts.toString());
+  }
+
   @Test
   public void unequalEnginesGetUnequalShares() {
     Announcement small = RoutingFakes.engine("e0", "a", 4, 0, VERSION);
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Arrivals.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Arrivals.java
@@ -22,7 +22,8 @@
   private static final double HARDEST = 0.85;
   private static final double RESENT_SHARE = 0.05;
   private static final long RESENT_AFTER_MICROS = 150_000;
-  private static final int SESSIONS = 60;
+  private static final int SESSIONS = 20;
+  private static final long SESSION_MICROS = 100_000_000;
   private static final int MOST_TOKENS = 400;
 
   private final UniformRandomProvider random;
@@ -82,7 +83,7 @@
     boolean draft = flow.kind() == Flow.Kind.DRAFT || flow.kind() == Flow.Kind.SESSION_DRAFT;
     boolean inSession = flow.kind() == Flow.Kind.SESSION_DRAFT;
     @Nullable String session =
-        inSession ? team + "-s" + random.nextInt(SESSIONS) + "-" + atMicros / 60_000_000 : null;
+        inSession ? team + "-s" + random.nextInt(SESSIONS) + "-" + atMicros / SESSION_MICROS : null;
     String service = flow.kind() == Flow.Kind.LOOKUP ? Deployment.LOOKUP : Deployment.ISSUE;
     Duration after = Duration.ofNanos(atMicros * 1_000).plus(flow.deadline());
     return new CallerRequest(
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Ask.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Ask.java
@@ -26,6 +26,13 @@
     return request.kind().isDraft();
   }
 
+  /** Returns the rating that its answer is to reach. */
+  double target() {
+    return kind == Flow.Kind.SESSION_DRAFT
+        ? MeasuredConfiguration.SESSION_TARGET
+        : MeasuredConfiguration.TARGET;
+  }
+
   /** Returns the key under which it is billed. */
   String billingKey() {
     String key = request.idempotencyKey();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Deployment.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Deployment.java
@@ -23,13 +23,16 @@
     List<Flow> flows) {
 
   /** Length of the load in seconds. */
-  public static final int SECONDS = 240;
+  public static final int SECONDS = 300;
 
   /** Second at which faults begin. */
-  public static final int FAULT_BEGIN = 45;
+  public static final int FAULT_BEGIN = 105;
 
   /** Second at which faults end that pass. */
-  public static final int FAULT_END = 200;
+  public static final int FAULT_END = 260;
+
+  /** Second at which the version that is to turn bad gets half of the new work. */
+  static final int HALF_BEGIN = 60;
 
   static final String LOOKUP = "lookup";
   static final String ISSUE = "issue";
@@ -58,10 +61,10 @@
             new Flow(Flow.Kind.DRAFT, 3, 0, SECONDS, false, LONG),
             new Flow(Flow.Kind.LOOKUP, 20, 0, SECONDS, false, SHORT),
             new Flow(Flow.Kind.ISSUE, 1, 0, SECONDS, false, USUAL),
-            new Flow(Flow.Kind.LOOKUP, 500, 50, 58, true, SHORT),
-            new Flow(Flow.Kind.DRAFT, 60, 50, 60, true, LONG),
-            new Flow(Flow.Kind.LOOKUP, 600, 150, 160, true, SHORT),
-            new Flow(Flow.Kind.DRAFT, 70, 150, 160, true, LONG)));
+            new Flow(Flow.Kind.LOOKUP, 500, 110, 118, true, SHORT),
+            new Flow(Flow.Kind.DRAFT, 60, 110, 120, true, LONG),
+            new Flow(Flow.Kind.LOOKUP, 600, 210, 220, true, SHORT),
+            new Flow(Flow.Kind.DRAFT, 70, 210, 220, true, LONG)));
   }
 
   /** Returns Gasprüf: Monday's filing of certificates, with tenants' chats all the time. */
@@ -77,9 +80,9 @@
             new Flow(Flow.Kind.DRAFT, 5, 0, SECONDS, false, LONG),
             new Flow(Flow.Kind.LOOKUP, 30, 0, SECONDS, false, SHORT),
             new Flow(Flow.Kind.ISSUE, 3, 0, SECONDS, false, USUAL),
-            new Flow(Flow.Kind.DRAFT, 120, 50, 65, true, LONG),
-            new Flow(Flow.Kind.LOOKUP, 400, 50, 70, true, SHORT),
-            new Flow(Flow.Kind.ISSUE, 15, 50, 70, true, USUAL)));
+            new Flow(Flow.Kind.DRAFT, 120, 110, 125, true, LONG),
+            new Flow(Flow.Kind.LOOKUP, 400, 110, 130, true, SHORT),
+            new Flow(Flow.Kind.ISSUE, 15, 110, 130, true, USUAL)));
   }
 
   /** Returns the deployments with a name, or both for {@code both}. */
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FaultPlan.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FaultPlan.java
@@ -17,6 +17,7 @@
   private static final int LEAVING_SECONDS = 20;
   private static final int[] ROLL_OUT_PERCENT = {10, 50, 100};
   private static final int ROLL_OUT_SECONDS = 40;
+  private static final int HALF = 50;
 
   private final Set<FaultKind> faults;
   private final VirtualTime time;
@@ -68,14 +69,13 @@
       case SLOW_UPSTREAM -> during(on -> slowDown(on ? SLOWNESS : 1));
       case UPSTREAM_LEAVING -> leave();
       case RATING_MISSING -> during(rating::missing);
-      case ROLL_OUT -> rollOut();
+      case ROLL_OUT -> rollOutInSteps();
       case WITHDRAWAL ->
           at(
               Deployment.FAULT_BEGIN,
               () -> daemon.accept(configuration.withdraw(Deployment.SMALL_OLD)));
-      default -> {
-        // The answers' truth knows the seconds at which a version is bad.
-      }
+      // A bad version is only rolled out here; from when it is bad is in the truth of answers.
+      default -> at(Deployment.HALF_BEGIN, () -> rollOut(HALF));
     }
   }
 
@@ -123,14 +123,14 @@
     }
   }
 
-  private void rollOut() {
+  private void rollOut(int percent) {
+    daemon.accept(configuration.rollOuts(List.of(MeasuredConfiguration.rollOut(percent))));
+  }
+
+  private void rollOutInSteps() {
     int second = Deployment.FAULT_BEGIN;
     for (int percent : ROLL_OUT_PERCENT) {
-      at(
-          second,
-          () ->
-              daemon.accept(
-                  configuration.rollOuts(List.of(MeasuredConfiguration.rollOut(percent)))));
+      at(second, () -> rollOut(percent));
       second += ROLL_OUT_SECONDS;
     }
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
@@ -8,13 +8,16 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 import org.HdrHistogram.Histogram;
 import org.skylarkfork.core.configuration.ModelVersion;
+import org.skylarkfork.core.error.RoutingError;
 
 /** Reads the figures of a run from what became of its requests. */
 final class FigureReader {
 
   private static final double MICROS_PER_MILLI = 1_000;
+  private static final Pattern DIGITS = Pattern.compile("[0-9]+");
 
   private final Deployment deployment;
   private final List<Ask> asks;
@@ -26,9 +29,10 @@
    *
    * @param requests number of requests
    * @param sessions number of sessions
+   * @param toWithdrawn drafts sent to a version after its withdrawal
    * @param bySecond requests newly exposed in each second
    */
-  record Exposure(int requests, int sessions, int[] bySecond) {}
+  record Exposure(int requests, int sessions, int toWithdrawn, int[] bySecond) {}
 
   FigureReader(Deployment deployment, List<Ask> asks, Scores scores, Truth truth) {
     this.deployment = deployment;
@@ -56,6 +60,7 @@
         (double) answered.size() / drafts.size(),
         (double) reached / Math.max(1, answered.size()),
         cost / Math.max(1, answered.size()),
+        meanCost(answered.stream().filter(ask -> ask.kind() == Flow.Kind.DRAFT).toList()),
         cost / Math.max(1, reached),
         firstTokens(),
         times(Ask::isDraft),
@@ -69,12 +74,33 @@
         billsMissing(billed),
         billsCounted(group) - billed.size(),
         scores.moved(),
+        exposure.toWithdrawn(),
         scores.endedTwice() + (int) asks.stream().filter(ask -> scores.ended(ask) == null).count(),
         jain(shares),
         shares.values().stream().mapToDouble(Double::doubleValue).min().orElse(0),
+        refusals(),
         Arrays.stream(exposure.bySecond()).boxed().toList());
   }
 
+  private double meanCost(List<Ask> answered) {
+    return answered.stream().mapToLong(ask -> end(ask).costMicros()).average().orElse(0);
+  }
+
+  /** Counts refusals by kind and by the first sentence of what the caller is told. */
+  private Map<String, Integer> refusals() {
+    Map<String, Integer> refusals = new TreeMap<>();
+    for (Ask ask : asks) {
+      Scores.Ended end = scores.ended(ask);
+      RoutingError error = end == null ? null : end.error();
+      if (error != null) {
+        String sentence = DIGITS.matcher(error.message().split("\\. ")[0]).replaceAll("0");
+        String what = error.kind() + ", " + error.runState().header() + ": " + sentence;
+        refusals.merge(ask.kind() + " " + what, 1, Integer::sum);
+      }
+    }
+    return refusals;
+  }
+
   private boolean isAnswered(Ask ask) {
     Scores.Ended end = scores.ended(ask);
     return end != null && end.answered();
@@ -90,8 +116,7 @@
 
   private boolean reaches(Ask ask) {
     ModelVersion version = end(ask).version();
-    return version != null
-        && truth.known(ask.request().requestId(), version) >= MeasuredConfiguration.TARGET;
+    return version != null && truth.known(ask.request().requestId(), version) >= ask.target();
   }
 
   private long patience(Ask ask) {
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
@@ -1,6 +1,9 @@
 package org.skylarkfork.standin.measure.daemon;
 
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What one run gave.
@@ -15,6 +18,7 @@
  * @param draftsAnswered share of them that was answered
  * @param reached share of the answered drafts that meets the target
  * @param costMicros mean cost of an answered draft, in millionths of the currency unit
+ * @param sessionlessCostMicros the same of drafts without a session, which alone may be cascades
  * @param costPerReachedMicros cost of all drafts for each that meets the target
  * @param firstToken first token of streamed drafts
  * @param draftTime time of whole drafts
@@ -28,10 +32,12 @@
  * @param billsMissing answered requests without a bill
  * @param billsDouble bills beyond one for a request
  * @param sessionsMoved changes of a session's version other than by withdrawal
+ * @param sentToWithdrawn drafts sent to a version after its withdrawal
  * @param unended requests that neither got an answer nor a refusal, or got two
  * @param fairness Jain's index of what the teams got of their due parts of the bursts' answered
  *     drafts, where none is due more than it asked for; 1 is even
  * @param worstTeam what the worst team got of its due part
+ * @param refusals how many requests had which kind of refusal
  * @param exposedBySecond requests newly exposed in each second
  */
 public record Figures(
@@ -42,6 +48,7 @@
     double draftsAnswered,
     double reached,
     double costMicros,
+    double sessionlessCostMicros,
     double costPerReachedMicros,
     Percentiles firstToken,
     Percentiles draftTime,
@@ -55,14 +62,17 @@
     int billsMissing,
     long billsDouble,
     int sessionsMoved,
+    int sentToWithdrawn,
     int unended,
     double fairness,
     double worstTeam,
+    Map<String, Integer> refusals,
     List<Integer> exposedBySecond) {
 
-  /** Copies the lists. */
+  /** Copies the lists and the map. */
   public Figures {
     faults = List.copyOf(faults);
+    refusals = Collections.unmodifiableMap(new TreeMap<>(refusals));
     exposedBySecond = List.copyOf(exposedBySecond);
   }
 
@@ -83,6 +93,7 @@
         && billsMissing == 0
         && billsDouble == 0
         && sessionsMoved == 0
+        && sentToWithdrawn == 0
         && unended == 0;
   }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/HtmlReport.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/HtmlReport.java
@@ -83,6 +83,7 @@
             "policy",
             "faults",
             "cost",
+            "cost without session",
             "cost a met target",
             "meets target",
             "answered",
@@ -96,6 +97,7 @@
             "doubles",
             "bills missing / double",
             "sessions moved",
+            "sent to withdrawn",
             "unended",
             "fairness",
             "worst team"));
@@ -110,6 +112,7 @@
     cells.add(run.policy());
     cells.add(String.join(" + ", run.faults()));
     cells.add(number(run.costMicros(), 0));
+    cells.add(number(run.sessionlessCostMicros(), 0));
     cells.add(number(run.costPerReachedMicros(), 0));
     cells.add(number(run.reached(), 3));
     cells.add(number(run.draftsAnswered(), 3));
@@ -123,6 +126,7 @@
     cells.add("" + run.doubles());
     cells.add(run.billsMissing() + " / " + run.billsDouble());
     cells.add("" + run.sessionsMoved());
+    cells.add("" + run.sentToWithdrawn());
     cells.add("" + run.unended());
     cells.add(number(run.fairness(), 3));
     cells.add(number(run.worstTeam(), 3));
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasureReport.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasureReport.java
@@ -65,6 +65,14 @@
         "",
         "best model",
         Figures::costPerReachedMicros);
+    add(
+        targets,
+        here,
+        "cost per draft without a session / best model",
+        COST_LIMIT,
+        "",
+        "best model",
+        Figures::sessionlessCostMicros);
     for (String baseline : List.of(SIMPLEST, "random upstream", "one queue", "no queue")) {
       add(
           targets,
@@ -88,6 +96,8 @@
     targets.add(none(deployment, "answers without a bill", full, Figures::billsMissing));
     targets.add(none(deployment, "bills beyond one a request", full, Figures::billsDouble));
     targets.add(none(deployment, "sessions moved but by withdrawal", full, Figures::sessionsMoved));
+    targets.add(
+        none(deployment, "drafts sent to a withdrawn version", full, Figures::sentToWithdrawn));
     targets.add(none(deployment, "requests without one end", full, Figures::unended));
     return targets;
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasuredConfiguration.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasuredConfiguration.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.skylarkfork.core.configuration.Configuration;
 import org.skylarkfork.core.configuration.Limits;
 import org.skylarkfork.core.configuration.Model;
@@ -16,20 +15,21 @@
 /** The configuration that all runs begin with. */
 final class MeasuredConfiguration {
 
-  /** Wanted rating, and wanted chance of reaching it. */
+  /** Wanted rating of a draft, and wanted chance of reaching it. */
   static final double TARGET = 0.85;
 
+  /** The same of sessions, whose users rather have a quick answer than a better one. */
+  static final double SESSION_TARGET = 0.6;
+
   private static final Price SMALL_PRICE = new Price(60, 240);
   private static final Price LARGE_PRICE = new Price(600, 2_400);
   private static final double SMALL_PRIOR = 0.7;
   private static final double LARGE_PRIOR = 0.95;
-  private static final int HALF = 50;
 
   private MeasuredConfiguration() {}
 
-  /** Returns the configuration; a version that turns bad has half of the new work. */
-  static Configuration begin(Set<FaultKind> faults) {
-    boolean half = faults.stream().anyMatch(FaultKind::isBadVersion);
+  /** Returns the configuration. */
+  static Configuration begin() {
     return new Configuration(
         1,
         teams(),
@@ -38,7 +38,7 @@
             new ServiceDefinition(Deployment.ISSUE, List.of("POST"), 4_000, 100),
             new ServiceDefinition(Deployment.LOOKUP, List.of(), 1_000, 1)),
         rules(),
-        half ? List.of(rollOut(HALF)) : List.of(),
+        List.of(),
         List.of(),
         List.of(),
         List.of(),
@@ -102,6 +102,12 @@
             null);
     return List.of(
         new Rule("services", services, new Rule.Decision.ToService()),
+        new Rule(
+            "sessions",
+            new Rule.Condition(
+                List.of(), List.of(), List.of(), List.of(), null, null, null, true, null, null),
+            new Rule.Decision.Route(
+                List.of("small", "large"), Rule.PlanKind.CHEAPEST, SESSION_TARGET, null)),
         new Rule(
             "drafts",
             Rule.Condition.ALWAYS,
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Run.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Run.java
@@ -44,6 +44,7 @@
   private final Set<String> exposedRequests = new HashSet<>();
   private final Set<String> exposedSessions = new HashSet<>();
   private final int[] exposedBySecond = new int[Deployment.SECONDS + 1];
+  private int sentToWithdrawn;
 
   /**
    * Prepares a run.
@@ -59,7 +60,7 @@
     around =
         new Surroundings(
             time, RandomSource.XO_SHI_RO_256_PP.create(seed + 1), this::tell, truth, scores, asks);
-    configuration = new FakeConfiguration(MeasuredConfiguration.begin(faults));
+    configuration = new FakeConfiguration(MeasuredConfiguration.begin());
     group = new FakeGroup(time, this::tell);
     daemon = new MeasuredDaemon(deployment, policy, configuration, group, seed);
     rating =
@@ -88,7 +89,8 @@
     return reader.read(
         policy.name(),
         faults,
-        new FigureReader.Exposure(exposedRequests.size(), exposedSessions.size(), exposedBySecond),
+        new FigureReader.Exposure(
+            exposedRequests.size(), exposedSessions.size(), sentToWithdrawn, exposedBySecond),
         daemon.ledger().billed(),
         group);
   }
@@ -134,6 +136,9 @@
   private void toUpstream(UpstreamEffect effect) {
     if (effect instanceof UpstreamEffect.DispatchDraft draft) {
       expose(draft);
+      if (configuration.current().isWithdrawn(draft.version())) {
+        sentToWithdrawn++;
+      }
       time.after(NETWORK_MICROS, () -> engines.get(draft.upstream()).dispatch(draft));
     } else if (effect instanceof UpstreamEffect.DispatchCall call) {
       time.after(NETWORK_MICROS, () -> services.get(call.upstream()).dispatch(call));
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Scores.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Scores.java
@@ -104,7 +104,8 @@
 
   private void followSession(Ask ask, ModelVersion version, Predicate<ModelVersion> isWithdrawn) {
     String session = ask.request().session();
-    if (session == null) {
+    // An answer that was under way when its version was withdrawn may end after a newer one.
+    if (session == null || isWithdrawn.test(version)) {
       return;
     }
     String key = ask.team() + "/" + session + "/" + version.model();
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/TextTable.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/TextTable.java
@@ -61,7 +61,7 @@
         run.falseNotRun(),
         run.doubles(),
         run.billsMissing() + run.billsDouble(),
-        run.sessionsMoved(),
+        run.sessionsMoved() + run.sentToWithdrawn(),
         run.unended(),
         run.fairness(),
         run.worstTeam());
