Limits: entries lease shares of a team's limits by demand

Cause: even shares give each entry limit / entries. One busy entry of nine gets a ninth, and a limit below the number of entries is exceeded, since each entry lets one request through.

Change: LeasedShares takes the place of EvenShares, which stays as the baseline. One entry (rendezvous by team name) leases 90 % of each limit for 4 s by demand, reported once a second (every 250 ms while a team with demand has no lease) by the new LimitMessage family; 10 % is split evenly without a lease. Where an entry has no share, drafts wait for one and one lookup at a time starts at once.

Failed tries: in the random run an owner that came back from the smaller side of a partition leased at once, beside the owner of the larger side (3 places of a limit of 2); it now waits as a new owner does.

Conclusion: a team's limit follows its callers at one message a second and owner. Left: the cold start and a change of owner leave teams at the 10 % for up to 8 s or so; rates count estimated tokens, not those used.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/FairAdmission.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/FairAdmission.java
@@ -68,11 +68,12 @@
   @Override
   public Verdict submit(CallerRequest request, Team team, int priority, Instant now) {
     Waiter newcomer = waiter(request, team, priority);
+    usage(team, now).asked(newcomer.cost());
     LaneQueue lane = lanes.computeIfAbsent(newcomer.lane(), key -> new LaneQueue());
     boolean first = lane.waitingOf(team.name()) == 0;
     if (first
         && lane.running() < capacity.capacity(newcomer.lane(), now)
-        && usage(team, now).mayStart(newcomer.cost(), now)) {
+        && mayStart(newcomer, now)) {
       start(newcomer, lane, now);
       return ADMITTED;
     }
@@ -106,6 +107,11 @@
     return usage;
   }
 
+  private boolean mayStart(Waiter waiter, Instant now) {
+    boolean lookup = !waiter.lane().equals(Lane.DRAFTS);
+    return usage(waiter.team(), now).mayStart(waiter.cost(), lookup, now);
+  }
+
   private void start(Waiter waiter, LaneQueue lane, Instant now) {
     lane.started(waiter.team().name(), waiter.team().weight(), waiter.cost());
     usage(waiter.team(), now).started(waiter.cost(), now);
@@ -245,8 +251,7 @@
   /** Starts waiters of a lane while it has room and their teams' limits let them. */
   private void drain(Lane key, LaneQueue lane, Instant now) {
     while (lane.waiting() > 0 && lane.running() < capacity.capacity(key, now)) {
-      Optional<Waiter> next =
-          lane.next(waiter -> usage(waiter.team(), now).mayStart(waiter.cost(), now));
+      Optional<Waiter> next = lane.next(waiter -> mayStart(waiter, now));
       if (next.isEmpty()) {
         return;
       }
@@ -256,6 +261,15 @@
     }
   }
 
+  /** Returns what a team asks of this entry; nothing for one that never asked. */
+  public TeamLoad load(String team) {
+    TeamUsage usage = usages.get(team);
+    if (usage == null) {
+      return TeamLoad.NONE;
+    }
+    return usage.load(lanes.values().stream().mapToInt(lane -> lane.waitingOf(team)).sum());
+  }
+
   /** Returns how many requests wait. */
   public int waiting() {
     return waiting.size();
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/ShareOwner.java
@@ -0,0 +1,87 @@
+package org.skylarkfork.core.admission;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.skylarkfork.core.configuration.Limits;
+import org.skylarkfork.core.message.LimitMessage.Demand;
+import org.skylarkfork.core.message.LimitMessage.Grant;
+import org.skylarkfork.core.message.LimitMessage.TeamDemand;
+import org.skylarkfork.core.message.LimitMessage.TeamShare;
+
+/** Leases the limits of the teams that this entry owns. */
+final class ShareOwner {
+
+  private final EntryView view;
+  private final Function<String, Optional<Limits>> limits;
+  private final ShareSettings settings;
+  private final ShareSplit split;
+  private final Map<String, OwnedTeam> teams = new HashMap<>();
+  private boolean majority;
+
+  ShareOwner(EntryView view, Function<String, Optional<Limits>> limits, ShareSettings settings) {
+    this.view = view;
+    this.limits = limits;
+    this.settings = settings;
+    this.split = new ShareSplit(settings.reserve());
+  }
+
+  /**
+   * Gives up teams that another entry owns now, and all teams around a time in the minority.
+   *
+   * <p>An owner on the smaller side of a partition still owns the team there, while the larger side
+   * has another one. If it took up its office as soon as it sees all again, both would lease the
+   * whole for a while.
+   */
+  void viewChanged() {
+    boolean hadMajority = majority;
+    majority = view.hasMajority();
+    if (!hadMajority || !majority) {
+      teams.clear();
+    }
+    teams.keySet().removeIf(team -> !view.ownerOf(team).equals(view.self()));
+  }
+
+  /** Forgets teams that no entry asks for or has a lease of. */
+  void forget(Instant now) {
+    teams.values().removeIf(team -> team.forget(now));
+  }
+
+  /** Returns how many teams have demand here. */
+  int size() {
+    return teams.size();
+  }
+
+  /** Answers a demand; the grant lacks teams that get no share. */
+  Grant answer(String entry, Demand demand, Instant now) {
+    List<TeamShare> shares = new ArrayList<>();
+    for (TeamDemand team : demand.teams()) {
+      Optional<Limits> whole = limits.apply(team.team());
+      boolean mine = view.ownerOf(team.team()).equals(view.self()) && view.isLive(entry);
+      if (mine && whole.isPresent()) {
+        share(entry, team, whole.get(), demand.sentAt(), now).ifPresent(shares::add);
+      }
+    }
+    return new Grant(demand.sentAt(), settings.lease(), shares);
+  }
+
+  private Optional<TeamShare> share(
+      String entry, TeamDemand demand, Limits whole, Instant sentAt, Instant now) {
+    OwnedTeam team =
+        teams.computeIfAbsent(
+            demand.team(), name -> new OwnedTeam(name, view.changedAt(), settings.longLease()));
+    boolean isNew = team.hear(entry, demand, sentAt, now);
+    // The entry that owned the team before may have granted all of it just now. Until its leases
+    // have ended for sure, and where most entries can't be seen, a grant would be on top of them.
+    boolean early = now.isBefore(team.ownedSince().plus(settings.takeover()));
+    if (!isNew || early || !view.hasMajority()) {
+      return Optional.empty();
+    }
+    int unleased = split.unleased(demand.team(), whole, view.known()).concurrentRequests();
+    return Optional.of(team.grant(entry, split.pool(demand.team(), whole), unleased, now));
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/TeamUsage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/TeamUsage.java
@@ -9,10 +9,15 @@
 
   private static final double SECONDS_PER_MINUTE = 60;
 
+  /** How soon to come back while this entry has no share at all, in seconds. */
+  private static final double NEXT_SHARE_SECONDS = 1;
+
   private Limits limits = Limits.NONE;
   private @Nullable TokenBucket requests;
   private @Nullable TokenBucket tokens;
   private int running;
+  private long askedRequests;
+  private long askedTokens;
 
   /** Follows the present share of the limits. */
   void follow(Limits share, Instant now) {
@@ -23,29 +28,56 @@
     double perSecond = share.requestsPerSecond();
     requests = follow(requests, perSecond, Math.max(1, perSecond), now);
     double tokensPerSecond = share.tokensPerMinute() / SECONDS_PER_MINUTE;
-    tokens = follow(tokens, tokensPerSecond, share.tokensPerMinute(), now);
+    tokens = follow(tokens, tokensPerSecond, Math.max(0, share.tokensPerMinute()), now);
   }
 
   private static @Nullable TokenBucket follow(
       @Nullable TokenBucket bucket, double perSecond, double most, Instant now) {
-    if (perSecond <= 0) {
+    if (perSecond == 0) {
       return null;
     }
+    // An entry without a share keeps an empty bucket. A new one would be full, and a share that
+    // comes and goes would fill it each time.
+    double filling = Math.max(0, perSecond);
     if (bucket == null) {
-      return new TokenBucket(perSecond, most, now);
+      return new TokenBucket(filling, most, now);
     }
-    bucket.change(perSecond, most, now);
+    bucket.change(filling, most, now);
     return bucket;
   }
 
-  /** Returns whether a request of an estimated length keeps within the limits now. */
-  boolean mayStart(long estimatedTokens, Instant now) {
-    boolean slot = limits.concurrentRequests() == 0 || running < limits.concurrentRequests();
+  /**
+   * Returns whether a request of an estimated length keeps within the limits now.
+   *
+   * <p>Where this entry has no share at present, a draft waits for one. A lookup doesn't: one at a
+   * time may start, lest the first ones of a race wait for a message between entries. The limit is
+   * exceeded by one lookup an entry at most, for as long as that lookup takes.
+   */
+  boolean mayStart(long estimatedTokens, boolean lookup, Instant now) {
+    if (hasNoShare() && !(lookup && running == 0)) {
+      return false;
+    }
+    boolean slot = limits.concurrentRequests() <= 0 || running < limits.concurrentRequests();
     return slot
         && (requests == null || requests.has(1, now))
         && (tokens == null || tokens.has(estimatedTokens, now));
   }
 
+  private boolean hasNoShare() {
+    return limits.concurrentRequests() < 0 || limits.tokensPerMinute() < 0;
+  }
+
+  /** Takes note that the team asked for a request, whatever becomes of it. */
+  void asked(long estimatedTokens) {
+    askedRequests++;
+    askedTokens += estimatedTokens;
+  }
+
+  /** Returns what the team asks of this entry, with as many requests waiting. */
+  TeamLoad load(int waiting) {
+    return new TeamLoad(running, waiting, askedRequests, askedTokens);
+  }
+
   void started(long estimatedTokens, Instant now) {
     running++;
     if (requests != null) {
@@ -73,6 +105,9 @@
    * @param now the present time
    */
   double secondsUntil(int ahead, long estimatedTokens, double serviceSeconds, Instant now) {
+    if (hasNoShare()) {
+      return NEXT_SHARE_SECONDS;
+    }
     double byRate = requests == null ? 0 : requests.secondsUntil(ahead + 1, now);
     long wanted = Math.min(estimatedTokens, limits.tokensPerMinute());
     double byTokens = tokens == null ? 0 : tokens.secondsUntil(wanted, now);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -8,4 +8,5 @@
         ConfigurationMessage,
         LedgerMessage,
         SessionMessage,
-        DirectoryMessage {}
+        DirectoryMessage,
+        LimitMessage {}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/admission/ShareBench.java
@@ -0,0 +1,170 @@
+package org.skylarkfork.core.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.configuration.Limits;
+import org.skylarkfork.core.configuration.Team;
+import org.skylarkfork.core.membership.Member;
+import org.skylarkfork.core.membership.Members;
+import org.skylarkfork.core.membership.ServingState;
+import org.skylarkfork.core.testing.MiniNetwork;
+
+/** Entries that lease shares from each other over a network with faults. */
+final class ShareBench {
+
+  final MiniNetwork network;
+  final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final Map<String, Limits> limits;
+
+  ShareBench(long seed, int count, Map<String, Limits> limits) {
+    this.network = new MiniNetwork(seed);
+    this.limits = limits;
+    for (int i = 1; i <= count; i++) {
+      entries.put("entry-" + i, new Entry("entry-" + i));
+    }
+    for (Entry entry : entries.values()) {
+      entry.live = List.copyOf(entries.keySet());
+      network.add(entry.name, List.of(), start -> new Reducer(List.of(entry.boot())));
+      network.start(entry.name);
+    }
+  }
+
+  /** Starts an entry again that sees all the others. */
+  void restart(String entry) {
+    entries.get(entry).live = List.copyOf(entries.keySet());
+    entries.get(entry).next = List.of();
+    network.start(entry);
+  }
+
+  Team team(String name) {
+    return AdmissionBench.team(name, limits.get(name), 1);
+  }
+
+  Limits share(String entry, String team) {
+    return entries.get(entry).shares.share(team(team), network.now());
+  }
+
+  int slots(String entry, String team) {
+    return Math.max(0, share(entry, team).concurrentRequests());
+  }
+
+  /** Returns what the running entries may use together. */
+  Limits sum(String team) {
+    double rate = 0;
+    int slots = 0;
+    long tokens = 0;
+    for (String entry : entries.keySet()) {
+      if (network.isUp(entry)) {
+        Limits share = share(entry, team);
+        rate += share.requestsPerSecond();
+        slots += Math.max(0, share.concurrentRequests());
+        tokens += Math.max(0, share.tokensPerMinute());
+      }
+    }
+    return new Limits(rate, slots, tokens);
+  }
+
+  /** Makes an entry see others only, after a time in which it still sees what it saw. */
+  void see(String entry, List<String> others, Duration after) {
+    entries.get(entry).next = new ArrayList<>(others);
+    entries.get(entry).nextIn = after;
+  }
+
+  /** Lets a second pass, in steps in which entries learn of each other's changes. */
+  void second() {
+    for (int step = 0; step < 10; step++) {
+      network.run(Duration.ofMillis(100));
+      for (Entry entry : entries.values()) {
+        entry.nextIn = entry.nextIn.minusMillis(100);
+        if (entry.nextIn.isNegative()) {
+          entry.live = entry.next.isEmpty() ? entry.live : entry.next;
+        }
+      }
+    }
+  }
+
+  void seconds(int count) {
+    for (int second = 0; second < count; second++) {
+      second();
+    }
+  }
+
+  /** One entry, whose members and loads a test sets. */
+  final class Entry implements Members {
+    final String name;
+    final Map<String, TeamLoad> loads = new HashMap<>();
+    List<String> live = List.of();
+    List<String> next = List.of();
+    Duration nextIn = Duration.ZERO;
+    LeasedShares shares;
+
+    Entry(String name) {
+      this.name = name;
+    }
+
+    LeasedShares boot() {
+      shares =
+          new LeasedShares(
+              this,
+              team -> loads.getOrDefault(team, TeamLoad.NONE),
+              team -> Optional.ofNullable(limits.get(team)),
+              ShareSettings.DEFAULT);
+      return shares;
+    }
+
+    /** Sets what a team asks from now on, of requests and a hundred times as many tokens. */
+    void load(String team, int running, int waiting, int newRequests) {
+      TeamLoad old = loads.getOrDefault(team, TeamLoad.NONE);
+      loads.put(
+          team,
+          new TeamLoad(
+              running,
+              waiting,
+              old.askedRequests() + newRequests,
+              old.askedTokens() + 100L * newRequests));
+      shares.share(team(team), network.now());
+    }
+
+    private Member member(String other) {
+      List<String> roles = List.of(Member.ENTRY);
+      return new Member(
+          other, "127.0.0.1", 1, 2, 3, "zone-a", "region", roles, 1, 1, 1, ServingState.SERVING);
+    }
+
+    @Override
+    public Member self() {
+      return member(name);
+    }
+
+    @Override
+    public List<Member> live() {
+      return live.stream().map(this::member).toList();
+    }
+
+    @Override
+    public List<Member> liveIn(String zone) {
+      return live();
+    }
+
+    @Override
+    public Optional<Member> find(String other) {
+      return live().stream().filter(member -> member.name().equals(other)).findFirst();
+    }
+
+    @Override
+    public boolean isSuspected(String other) {
+      return false;
+    }
+
+    @Override
+    public boolean isSuperseded() {
+      return false;
+    }
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
@@ -25,6 +25,8 @@
     metrics.set("answers_held_bytes", "", parts.requests().heldBytes());
     metrics.set("admission_waiting_requests", "", parts.admission().waiting());
     metrics.set("admission_running_requests", "", parts.admission().running());
+    metrics.set("limit_leases", "", parts.shares().leases(now));
+    metrics.set("limit_teams_owned", "", parts.shares().ownedTeams());
     parts.consensus().statuses().forEach(this::group);
     transport(transport);
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -10,9 +10,11 @@
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.admission.AdmissionSettings;
-import org.skylarkfork.core.admission.EvenShares;
 import org.skylarkfork.core.admission.FairAdmission;
 import org.skylarkfork.core.admission.KnownCapacity;
+import org.skylarkfork.core.admission.LeasedShares;
+import org.skylarkfork.core.admission.ShareSettings;
+import org.skylarkfork.core.admission.TeamLoad;
 import org.skylarkfork.core.attempt.RequestCollaborators;
 import org.skylarkfork.core.attempt.RequestPart;
 import org.skylarkfork.core.attempt.RequestSettings;
@@ -27,6 +29,7 @@
 import org.skylarkfork.core.configuration.ConfigurationPart;
 import org.skylarkfork.core.configuration.ConfigurationSettings;
 import org.skylarkfork.core.configuration.ConfigurationView;
+import org.skylarkfork.core.configuration.Limits;
 import org.skylarkfork.core.configuration.LocalReplica;
 import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.configuration.Team;
@@ -103,6 +106,7 @@
   private final SessionPart sessions;
   private final LedgerPart ledger;
   private final OrderPart orders;
+  private final LeasedShares shares;
   private final FairAdmission admission;
   private final RequestPart requests;
   private final DryRunPart dryRun;
@@ -149,10 +153,11 @@
             consensus.submitter());
     Planner planner = planner();
     dryRun = new DryRunPart(configuration, new CurrentRules(configuration), planner);
+    shares = new LeasedShares(membership, this::load, this::limits, ShareSettings.DEFAULT);
     admission =
         new FairAdmission(
             new KnownCapacity(directory, this::servingEntries, HEADROOM),
-            new EvenShares(this::servingEntries),
+            shares,
             AdmissionSettings.DEFAULT);
     requests = requestPart(planner);
   }
@@ -225,6 +230,14 @@
         .toList();
   }
 
+  private TeamLoad load(String team) {
+    return admission.load(team);
+  }
+
+  private Optional<Limits> limits(String team) {
+    return configuration.current().team(team).map(Team::limits);
+  }
+
   private int servingEntries() {
     return (int)
         membership.live().stream()
@@ -285,6 +298,7 @@
                 entries,
                 quality,
                 dryRun,
+                shares,
                 requests,
                 admission,
                 sessions,
@@ -328,6 +342,10 @@
     return requests;
   }
 
+  LeasedShares shares() {
+    return shares;
+  }
+
   FairAdmission admission() {
     return admission;
   }
