--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -108,9 +108,12 @@
       String keyHash = RequestParser.keyHash(request.requestHeaders());
       String[] parts = path.substring(ROOT.length()).split("/", 2);
       String argument = parts.length > 1 ? parts[1] : "";
-      return request.method().equals(HttpMethod.POST)
-          ? post(parts[0], keyHash, request, response)
-          : get(parts[0], argument, keyHash, request, response);
+      if (request.method().equals(HttpMethod.POST)) {
+        return post(parts[0], keyHash, request, response);
+      }
+      return request.method().equals(HttpMethod.GET)
+          ? get(parts[0], argument, keyHash, request, response)
+          : replies.noSuchPath(request, response);
     }
     return switch (path) {
       case "/metrics" ->
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ConnectionGuard.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ConnectionGuard.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -46,6 +47,8 @@
 
   private final AnswerFormat format;
   private final Supplier<String> ids;
+  private @Nullable ChannelHandlerContext place;
+  private long requests;
   private int unanswered;
   private boolean reading;
   private boolean writing;
@@ -57,6 +60,30 @@
     this.ids = ids;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    place = added;
+  }
+
+  /** Returns how many requests have begun; counts refused ones too. */
+  long requests() {
+    return requests;
+  }
+
+  /** Returns whether a request has begun whose body is not yet whole. */
+  boolean awaitsBody() {
+    return reading;
+  }
+
+  /** Refuses a request whose headers came too slowly. */
+  void refuseSlowHeaders(Duration timeout) {
+    ChannelHandlerContext own = place;
+    if (own != null && own.channel().isActive() && !refused) {
+      String message = "The headers did not arrive within " + timeout.toMillis() + " ms.";
+      refuse(own, ErrorKind.BAD_REQUEST.status(), bad(message + " Send them faster."));
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (refused) {
@@ -64,6 +91,7 @@
       return;
     }
     if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+      requests++;
       Throwable cause = part.decoderResult().cause();
       ReferenceCountUtil.release(message);
       refuse(context, status(cause), error(cause));
@@ -76,6 +104,7 @@
         refuse(context, ErrorKind.BAD_REQUEST.status(), bad(problem));
         return;
       }
+      requests++;
       unanswered++;
       reading = true;
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpSettings.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpSettings.java
@@ -10,7 +10,7 @@
  * @param maxLineBytes longest request line
  * @param maxHeaderBytes most bytes of all headers
  * @param maxBodyBytes longest body
- * @param bodyTimeout longest time for a whole body to arrive
+ * @param bodyTimeout longest time for a whole body to arrive, and for the headers before it
  * @param idleTimeout longest time that a connection without a request stays open
  * @param defaultDeadline deadline of a request that names none
  */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.RejectedExecutionException;
@@ -61,15 +62,18 @@
                     .maxInitialLineLength(settings.maxLineBytes())
                     .maxHeaderSize(settings.maxHeaderBytes()))
         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-        .doOnChannelInit((observer, channel, remote) -> guard(channel.pipeline()))
+        .doOnChannelInit(
+            (observer, channel, remote) -> guard(channel.pipeline(), settings.bodyTimeout()))
         .idleTimeout(settings.idleTimeout())
         .handle(handler)
         .bindNow();
   }
 
-  private void guard(ChannelPipeline pipeline) {
-    pipeline.addAfter(
-        NettyPipeline.HttpCodec, "skylarkfork.guard", new ConnectionGuard(format, ids));
+  private void guard(ChannelPipeline pipeline, Duration timeout) {
+    ConnectionGuard guard = new ConnectionGuard(format, ids);
+    pipeline.addAfter(NettyPipeline.HttpCodec, "skylarkfork.guard", guard);
+    pipeline.addBefore(
+        NettyPipeline.HttpCodec, "skylarkfork.headers", new HeaderTimeout(guard, timeout));
   }
 
   /**
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CallerServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CallerServerTest.java
@@ -60,6 +60,7 @@
       {"declared body", EdgeFixture.post(CLOSE + "Content-Length: 99999\r\n", ""), 413, "longer"},
       {"chunked body", EdgeFixture.post(CLOSE + "Transfer-Encoding: chunked\r\n", chunk), 413, "."},
       {"slow body", EdgeFixture.post(CLOSE + "Content-Length: 9\r\n", "{"), 400, "did not arrive"},
+      {"slow headers", GET + "A: ", 400, "The headers did not arrive"},
       {
         "two lengths",
         EdgeFixture.post("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\nGET /x"),
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EdgeFixture.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EdgeFixture.java
@@ -169,7 +169,8 @@
     loop.close();
   }
 
-  private static final class Queries implements EdgeQueries {
+  /** Answers of a daemon that serves. */
+  static final class Queries implements EdgeQueries {
     @Override
     public CompletableFuture<ModelList> models(String keyHash) {
       return CompletableFuture.failedFuture(new IllegalStateException("a fault"));
