--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/HelpCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/HelpCommand.java
@@ -20,7 +20,17 @@
 
   @Override
   public Integer call() throws Exception {
+    if (!command.isEmpty() && !isKnown(command.get(0))) {
+      System.err.println("There is no command '" + command.get(0) + "'.");
+      System.err.println("Run 'skylarkfork help' for the commands and their options.");
+      return ExitCode.USAGE;
+    }
     Help.help(global, command, System.out);
     return ExitCode.SUCCESS;
   }
+
+  private boolean isKnown(String name) {
+    return global.getDefaultGroupCommands().stream().anyMatch(one -> one.getName().equals(name))
+        || global.getCommandGroups().stream().anyMatch(one -> one.getName().equals(name));
+  }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -33,7 +33,6 @@
 
   private static final long MILLIS_PER_SECOND = 1000;
   private static final String SERVICES = "/services/";
-  private static final String NEXT_ANNOUNCEMENT = "{\"nextMillis\":1000}";
 
   private final HttpSettings settings;
   private final ReducerLoop loop;
@@ -283,7 +282,9 @@
         .flatMap(
             body -> {
               loop.submit(new UpstreamEvent.Announced(announcements.parse(body)));
-              return Replies.json(response, 200, NEXT_ANNOUNCEMENT);
+              return Replies.future(queries.announceMillis())
+                  .flatMap(
+                      millis -> Replies.json(response, 200, "{\"nextMillis\":" + millis + "}"));
             });
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/EdgeQueries.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/EdgeQueries.java
@@ -16,6 +16,9 @@
   /** Returns the entries that callers should use. */
   CompletableFuture<Object> entries();
 
+  /** Returns the milliseconds after which an upstream that announces itself here does so again. */
+  CompletableFuture<Long> announceMillis();
+
   /** Returns whether this daemon takes new work. */
   CompletableFuture<Readiness> readiness();
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeQueries.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeQueries.java
@@ -1,9 +1,11 @@
 package org.skylarkfork.runtime.node;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.Configuration;
 import org.skylarkfork.core.configuration.ConfigurationView;
@@ -24,13 +26,18 @@
   private final ReducerLoop loop;
   private @Nullable ConfigurationView configuration;
   private @Nullable EntryListing listing;
+  private Supplier<Duration> announceEvery = () -> Duration.ofSeconds(1);
 
   NodeQueries(ReducerLoop loop) {
     this.loop = loop;
   }
 
   /** Gives the parts to ask; called once before the loop starts. */
-  void attach(ConfigurationView newConfiguration, EntryListing newListing) {
+  void attach(
+      ConfigurationView newConfiguration,
+      EntryListing newListing,
+      Supplier<Duration> newAnnounceEvery) {
+    announceEvery = newAnnounceEvery;
     configuration = newConfiguration;
     listing = newListing;
   }
@@ -84,6 +91,11 @@
     return loop.ask(now -> listing().entries(now));
   }
 
+  @Override
+  public CompletableFuture<Long> announceMillis() {
+    return loop.ask(now -> announceEvery.get().toMillis());
+  }
+
   @Override
   public CompletableFuture<Readiness> readiness() {
     return loop.ask(this::readiness);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EdgeFixture.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EdgeFixture.java
@@ -171,6 +171,11 @@
 
   /** Answers of a daemon that serves. */
   static final class Queries implements EdgeQueries {
+    @Override
+    public CompletableFuture<Long> announceMillis() {
+      return CompletableFuture.completedFuture(1000L);
+    }
+
     @Override
     public CompletableFuture<ModelList> models(String keyHash) {
       return CompletableFuture.failedFuture(new IllegalStateException("a fault"));
