HTTP: a closing listener closes its connections too

The operator's kept connection still ended at the closed daemon of the same process: Reactor Netty's disposeNow closes the listener only, though the classes say that connections close as well. Ruled out: the repair itself, since the replicas' own views showed the voter with its whole log. Separate processes don't show it, as their end closes connections.

Change: both listeners keep the set of their connections and close it.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -249,7 +249,7 @@
   public void close() {
     DisposableServer open = server;
     if (open != null) {
-      open.disposeNow();
+      replies.close(open);
     }
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -343,7 +343,7 @@
   public void close() {
     DisposableServer open = server;
     if (open != null) {
-      open.disposeNow();
+      replies.close(open);
       Logger.info("http: The callers' listener is closed.");
     }
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +35,7 @@
   private static final String JSON_TYPE = "application/json";
   private static final long MILLIS_PER_SECOND = 1000;
 
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AnswerFormat format;
   private final String pathsPage;
   private final Supplier<String> ids;
@@ -63,12 +67,26 @@
                     .maxHeaderSize(settings.maxHeaderBytes()))
         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .doOnChannelInit(
-            (observer, channel, remote) -> guard(channel.pipeline(), settings.bodyTimeout()))
+            (observer, channel, remote) -> {
+              connections.add(channel);
+              guard(channel.pipeline(), settings.bodyTimeout());
+            })
         .idleTimeout(settings.idleTimeout())
         .handle(handler)
         .bindNow();
   }
 
+  /**
+   * Closes a listener and its connections.
+   *
+   * <p>Reactor Netty closes the listener only. A connection that stays would answer callers for a
+   * daemon that has stopped, in place of letting them go to one that serves.
+   */
+  void close(DisposableServer server) {
+    server.disposeNow();
+    connections.close();
+  }
+
   private void guard(ChannelPipeline pipeline, Duration timeout) {
     ConnectionGuard guard = new ConnectionGuard(format, ids);
     pipeline.addAfter(NettyPipeline.HttpCodec, "skylarkfork.guard", guard);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CallerServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CallerServerTest.java
@@ -294,4 +294,21 @@
       assertFalse(lower.contains("skylarkfork-attempts: 0"), got);
     }
   }
+
+  /**
+   * A caller keeps its connection open while the daemon closes. Were the connection left open, each
+   * later request on it would be refused by a daemon that is gone; closed, the caller goes
+   * elsewhere.
+   */
+  @Test
+  public void closesConnectionsWithTheListener() throws IOException {
+    EdgeFixture own = EdgeFixture.answering();
+    try (Socket socket = own.open()) {
+      EdgeFixture.send(socket, GET + "\r\n");
+      EdgeFixture.readUntil(socket, "}");
+      own.close();
+      socket.getInputStream().skipNBytes(socket.getInputStream().available());
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+  }
 }
