Configuration: a leader that the settings don't name yet gives leases

Cause: in a trial with 7 daemons vm-8 had replaced vm-3 and led, while the others' settings still named vm-3; replicas asked only the voters of their settings, so no daemon had a lease and all refused work for 23 s, until another replica led. Change: a replica asks the leader that it hears, named or not; entries get leases through the replicas that they know. Conclusion: replacing a control VM no longer depends on who leads.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationPart.java
@@ -184,7 +184,11 @@
     List<String> names = new ArrayList<>(voters);
     names.remove(node);
     String leaderName = leader;
-    if (leaderName != null && names.remove(leaderName)) {
+    if (leaderName != null && !leaderName.equals(node)) {
+      // A control VM that was taken in later may lead though these settings don't name it yet. If
+      // nobody asked it, no lease would be given and every entry would refuse work until the next
+      // election. Entries still ask the replicas that they know, which pass its leases on.
+      names.remove(leaderName);
       names.add(0, leaderName);
     }
     return names;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationPartTest.java
@@ -287,4 +287,17 @@
   public void callsOfOtherPartsAreLeftToThem() {
     assertNull(daemon("e10").ask(new OperatorEvent.ControlVmRequested("c", "v9", true)));
   }
+
+  // A control VM is replaced by one with another name, which then leads; the settings of all others
+  // don't name it yet. Replicas asked only voters of their settings, so nobody got a lease and
+  // every entry refused work with 503 until another replica led. They must ask the leader, and
+  // entries get their leases through the replicas that they know.
+  @Test
+  public void leaderThatSettingsDoNotNameGivesLeases() {
+    daemons.namedVoters = List.of("v2", "v3");
+    daemons.byName.values().forEach(Daemons.Daemon::restart);
+    daemons.lead("v1");
+    daemons.run(Duration.ofSeconds(12));
+    daemons.byName.values().forEach(daemon -> assertTrue(daemon.serves(), daemon.name));
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/Daemons.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/Daemons.java
@@ -44,6 +44,7 @@
   final UniformRandomProvider random;
   Predicate<PeerMessage> lost = message -> false;
   double loss;
+  List<String> namedVoters = VOTERS;
   Instant time = Samples.START;
   long inForce;
   long messages;
@@ -92,8 +93,9 @@
       logApplied = 0;
       highest = 0;
       LocalReplica replica = voter ? new LocalReplica(machine, now -> name.equals(leader)) : null;
-      ZoneTree tree = new ZoneTree(name, () -> VOTERS, () -> List.copyOf(byName.keySet()));
-      part = new ConfigurationPart(name, SETTINGS, tree, VOTERS, this, replica);
+      List<String> named = namedVoters;
+      ZoneTree tree = new ZoneTree(name, () -> named, () -> List.copyOf(byName.keySet()));
+      part = new ConfigurationPart(name, SETTINGS, tree, named, this, replica);
       reducer = new Reducer(List.of(part));
     }
 
