Measuring program: shares that meet the target by kind of draft

Cause: sessions have a lower target, so one share for all hid whether each kind meets its own. Change: drafts and sessions are counted apart and both are targets.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
@@ -59,6 +59,8 @@
         drafts.size(),
         (double) answered.size() / drafts.size(),
         (double) reached / Math.max(1, answered.size()),
+        reachedShare(answered, Flow.Kind.DRAFT),
+        reachedShare(answered, Flow.Kind.SESSION_DRAFT),
         cost / Math.max(1, answered.size()),
         meanCost(answered.stream().filter(ask -> ask.kind() == Flow.Kind.DRAFT).toList()),
         cost / Math.max(1, reached),
@@ -82,6 +84,14 @@
         Arrays.stream(exposure.bySecond()).boxed().toList());
   }
 
+  private double reachedShare(List<Ask> answered, Flow.Kind kind) {
+    return answered.stream()
+        .filter(ask -> ask.kind() == kind)
+        .mapToInt(ask -> reaches(ask) ? 1 : 0)
+        .average()
+        .orElse(0);
+  }
+
   private double meanCost(List<Ask> answered) {
     return answered.stream().mapToLong(ask -> end(ask).costMicros()).average().orElse(0);
   }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
@@ -17,6 +17,8 @@
  * @param drafts drafts asked for
  * @param draftsAnswered share of them that was answered
  * @param reached share of the answered drafts that meets the target
+ * @param reachedDrafts the same of drafts without a session
+ * @param reachedSessions the same of sessions, whose target is lower
  * @param costMicros mean cost of an answered draft, in millionths of the currency unit
  * @param sessionlessCostMicros the same of drafts without a session, which alone may be cascades
  * @param costPerReachedMicros cost of all drafts for each that meets the target
@@ -47,6 +49,8 @@
     int drafts,
     double draftsAnswered,
     double reached,
+    double reachedDrafts,
+    double reachedSessions,
     double costMicros,
     double sessionlessCostMicros,
     double costPerReachedMicros,
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/HtmlReport.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/HtmlReport.java
@@ -38,7 +38,7 @@
               target.deployment(),
               target.name(),
               number(target.value(), 3),
-              number(target.limit(), 1),
+              number(target.limit(), 2),
               met);
       row(page, "td", cells);
     }
@@ -85,7 +85,8 @@
             "cost",
             "cost without session",
             "cost a met target",
-            "meets target",
+            "drafts meet target",
+            "sessions meet target",
             "answered",
             "first token p50 / p95 / p99",
             "lookup p50 / p95 / p99",
@@ -114,7 +115,8 @@
     cells.add(number(run.costMicros(), 0));
     cells.add(number(run.sessionlessCostMicros(), 0));
     cells.add(number(run.costPerReachedMicros(), 0));
-    cells.add(number(run.reached(), 3));
+    cells.add(number(run.reachedDrafts(), 3));
+    cells.add(number(run.reachedSessions(), 3));
     cells.add(number(run.draftsAnswered(), 3));
     cells.add(percentiles(run.firstToken()));
     cells.add(percentiles(run.lookup()));
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasureReport.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasureReport.java
@@ -17,6 +17,8 @@
   private static final double COST_LIMIT = 0.6;
   private static final double LOOKUP_LIMIT = 0.5;
   private static final double EXPOSURE_LIMIT = 0.2;
+  private static final double DRAFT_MISSES = 1 - MeasuredConfiguration.TARGET;
+  private static final double SESSION_MISSES = 1 - MeasuredConfiguration.SESSION_TARGET;
   private static final String SIMPLEST = Policy.SIMPLEST.name();
 
   /** Copies the lists. */
@@ -91,6 +93,17 @@
     }
     List<Figures> full =
         here.stream().filter(run -> run.policy().equals(Policy.FULL.name())).toList();
+    find(here, Policy.FULL.name(), "")
+        .ifPresent(
+            run -> {
+              targets.add(most(run, "drafts below target", 1 - run.reachedDrafts(), DRAFT_MISSES));
+              targets.add(
+                  most(
+                      run,
+                      "session answers below target",
+                      1 - run.reachedSessions(),
+                      SESSION_MISSES));
+            });
     targets.add(none(deployment, "double runs", full, Figures::doubles));
     targets.add(none(deployment, "false not-run", full, Figures::falseNotRun));
     targets.add(none(deployment, "answers without a bill", full, Figures::billsMissing));
@@ -118,6 +131,10 @@
     }
   }
 
+  private static Target most(Figures run, String name, double value, double limit) {
+    return new Target(run.deployment(), name, value, limit, value <= limit);
+  }
+
   /** Sums a figure that must be zero over all runs of the full policy, faults included. */
   private static Target none(
       String deployment, String name, List<Figures> full, ToDoubleFunction<Figures> figure) {
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/TextTable.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/TextTable.java
@@ -7,20 +7,22 @@
 public final class TextTable {
 
   private static final String FORMAT =
-      "%-9s %-20s %-30s %8.0f %6.3f %6.3f %6.0f %6.0f %6.0f %7.1f %7.1f %5d %4d %6d %3d %3d %3d"
-          + " %3d %3d %5.3f %5.3f";
+      "%-9s %-20s %-30s %8.0f %6.3f %6.3f %6.3f %6.0f %6.0f %6.0f %7.1f %7.1f %5d %4d %6d %3d %3d"
+          + " %3d %3d %3d %5.3f %5.3f";
 
   private TextTable() {}
 
   /** Returns the names of the columns. */
   public static String head() {
     return String.format(
-        "%-9s %-20s %-30s %8s %6s %6s %6s %6s %6s %7s %7s %5s %4s %6s %3s %3s %3s %3s %3s %5s %5s",
+        "%-9s %-20s %-30s %8s %6s %6s %6s %6s %6s %6s %7s %7s %5s %4s %6s %3s %3s %3s %3s %3s %5s"
+            + " %5s",
         "deploym.",
         "policy",
         "faults",
         "cost",
-        "target",
+        "drafts",
+        "sessns",
         "answ.",
         "ft50",
         "ft95",
@@ -48,7 +50,8 @@
         run.policy(),
         String.join("+", run.faults()),
         run.costMicros(),
-        run.reached(),
+        run.reachedDrafts(),
+        run.reachedSessions(),
         run.draftsAnswered(),
         run.firstToken().p50(),
         run.firstToken().p95(),
@@ -74,7 +77,7 @@
             target ->
                 String.format(
                     Locale.ROOT,
-                    "%-9s %-60s %8.3f <= %.1f  %s",
+                    "%-9s %-60s %8.3f <= %.2f  %s",
                     target.deployment(),
                     target.name(),
                     target.value(),
