Measuring program: verdicts of the sequential test in the report

Cause: Bond with cut streams cost 295 a draft in place of 146, and the report did not say why. Change: the report lists what the test found of versions. All engines cut streams of all versions; the version is compared with its own first time only, so a fault of the engines counts against it. Conclusion: a false alarm; errors and cuts must be compared with those of the other versions at the same time. Not mended here.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FigureReader.java
@@ -44,6 +44,7 @@
   Figures read(
       String policy,
       Set<FaultKind> faults,
+      List<String> verdicts,
       Exposure exposure,
       Set<String> billed,
       FakeGroup group) {
@@ -81,6 +82,7 @@
         jain(shares),
         shares.values().stream().mapToDouble(Double::doubleValue).min().orElse(0),
         refusals(),
+        verdicts,
         Arrays.stream(exposure.bySecond()).boxed().toList());
   }
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Figures.java
@@ -40,6 +40,7 @@
  *     drafts, where none is due more than it asked for; 1 is even
  * @param worstTeam what the worst team got of its due part
  * @param refusals how many requests had which kind of refusal
+ * @param verdicts what the sequential test found of versions, in order
  * @param exposedBySecond requests newly exposed in each second
  */
 public record Figures(
@@ -71,12 +72,14 @@
     double fairness,
     double worstTeam,
     Map<String, Integer> refusals,
+    List<String> verdicts,
     List<Integer> exposedBySecond) {
 
   /** Copies the lists and the map. */
   public Figures {
     faults = List.copyOf(faults);
     refusals = Collections.unmodifiableMap(new TreeMap<>(refusals));
+    verdicts = List.copyOf(verdicts);
     exposedBySecond = List.copyOf(exposedBySecond);
   }
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Run.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/Run.java
@@ -11,6 +11,7 @@
 import org.skylarkfork.core.configuration.Configuration;
 import org.skylarkfork.core.effect.CallerEffect;
 import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.event.CallerEvent;
 import org.skylarkfork.core.event.Event;
@@ -44,6 +45,7 @@
   private final Set<String> exposedRequests = new HashSet<>();
   private final Set<String> exposedSessions = new HashSet<>();
   private final int[] exposedBySecond = new int[Deployment.SECONDS + 1];
+  private final List<String> verdicts = new ArrayList<>();
   private int sentToWithdrawn;
 
   /**
@@ -89,6 +91,7 @@
     return reader.read(
         policy.name(),
         faults,
+        verdicts,
         new FigureReader.Exposure(
             exposedRequests.size(), exposedSessions.size(), sentToWithdrawn, exposedBySecond),
         daemon.ledger().billed(),
@@ -119,6 +122,8 @@
         toCaller(toCaller);
       } else if (effect instanceof UpstreamEffect toUpstream) {
         toUpstream(toUpstream);
+      } else if (effect instanceof TraceEffect.LogLine line && line.part().equals("quality")) {
+        verdicts.add(line.sentence());
       }
     }
   }
