--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/DaemonFootprint.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/DaemonFootprint.java
@@ -42,6 +42,10 @@
   private static final String ENVIRONMENT = "env:";
   private static final Duration LIMIT = Duration.ofSeconds(60);
   private static final int SETTLE_SECONDS = 45;
+
+  /** News of members that joined together are passed on for a time that grows with their number. */
+  private static final int MEMBERS_SETTLED_A_SECOND = 4;
+
   private static final int TEAMS = 100;
   private static final int USER_TIME = 11;
   private static final int SYSTEM_TIME = 12;
@@ -76,7 +80,7 @@
     int callerPort = freePort();
     Process daemon = start(settings(voterSeed, crowd.seed(), callerPort), options);
     try {
-      TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
+      TimeUnit.SECONDS.sleep(SETTLE_SECONDS + members / MEMBERS_SETTLED_A_SECOND);
       final double before = processorSeconds(daemon);
       final long out = crowd.bytesFromDaemon.get();
       final long in = crowd.bytesToDaemon.get();
