--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/StandinCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/StandinCommand.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.engine.EngineSettings;
 import org.skylarkfork.standin.engine.StandInEngine;
 import org.skylarkfork.standin.rating.RatingSettings;
@@ -33,51 +34,20 @@
   private String settings;
 
   @Override
-  public Integer call() throws Exception {
-    CountDownLatch stopped = new CountDownLatch(1);
-    AutoCloseable running = start(Path.of(settings));
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  close(running);
-                  stopped.countDown();
-                },
-                "stop"));
-    stopped.await();
+  public Integer call() throws InterruptedException {
+    StandIn standIn = standIn(Path.of(settings));
+    standIn.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> standIn.stop().join(), "stop"));
+    new CountDownLatch(1).await();
     return ExitCode.SUCCESS;
   }
 
-  private AutoCloseable start(Path file) {
+  private StandIn standIn(Path file) {
     return switch (kind) {
-      case "engine" -> {
-        StandInEngine engine = new StandInEngine(EngineSettings.reader().read(file));
-        engine.start();
-        yield engine;
-      }
-      case "service" -> {
-        StandInService service = new StandInService(ServiceSettings.reader().read(file));
-        service.start();
-        yield service;
-      }
-      case "rating" -> {
-        StandInRating rating = new StandInRating(RatingSettings.reader().read(file));
-        rating.start();
-        yield rating;
-      }
-      default -> {
-        StandInWeights weights = new StandInWeights(WeightsSettings.reader().read(file));
-        weights.start();
-        yield weights;
-      }
+      case "engine" -> new StandInEngine(EngineSettings.reader().read(file));
+      case "service" -> new StandInService(ServiceSettings.reader().read(file));
+      case "rating" -> new StandInRating(RatingSettings.reader().read(file));
+      default -> new StandInWeights(WeightsSettings.reader().read(file));
     };
   }
-
-  private static void close(AutoCloseable running) {
-    try {
-      running.close();
-    } catch (Exception failure) {
-      System.err.println("The stand-in did not close in order: " + failure.getMessage());
-    }
-  }
 }
