--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/proof/TimelineChecks.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/proof/TimelineChecks.java
@@ -184,13 +184,21 @@
     return found.result();
   }
 
-  /** Returns the last mark of each request that ran between the stop's request and its end. */
+  /**
+   * Returns the last mark of each request that ran between the stop's request and its end. What a
+   * crash before has cut off is none of the stop's.
+   */
   private Map<String, String> openAt(ProofEvidence.PlannedStop stop) {
     Map<String, String> marks = new HashMap<>();
+    long sequence = 0;
     for (TimelineRecord line : evidence.timelines().getOrDefault(stop.node(), List.of())) {
       if (line.at().isAfter(stop.until())) {
         break;
       }
+      if (line.sequence() <= sequence && line.at().isBefore(stop.from())) {
+        marks.clear();
+      }
+      sequence = line.sequence();
       if (line.requestId() == null) {
         continue;
       }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/proof/ProofCheckerTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/proof/ProofCheckerTest.java
@@ -118,6 +118,23 @@
     assertEquals(found, EnumSet.noneOf(Promise.class));
   }
 
+  /** A daemon crashes with a request open, starts again and is then stopped as planned. */
+  @Test
+  public void blamesCrashesNotTheStopAfterThem() {
+    Set<Promise> found =
+        violated(
+            sample -> {
+              sample.crashes = true;
+              sample.received(5, "cut by the crash");
+              List<TimelineRecord> lines = List.copyOf(sample.lines);
+              TimelineRecord open = lines.get(lines.size() - 1);
+              sample.lines.clear();
+              sample.lines.add(open);
+              sample.lines.addAll(lines.subList(0, lines.size() - 1));
+            });
+    assertEquals(found, EnumSet.noneOf(Promise.class));
+  }
+
   private static Object[] row(String name, Promise promise, Consumer<SampleEvidence> violation) {
     return new Object[] {name, promise, violation};
   }
