Ledger: a lookup's answer waits until a backup or the group keeps its bill

Ruled out: drafts and certificates, which wait for their commit. Conclusion: a lookup answered is kept by at least one other VM or by the group.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Ending.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Ending.java
@@ -129,21 +129,22 @@
    * Goes on once the bill is safe.
    *
    * <p>A bill that is not safe is handed in again until the deadline: an answer sent before would
-   * be lost to the statement if this entry ended now. The key keeps it one bill.
+   * be lost to the statement if this entry ended now. The key keeps it one bill. A lookup is
+   * refused at once instead: it may be sent again, and its caller should not wait.
    */
   void billed(ActiveRequest active, boolean durable, Turn turn) {
     if (active.phase != ActiveRequest.Phase.BILL) {
       return;
     }
     Bill bill = Objects.requireNonNull(active.bill);
-    if (durable || bill.lookup()) {
+    if (durable) {
       active.billSafe = true;
       turn.timeline("request.billed", active, null, bill.costMicros() + " micros");
       close(active, turn);
       return;
     }
     turn.count("bills_not_durable", "");
-    if (!turn.now().isBefore(active.request.deadline())) {
+    if (bill.lookup() || !turn.now().isBefore(active.request.deadline())) {
       active.lastEffect = active.answered ? null : unbilled(active);
       close(active, turn);
       return;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/LedgerEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/LedgerEvent.java
@@ -42,7 +42,7 @@
    * A bill is safe, or it is certain that it can't be in time.
    *
    * @param requestId id of the request
-   * @param durable whether it is committed
+   * @param durable whether it is committed or, for a lookup, kept by a backup
    */
   record Billed(String requestId, boolean durable) implements LedgerEvent {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/EntryBills.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/EntryBills.java
@@ -88,13 +88,19 @@
     }
   }
 
+  /**
+   * Keeps an answer back until its bill is safe.
+   *
+   * <p>A lookup's bill is safe as soon as one backup keeps it. An entry that is cut off from its
+   * backups would lose the bills of answers that it sent meanwhile if it crashed before the cut
+   * ends, and the statement would lack them. So where no backup answers, a lookup waits for the
+   * commit as a draft does; an entry that reaches neither soon loses its lease anyway.
+   */
   private void await(long number, Bill bill, boolean hasBackup, Instant now) {
-    if (bill.lookup() && (!hasBackup || settings.lookupWait().isZero())) {
-      answered.add(new Billed(bill.requestId(), false));
-    } else {
-      Duration patience = bill.lookup() ? settings.lookupWait() : settings.billWait();
-      waiting.put(number, new Waiting(bill.requestId(), now.plus(patience), bill.lookup()));
-    }
+    boolean first = bill.lookup() && hasBackup;
+    Duration patience = first ? settings.lookupWait() : settings.billWait();
+    isUrgent |= bill.lookup() && !hasBackup;
+    waiting.put(number, new Waiting(bill.requestId(), now.plus(patience), bill.lookup(), first));
   }
 
   /**
@@ -194,7 +200,7 @@
       }
       if (next.getValue().isLookup) {
         inOrder.remove();
-        output.raise(new Billed(next.getValue().requestId, false));
+        output.raise(new Billed(next.getValue().requestId, true));
       }
     }
   }
@@ -204,10 +210,14 @@
     again.addAll(failed);
     failed.clear();
     settledLate.values().removeIf(until -> !now.isBefore(until));
-    var inOrder = waiting.values().iterator();
+    var inOrder = waiting.entrySet().iterator();
     while (inOrder.hasNext()) {
-      Waiting one = inOrder.next();
-      if (!now.isBefore(one.until)) {
+      Map.Entry<Long, Waiting> next = inOrder.next();
+      Waiting one = next.getValue();
+      if (!now.isBefore(one.until) && one.isForBackup) {
+        next.setValue(one.forCommit(now.plus(settings.billWait())));
+        isUrgent |= submittedUpTo < lastNumber;
+      } else if (!now.isBefore(one.until)) {
         inOrder.remove();
         output.raise(new Billed(one.requestId, false));
         output.effect(new TraceEffect.Count("ledger_bills_late", "", 1));
@@ -237,5 +247,10 @@
     return unsettled.size();
   }
 
-  private record Waiting(String requestId, Instant until, boolean isLookup) {}
+  private record Waiting(String requestId, Instant until, boolean isLookup, boolean isForBackup) {
+
+    Waiting forCommit(Instant newUntil) {
+      return new Waiting(requestId, newUntil, isLookup, false);
+    }
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerSettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/ledger/LedgerSettings.java
@@ -9,7 +9,7 @@
  * @param holdGrace how long after the caller's deadline a claim may still get its outcome
  * @param outcomeWait how long an answer waits until its outcome is recorded
  * @param billWait how long the last frame of a draft waits until its bill is committed
- * @param lookupWait how long a lookup waits until one backup keeps its bill; zero not to wait
+ * @param lookupWait how long a lookup waits for a backup before it waits for the commit
  * @param lookupWindow how long bills of lookups are collected before they are submitted
  * @param resubmitFor how long outcomes are submitted again while the group is out of reach
  * @param adoptAfter silence of an entry after which its backups submit the bills that they keep
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CallTest.java
@@ -172,14 +172,18 @@
   }
 
   @Test
-  public void answersLookupAtOnceWithoutQuorum() {
+  public void refusesLookupWhoseBillCannotBeKept() {
+    // The caller is told at once that its lookup ran and may be sent again. The entry is cut off:
+    // neither a backup nor the group takes the bill. An answer sent all the same would never be
+    // billed if the entry crashed before the cut ended.
     RequestFixture own = new RequestFixture();
     own.ledger.reachable = false;
     own.ask("r", RequestFixture.call("GET", null));
     own.fail("r.1", Moment.WRITTEN);
     own.answer("r.2", 200, "12:03");
     own.settle();
-    assertEquals(own.last(CallerEffect.SendServiceAnswer.class).body().text(), "12:03");
+    assertEquals(own.last(CallerEffect.Refuse.class).error().runState(), RunState.RAN);
+    assertEquals(own.ends("r"), 1);
     assertTrue(own.ledger.handedIn.get(0).lookup());
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/ledger/LedgerPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/ledger/LedgerPartTest.java
@@ -112,24 +112,30 @@
     assertEquals(fixture.entries.get("entry-2").part.heldBills(), 0);
   }
 
-  // Screens get their lookups although no backup can be reached and the group has no leader; the
-  // bills follow, once each.
+  // Screens get their lookups a little later while no backup can be reached: the bill's commit
+  // stands in for it. Without a leader as well the entry gives up after the wait for bills, and the
+  // bill still counts once when it is back. An answer before either could go unbilled for good.
   @Test
-  public void lookupsWaitForNobodyLongAndAreBilledLater() {
+  public void lookupsWaitForTheCommitWhereNoBackupAnswers() {
     LedgerFixture fixture = new LedgerFixture(3);
     final Entry entry = fixture.start("entry-1");
     fixture.start("entry-2");
     fixture.run(SHORT);
-    fixture.hasLeader = false;
     fixture.arePeersCut = true;
     entry.part.bill(lookup("r1"), fixture.now);
-    fixture.run(Duration.ofMillis(40));
-    assertEquals(entry.answers, List.of(new Billed("r1", false)));
+    fixture.run(SHORT);
+    assertEquals(entry.answers, List.of(new Billed("r1", true)));
+    fixture.hasLeader = false;
+    entry.part.bill(lookup("r2"), fixture.now);
+    fixture.run(SHORT);
+    assertEquals(entry.answers.size(), 1);
+    fixture.run(Duration.ofSeconds(3));
+    assertEquals(entry.answers.get(1), new Billed("r2", false));
     assertFalse(entry.part.isSettled());
     fixture.hasLeader = true;
     fixture.run(LONG);
     assertTrue(entry.part.isSettled());
-    assertEquals(fixture.machine.statement("club").requests(), 1);
+    assertEquals(fixture.machine.statement("club").requests(), 2);
   }
 
   // The team pays a draft once although its answer hands the bill in again and again while the
