--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Command.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Command.java
@@ -7,4 +7,4 @@
  * carries the key that makes a second delivery harmless (a change id, a claim key).
  */
 public sealed interface Command
-    permits GroupCommand, LedgerCommand, ConfigurationCommand, OrderCommand {}
+    permits GroupCommand, LedgerCommand, ConfigurationCommand, OrderCommand, RelayCommand {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/CommandResult.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/CommandResult.java
@@ -6,7 +6,8 @@
         CommandResult.Rejected,
         LedgerResult,
         ConfigurationResult,
-        OrderResult {
+        OrderResult,
+        RelayResult {
 
   /** The command took effect and has nothing more to say. */
   record Done() implements CommandResult {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupId.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupId.java
@@ -14,6 +14,9 @@
   /** The first shard of the group that holds claims and bills. */
   public static final GroupId LEDGER = new GroupId("ledger", 0);
 
+  /** The group that holds the relay's configuration, roll-outs and leaving upstreams. */
+  public static final GroupId RELAY = new GroupId("relay", 0);
+
   @Override
   public String toString() {
     return name + "-" + shard;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/GroupState.java
@@ -2,7 +2,12 @@
 
 /** The whole state of a replicated group, as kept in a snapshot. */
 public sealed interface GroupState
-    permits GroupState.Empty, LedgerState, ConfigurationState, OrderState, CompositeState {
+    permits GroupState.Empty,
+        LedgerState,
+        ConfigurationState,
+        OrderState,
+        CompositeState,
+        RelayState {
 
   /** The state of a group that has applied nothing yet. */
   record Empty() implements GroupState {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -0,0 +1,53 @@
+package org.skylarkfork.core.command;
+
+import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.RollOutPhase;
+
+/** Changes to what the relay's control VMs agree on. */
+public sealed interface RelayCommand extends Command {
+
+  /**
+   * Puts a configuration in force if its version is higher than the present one.
+   *
+   * @param configuration a valid configuration
+   * @param document the operator's own text of it, given back to readers as it is
+   */
+  record PutConfiguration(RelayConfiguration configuration, byte[] document)
+      implements RelayCommand {}
+
+  /** Reads the operator's text of the newest configuration, as of its place in the log. */
+  record ReadConfiguration() implements RelayCommand {}
+
+  /**
+   * Starts to move a service to another version; a resend changes nothing.
+   *
+   * @param service the service
+   * @param target version to move to
+   * @param deadlineMillis time by which it should be decided, in milliseconds
+   */
+  record BeginRollOut(String service, String target, long deadlineMillis) implements RelayCommand {}
+
+  /**
+   * Records the next phase of a roll-out; ignored if that roll-out is over.
+   *
+   * @param service the service
+   * @param target version of the roll-out that is meant
+   * @param phase the phase it enters
+   */
+  record AdvanceRollOut(String service, String target, RollOutPhase phase)
+      implements RelayCommand {}
+
+  /**
+   * Reads the roll-out of a service, as of its place in the log.
+   *
+   * @param service the service
+   */
+  record ReadRollOut(String service) implements RelayCommand {}
+
+  /**
+   * Records that an upstream leaves and gets no new work.
+   *
+   * @param instance id of the upstream's run
+   */
+  record UpstreamLeaves(String instance) implements RelayCommand {}
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
@@ -0,0 +1,27 @@
+package org.skylarkfork.core.command;
+
+import java.util.List;
+import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.ServiceRollOut;
+
+/**
+ * The state that the relay's control VMs agree on.
+ *
+ * @param configuration newest configuration
+ * @param document the operator's text of it
+ * @param rollOuts newest roll-out of each service
+ * @param leaving ids of upstreams that leave, oldest first
+ */
+public record RelayState(
+    RelayConfiguration configuration,
+    byte[] document,
+    List<ServiceRollOut> rollOuts,
+    List<String> leaving)
+    implements GroupState {
+
+  /** Copies the lists. */
+  public RelayState {
+    rollOuts = List.copyOf(rollOuts);
+    leaving = List.copyOf(leaving);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
@@ -75,6 +75,20 @@
     return hosted != null && hosted.holdsLease(now.isBefore(latest) ? latest : now);
   }
 
+  /**
+   * Returns a moment at which this daemon was certainly the group's leader and knew all that was
+   * committed before, or {@code Instant.EPOCH} if it doesn't lead.
+   *
+   * <p>The moment is on this daemon's clock. It rests on answers of a majority to something sent at
+   * that moment or later, not on leases, so it is right whatever clocks do.
+   *
+   * @param group the group
+   */
+  public Instant provenAt(GroupId group) {
+    RaftGroup hosted = groups.get(group);
+    return hosted == null ? Instant.EPOCH : hosted.provenAt(latest);
+  }
+
   /** Returns the state of a hosted replica, or null if the group isn't hosted here. */
   public @Nullable GroupStatus status(GroupId group) {
     RaftGroup hosted = groups.get(group);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -26,13 +26,15 @@
 
   private final Replica replica;
   private final List<String> initialVoters;
+  private final boolean mayFound;
   private final Map<String, Long> emptyDisks = new HashMap<>();
   private List<String> votersHeardOf = List.of();
   private Instant nextRequest = Instant.EPOCH;
 
-  Founding(Replica replica, List<String> initialVoters) {
+  Founding(Replica replica, GroupSetup setup) {
     this.replica = replica;
-    this.initialVoters = initialVoters;
+    this.initialVoters = setup.initialVoters();
+    this.mayFound = setup.growth().mayFound();
   }
 
   void tick(Turn turn) {
@@ -49,7 +51,10 @@
   }
 
   private boolean mayFound() {
-    return replica.empty() && !initialVoters.isEmpty() && initialVoters.get(0).equals(replica.node);
+    return mayFound
+        && replica.empty()
+        && !initialVoters.isEmpty()
+        && initialVoters.get(0).equals(replica.node);
   }
 
   private void askForFounding(Turn turn) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/MemberChanges.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/MemberChanges.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.consensus;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -20,21 +21,26 @@
 
   private final Replica replica;
   private final Replication replication;
+  private final Growth growth;
   private final Map<String, Long> joiners = new HashMap<>();
+  private final Map<String, Instant> askedAt = new HashMap<>();
 
-  MemberChanges(Replica replica, Replication replication) {
+  MemberChanges(Replica replica, Replication replication, Growth growth) {
     this.replica = replica;
     this.replication = replication;
+    this.growth = growth;
   }
 
   void start() {
     joiners.clear();
+    askedAt.clear();
   }
 
   /** Takes note of a replica that waits to be taken in. */
-  void joining(String node, long instance) {
+  void joining(String node, long instance, Instant now) {
     if (joiners.containsKey(node) || joiners.size() < MAX_JOINERS) {
       joiners.put(node, instance);
+      askedAt.put(node, now);
     }
   }
 
@@ -95,7 +101,7 @@
       return null;
     }
     Member learner = replication.caughtUpLearner(turn.now());
-    if (learner != null) {
+    if (learner != null && wantsVoter(turn.now())) {
       return new GroupCommand.ChangeMembers(replica.members.latest().withVoter(learner));
     }
     for (String node : joiners.keySet()) {
@@ -103,6 +109,48 @@
         return admit(node);
       }
     }
+    return growth.automatic() ? grow(turn.now()) : null;
+  }
+
+  private boolean wantsVoter(Instant now) {
+    return !growth.automatic()
+        || replica.members.latest().voters().size() < growth.wantedVoters()
+        || silentVoter(now) != null;
+  }
+
+  /**
+   * Drops a silent voter once there are more than wanted, or takes a newcomer in as a learner.
+   *
+   * <p>A voter is dropped only after a newcomer has taken its place, so that its loss never leaves
+   * the group with fewer copies than it had.
+   */
+  private GroupCommand.@Nullable ChangeMembers grow(Instant now) {
+    Members members = replica.members.latest();
+    String silent = silentVoter(now);
+    if (silent != null && members.voters().size() > growth.wantedVoters()) {
+      return remove(silent);
+    }
+    for (Member learner : members.learners()) {
+      if (replication.silentSince(learner, now.minus(growth.silence()))) {
+        return remove(learner.node());
+      }
+    }
+    for (Map.Entry<String, Instant> asked : askedAt.entrySet()) {
+      boolean asksNow = asked.getValue().plus(growth.silence()).isAfter(now);
+      if (asksNow && members.find(asked.getKey()) == null) {
+        return admit(asked.getKey());
+      }
+    }
+    return null;
+  }
+
+  private @Nullable String silentVoter(Instant now) {
+    for (Member voter : replica.members.latest().voters()) {
+      boolean other = !voter.equals(replica.self());
+      if (other && replication.silentSince(voter, now.minus(growth.silence()))) {
+        return voter.node();
+      }
+    }
     return null;
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Progress.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Progress.java
@@ -13,6 +13,7 @@
   long sentCommitIndex;
   boolean probing = true;
   boolean probeSent;
+  Instant startedAt = Instant.EPOCH;
   Instant resetAt = Instant.EPOCH;
   Instant lastAnsweredAt = Instant.EPOCH;
   @Nullable SnapshotSender snapshot;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -61,9 +61,9 @@
     this.followerLog = new FollowerLog(replica);
     this.snapshotReceiver = new SnapshotReceiver(replica, codec);
     this.proposals = new Proposals(replica);
-    this.memberChanges = new MemberChanges(replica, replication);
+    this.memberChanges = new MemberChanges(replica, replication, setup.growth());
     this.applier = new Applier(replica, machine, proposals);
-    this.founding = new Founding(replica, setup.initialVoters());
+    this.founding = new Founding(replica, setup);
   }
 
   GroupId group() {
@@ -89,6 +89,10 @@
     return replica.leads() && replication.holdsLease(now);
   }
 
+  Instant provenAt(Instant now) {
+    return replica.leads() ? replication.provenAt(now) : Instant.EPOCH;
+  }
+
   void onStorage(StorageEvent event, Turn turn) {
     if (event instanceof StorageEvent.Recovered stored) {
       recover(stored, turn);
@@ -230,7 +234,7 @@
 
   private void onJoin(String from, JoinRequest request, Turn turn) {
     if (replica.leads()) {
-      memberChanges.joining(from, request.instance());
+      memberChanges.joining(from, request.instance(), turn.now());
     } else {
       founding.onJoinRequest(from, turn);
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
@@ -73,6 +73,9 @@
       nextHeartbeat = turn.now().plus(replica.settings.heartbeat());
     }
     for (Progress progress : progresses.values()) {
+      if (progress.startedAt.equals(Instant.EPOCH)) {
+        progress.startedAt = turn.now();
+      }
       boolean sent = sendLacking(progress, turn);
       if (heartbeat && !sent) {
         sendHeartbeat(progress, turn);
@@ -238,6 +241,12 @@
     return now.isBefore(end) && replica.log.termAt(replica.commitIndex()) == replica.term();
   }
 
+  /** Returns when a majority last showed that it follows, if all earlier entries are committed. */
+  Instant provenAt(Instant now) {
+    boolean knowsAll = replica.log.termAt(replica.commitIndex()) == replica.term();
+    return knowsAll ? answeredByMajority(now, Instant.EPOCH) : Instant.EPOCH;
+  }
+
   private Instant answeredByMajority(Instant now, Instant least) {
     Members members = replica.members.latest();
     List<Instant> answers = new ArrayList<>();
@@ -255,6 +264,14 @@
     return answers.size() < members.quorum() ? least : answers.get(members.quorum() - 1);
   }
 
+  /** Returns whether a replica has answered nothing that was sent since the time. */
+  boolean silentSince(Member member, Instant time) {
+    Progress progress = progress(member.node(), member.instance());
+    return progress != null
+        && progress.lastAnsweredAt.isBefore(time)
+        && progress.startedAt.isBefore(time);
+  }
+
   /** Returns the voter that has most of the log, or null if this replica is the only one. */
   @Nullable String successor() {
     Progress best = null;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/Effect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/Effect.java
@@ -8,4 +8,5 @@
         UpstreamEffect,
         OperatorEffect,
         TraceEffect,
-        LifecycleEffect {}
+        LifecycleEffect,
+        RelayEffect {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/Event.java
@@ -14,4 +14,5 @@
         MembershipEvent,
         ConsensusEvent,
         QualityEvent,
-        ConfigurationEvent {}
+        ConfigurationEvent,
+        RelayEvent {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -9,4 +9,5 @@
         LedgerMessage,
         SessionMessage,
         DirectoryMessage,
-        LimitMessage {}
+        LimitMessage,
+        RelayMessage {}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -0,0 +1,115 @@
+package org.skylarkfork.core.message;
+
+import java.time.Instant;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamStatus;
+import org.skylarkfork.core.relay.VersionCounts;
+
+/** Messages between the relay's entries and control VMs. */
+public sealed interface RelayMessage extends PeerMessage {
+
+  /**
+   * An entry tells a control VM that it lives and asks what is new; only the leader answers.
+   *
+   * @param callerAddress where callers connect to the entry
+   * @param zone its availability zone
+   * @param serving whether callers should be sent to it
+   * @param incarnation number of the entry's process
+   * @param sentAt the entry's time of this poll, repeated in the answer
+   * @param version version of the configuration it has; 0 for none
+   * @param stateIndex log index of the roll-outs and leaving upstreams that it has; 0 for none
+   * @param directoryEpoch epoch of the directory that it has; 0 for none
+   * @param directorySequence newest change of that directory that it has
+   * @param counts what it saw of each version since its start
+   */
+  record EntryPoll(
+      String callerAddress,
+      String zone,
+      boolean serving,
+      long incarnation,
+      Instant sentAt,
+      long version,
+      long stateIndex,
+      long directoryEpoch,
+      long directorySequence,
+      List<VersionCounts> counts)
+      implements RelayMessage {
+
+    /** Copies the list. */
+    public EntryPoll {
+      counts = List.copyOf(counts);
+    }
+  }
+
+  /**
+   * What a leader tells an entry.
+   *
+   * @param provenAt the entry's own time of a poll after whose arrival the sender was proven to
+   *     lead; null if nothing is proven
+   * @param stateIndex log index that this rests on
+   * @param configuration the newest configuration, or null if the entry has it
+   * @param shared roll-outs and leaving upstreams, or null if the entry has them
+   * @param directory changes of the directory of upstreams
+   * @param controlNodes peer names of the control VMs
+   * @param entries how many entries serve
+   */
+  record EntryUpdate(
+      @Nullable Instant provenAt,
+      long stateIndex,
+      @Nullable RelayConfiguration configuration,
+      @Nullable SharedState shared,
+      DirectoryChanges directory,
+      List<String> controlNodes,
+      int entries)
+      implements RelayMessage {
+
+    /** Copies the list. */
+    public EntryUpdate {
+      controlNodes = List.copyOf(controlNodes);
+    }
+  }
+
+  /**
+   * Agreed state beside the configuration.
+   *
+   * @param rollOuts newest roll-out of each service
+   * @param leaving ids of upstreams that leave
+   */
+  record SharedState(List<ServiceRollOut> rollOuts, List<String> leaving) {
+
+    /** Copies the lists. */
+    public SharedState {
+      rollOuts = List.copyOf(rollOuts);
+      leaving = List.copyOf(leaving);
+    }
+  }
+
+  /**
+   * Changes of a leader's directory.
+   *
+   * @param epoch tells the directories of two leaders apart
+   * @param sequence newest change in it
+   * @param whole whether this is all that the leader knows, else changes only
+   * @param settled whether the leader has led long enough to know every upstream that lives
+   * @param upstreams the upstreams
+   */
+  record DirectoryChanges(
+      long epoch, long sequence, boolean whole, boolean settled, List<UpstreamStatus> upstreams) {
+
+    /** Copies the list. */
+    public DirectoryChanges {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /**
+   * A control VM passes an upstream's heartbeat on to the leader.
+   *
+   * @param instance what the upstream told
+   */
+  record UpstreamHeard(UpstreamInstance instance) implements RelayMessage {}
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EngineProfile.java
@@ -0,0 +1,18 @@
+package org.skylarkfork.core.relay;
+
+import java.util.List;
+
+/**
+ * What the engines of a service are able to do.
+ *
+ * @param slots requests that one engine runs at once
+ * @param memoryTokens tokens of prompts and answers that fit into one engine's memory
+ * @param models the models, the smallest first
+ */
+public record EngineProfile(int slots, long memoryTokens, List<ModelPrice> models) {
+
+  /** Copies the list. */
+  public EngineProfile {
+    models = List.copyOf(models);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -0,0 +1,62 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.skylarkfork.core.message.RelayMessage.EntryPoll;
+
+/** The entries that poll this control VM. */
+final class EntryRegistry {
+
+  private final RelayTimes times;
+  private final Map<String, Known> entries = new LinkedHashMap<>();
+
+  EntryRegistry(RelayTimes times) {
+    this.times = times;
+  }
+
+  /** Takes note of a poll and returns the one before it from the same process, or the same. */
+  EntryPoll heard(String node, EntryPoll poll, Instant now) {
+    Known before = entries.put(node, new Known(poll, now));
+    boolean same = before != null && before.poll.incarnation() == poll.incarnation();
+    return same ? before.poll : poll;
+  }
+
+  void tick(Instant now) {
+    entries.values().removeIf(known -> now.isAfter(known.heardAt.plus(times.entrySilence())));
+  }
+
+  /** Returns where callers may connect; entries of the zone first. */
+  List<String> callerAddresses(String zone) {
+    List<String> near = new ArrayList<>();
+    List<String> far = new ArrayList<>();
+    for (Known known : entries.values()) {
+      if (known.poll.serving()) {
+        (known.poll.zone().equals(zone) ? near : far).add(known.poll.callerAddress());
+      }
+    }
+    near.addAll(far);
+    return near;
+  }
+
+  int serving() {
+    return (int) entries.values().stream().filter(known -> known.poll.serving()).count();
+  }
+
+  List<String> nodes() {
+    return List.copyOf(entries.keySet());
+  }
+
+  /** Returns the newest poll of an entry, which must be one of {@link #nodes}. */
+  EntryPoll poll(String node) {
+    Known known = entries.get(node);
+    if (known == null) {
+      throw new IllegalArgumentException(node + " does not poll");
+    }
+    return known.poll;
+  }
+
+  private record Known(EntryPoll poll, Instant heardAt) {}
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/Refusal.java
@@ -0,0 +1,19 @@
+package org.skylarkfork.core.relay;
+
+/** Why an entry ends a request by itself. */
+public enum Refusal {
+  /** No key, or one that no team holds. */
+  UNKNOWN_KEY,
+  /** No route matches. */
+  NO_ROUTE,
+  /** This entry can't serve now; the request has not run. */
+  NOT_SERVING,
+  /** No upstream took the request; it has not run. */
+  NO_UPSTREAM,
+  /** The time was up before the request could be sent; it has not run. */
+  TOO_LATE,
+  /** The upstream gave no whole answer; the request may have run. */
+  OUTCOME_UNKNOWN,
+  /** The time was up while an upstream worked on it; the request may have run. */
+  TIME_OUT
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayConfigurationValidator.java
@@ -0,0 +1,94 @@
+package org.skylarkfork.core.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Finds what is wrong with a configuration of the relay. */
+public final class RelayConfigurationValidator {
+
+  private RelayConfigurationValidator() {}
+
+  /**
+   * Checks a configuration as a whole.
+   *
+   * @param configuration what an operator sent
+   * @return what is wrong, a sentence each with its remedy; empty if it is valid
+   */
+  public static List<String> problems(RelayConfiguration configuration) {
+    List<String> problems = new ArrayList<>();
+    Set<String> services = services(configuration, problems);
+    routes(configuration, services, problems);
+    teams(configuration, problems);
+    return problems;
+  }
+
+  private static Set<String> services(RelayConfiguration configuration, List<String> problems) {
+    Set<String> names = new HashSet<>();
+    for (RelayService service : configuration.services()) {
+      if (service.name().isEmpty()) {
+        problems.add("a service has no name; give it one");
+      } else if (!names.add(service.name())) {
+        problems.add("service " + service.name() + " stands twice; drop one");
+      }
+    }
+    return names;
+  }
+
+  private static void routes(
+      RelayConfiguration configuration, Set<String> services, List<String> problems) {
+    Set<String> places = new HashSet<>();
+    for (RelayRoute route : configuration.routes()) {
+      if (!places.add(route.host() + " " + route.pathPrefix())) {
+        problems.add(
+            "two routes share " + route.host() + route.pathPrefix() + "; give one another prefix");
+      }
+      route(route, services, problems);
+    }
+  }
+
+  private static void route(RelayRoute route, Set<String> services, List<String> problems) {
+    String name = "route " + route.name();
+    if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
+      problems.add(name + ": begin and end the path prefix with a slash");
+    }
+    if (route.timeoutMillis() <= 0) {
+      problems.add(name + ": set a timeout above 0");
+    }
+    if (route.maxAttempts() < 1) {
+      problems.add(name + ": allow at least one attempt");
+    }
+    long weights = 0;
+    for (WeightedService target : route.services()) {
+      if (!services.contains(target.service())) {
+        problems.add(name + ": add the service " + target.service() + " or name another one");
+      }
+      if (target.weight() < 0) {
+        problems.add(name + ": set the weight of " + target.service() + " to 0 or more");
+      }
+      weights += Math.max(0, target.weight());
+    }
+    if (weights == 0) {
+      problems.add(name + ": give one of its services a weight above 0");
+    }
+  }
+
+  private static void teams(RelayConfiguration configuration, List<String> problems) {
+    Map<String, String> owners = new HashMap<>();
+    Set<String> names = new HashSet<>();
+    for (RelayTeam team : configuration.teams()) {
+      if (!names.add(team.name())) {
+        problems.add("team " + team.name() + " stands twice; drop one");
+      }
+      for (String key : team.keys()) {
+        String owner = owners.put(key, team.name());
+        if (owner != null && !owner.equals(team.name())) {
+          problems.add("teams " + owner + " and " + team.name() + " share a key; replace one");
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -0,0 +1,290 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
+import org.skylarkfork.core.message.RelayMessage.EntryPoll;
+import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
+import org.skylarkfork.core.message.RelayMessage.SharedState;
+
+/** An entry's side of the control plane: what it believes, how old that is, and its polls. */
+public final class RelayEntryPart implements Part, RelayView {
+
+  private static final Duration LEADERLESS = Duration.ofMillis(250);
+
+  private final EntryIdentity self;
+  private final RelayTimes times;
+  private final VersionLedger counts;
+  private List<String> seeds;
+  private List<String> controlNodes = List.of();
+  private @Nullable String leader;
+  private Instant leaderHeard = Instant.EPOCH;
+  private final Map<String, Instant> polledAt = new HashMap<>();
+  private RouteTable table = new RouteTable(RelayConfiguration.NONE);
+  private Instant provenAt = Instant.EPOCH;
+  private boolean wasProven;
+  private long stateIndex;
+  private List<ServiceRollOut> rollOuts = List.of();
+  private Set<String> leaving = Set.of();
+  private long directoryEpoch;
+  private long directorySequence;
+  private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
+  private final Map<String, List<UpstreamTrack>> byService = new HashMap<>();
+  private final Map<String, String> usualVersions = new HashMap<>();
+  private int entries = 1;
+  private boolean stopping;
+
+  /**
+   * Makes the part.
+   *
+   * @param self this entry as the control VMs are to see it
+   * @param seeds peer names of control VMs to begin with
+   * @param times when to do what
+   * @param counts what this entry saw of each version
+   */
+  public RelayEntryPart(
+      EntryIdentity self, List<String> seeds, RelayTimes times, VersionLedger counts) {
+    this.self = self;
+    this.seeds = List.copyOf(seeds);
+    this.times = times;
+    this.counts = counts;
+  }
+
+  @Override
+  public RouteTable table() {
+    return table;
+  }
+
+  @Override
+  public boolean configured() {
+    return table.configuration().version() > 0;
+  }
+
+  @Override
+  public boolean proven(Instant now) {
+    return now.isBefore(provenAt.plus(times.lease()));
+  }
+
+  /** Returns whether callers can be served. */
+  public boolean ready(Instant now) {
+    return configured() && proven(now) && !stopping;
+  }
+
+  @Override
+  public List<UpstreamTrack> upstreams(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  @Override
+  public List<ServiceRollOut> rollOuts() {
+    return rollOuts;
+  }
+
+  @Override
+  public @Nullable String usualVersion(String service) {
+    return usualVersions.get(service);
+  }
+
+  @Override
+  public int entries() {
+    return Math.max(1, entries);
+  }
+
+  @Override
+  public void apply(Event event, Instant now, Output output) {
+    if (event instanceof LifecycleEvent.Tick) {
+      tick(now, output);
+    } else if (event instanceof PeerEvent.MessageReceived received
+        && received.message() instanceof EntryUpdate update) {
+      onUpdate(received.node(), update, now, output);
+    } else if (event instanceof RelayEvent.SeedsChanged changed) {
+      seeds = changed.nodes();
+    } else if (event instanceof LifecycleEvent.StopRequested) {
+      stopping = true;
+      targets().forEach(node -> poll(node, now, output));
+    }
+  }
+
+  private void tick(Instant now, Output output) {
+    if (wasProven && !proven(now)) {
+      wasProven = false;
+      log(true, "lease lost version=" + table.configuration().version(), output);
+    }
+    if (leader != null && now.isAfter(leaderHeard.plus(times.poll().multipliedBy(3)))) {
+      log(true, "leader lost node=" + leader, output);
+      leader = null;
+    }
+    for (String node : targets()) {
+      Duration wait = waitFor(node);
+      if (!now.isBefore(polledAt.getOrDefault(node, Instant.EPOCH).plus(wait))) {
+        poll(node, now, output);
+      }
+    }
+  }
+
+  private Duration waitFor(String node) {
+    if (leader == null) {
+      return LEADERLESS;
+    }
+    return node.equals(leader) ? times.poll() : times.backgroundPoll();
+  }
+
+  private Set<String> targets() {
+    if (leader != null && !controlNodes.isEmpty()) {
+      return new LinkedHashSet<>(controlNodes);
+    }
+    Set<String> all = new LinkedHashSet<>(controlNodes);
+    all.addAll(seeds);
+    return all;
+  }
+
+  private void poll(String node, Instant now, Output output) {
+    polledAt.put(node, now);
+    output.effect(
+        new SendToPeer(
+            node,
+            new EntryPoll(
+                self.callerAddress(),
+                self.zone(),
+                ready(now),
+                self.incarnation(),
+                now,
+                table.configuration().version(),
+                stateIndex,
+                directoryEpoch,
+                directorySequence,
+                node.equals(leader) ? counts.all() : List.of())));
+  }
+
+  private void onUpdate(String from, EntryUpdate update, Instant now, Output output) {
+    Instant proof = update.provenAt();
+    if (proof != null) {
+      if (!from.equals(leader)) {
+        log(false, "leader found node=" + from, output);
+      }
+      leader = from;
+      leaderHeard = now;
+    }
+    take(update.configuration(), output);
+    takeShared(update, output);
+    takeDirectory(update.directory(), output);
+    if (!update.controlNodes().isEmpty()) {
+      controlNodes = update.controlNodes();
+    }
+    entries = update.entries();
+    if (proof != null && proof.isAfter(provenAt)) {
+      provenAt = proof;
+      if (!wasProven && proven(now)) {
+        wasProven = true;
+        log(false, "lease gained version=" + table.configuration().version(), output);
+      }
+    }
+  }
+
+  private void take(@Nullable RelayConfiguration newer, Output output) {
+    if (newer != null && newer.version() > table.configuration().version()) {
+      log(
+          false,
+          "configuration taken version="
+              + newer.version()
+              + " before="
+              + table.configuration().version(),
+          output);
+      table = new RouteTable(newer);
+    }
+  }
+
+  private void takeShared(EntryUpdate update, Output output) {
+    SharedState shared = update.shared();
+    if (shared == null || update.stateIndex() <= stateIndex) {
+      return;
+    }
+    stateIndex = update.stateIndex();
+    rollOuts = shared.rollOuts();
+    leaving = new HashSet<>(shared.leaving());
+    for (ServiceRollOut rollOut : rollOuts) {
+      if (rollOut.phase() == RollOutPhase.SUCCEEDED) {
+        usualVersions.put(rollOut.service(), rollOut.target());
+      }
+    }
+    for (String id : leaving) {
+      UpstreamTrack track = byId.get(id);
+      if (track != null && track.condition() != UpstreamCondition.LEAVING) {
+        track.leaves();
+        log(false, "upstream leaves id=" + id + " index=" + stateIndex, output);
+      }
+    }
+  }
+
+  private void takeDirectory(DirectoryChanges changes, Output output) {
+    if (changes.epoch() < directoryEpoch) {
+      return;
+    }
+    boolean continues =
+        changes.epoch() == directoryEpoch && changes.sequence() >= directorySequence;
+    if (!changes.whole() && !continues) {
+      return;
+    }
+    for (UpstreamStatus status : changes.upstreams()) {
+      takeUpstream(status, output);
+    }
+    directoryEpoch = changes.epoch();
+    directorySequence = changes.sequence();
+    if (changes.whole() && changes.settled()) {
+      forgetOthers(changes.upstreams());
+    } else if (changes.whole()) {
+      // An unsettled leader may not know every upstream yet; ask again for the whole later.
+      directoryEpoch = changes.epoch() - 1;
+    }
+  }
+
+  private void takeUpstream(UpstreamStatus status, Output output) {
+    String id = status.instance().id();
+    UpstreamTrack known = byId.get(id);
+    if (known == null) {
+      UpstreamTrack track = new UpstreamTrack(status);
+      if (leaving.contains(id)) {
+        track.leaves();
+      }
+      byId.put(id, track);
+      byService
+          .computeIfAbsent(status.instance().service(), service -> new ArrayList<>())
+          .add(track);
+      usualVersions.putIfAbsent(status.instance().service(), status.instance().version());
+      log(false, "upstream taken " + status, output);
+    } else if (known.condition() != status.condition()
+        || known.instance().sequence() < status.instance().sequence()) {
+      known.told(status);
+    }
+  }
+
+  private void forgetOthers(List<UpstreamStatus> all) {
+    Set<String> ids = new HashSet<>();
+    all.forEach(status -> ids.add(status.instance().id()));
+    byId.keySet().retainAll(ids);
+    for (List<UpstreamTrack> tracks : byService.values()) {
+      tracks.removeIf(track -> !ids.contains(track.instance().id()));
+    }
+  }
+
+  private static void log(boolean warning, String facts, Output output) {
+    output.effect(new TraceEffect.LogLine(warning, "relay", facts));
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -0,0 +1,132 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.GroupState;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.command.RelayResult;
+import org.skylarkfork.core.command.RelayState;
+import org.skylarkfork.core.command.StateMachine;
+
+/** Applies the relay's commands: configuration, roll-outs and leaving upstreams. */
+public final class RelayMachine implements StateMachine {
+
+  /**
+   * Leaving upstreams that are remembered. An upstream stays a few seconds after it said so, and
+   * far fewer than this many leave in that time even where 12,000 are replaced in a day.
+   */
+  private static final int MAX_LEAVING = 512;
+
+  private static final byte[] NO_DOCUMENT = new byte[0];
+
+  private RelayConfiguration configuration = RelayConfiguration.NONE;
+  private byte[] document = NO_DOCUMENT;
+  private final Map<String, ServiceRollOut> rollOuts = new LinkedHashMap<>();
+  private final Set<String> leaving = new LinkedHashSet<>();
+
+  /** Returns the newest configuration. */
+  public RelayConfiguration configuration() {
+    return configuration;
+  }
+
+  /** Returns the newest roll-out of each service. */
+  public List<ServiceRollOut> rollOuts() {
+    return List.copyOf(rollOuts.values());
+  }
+
+  /** Returns the ids of upstreams that leave, oldest first. */
+  public List<String> leaving() {
+    return List.copyOf(leaving);
+  }
+
+  /** Returns whether an upstream said that it leaves. */
+  public boolean isLeaving(String instance) {
+    return leaving.contains(instance);
+  }
+
+  @Override
+  public CommandResult apply(long index, Instant stampedAt, Command command) {
+    if (command instanceof RelayCommand.PutConfiguration put) {
+      return put(put);
+    } else if (command instanceof RelayCommand.ReadConfiguration) {
+      return new RelayResult.ConfigurationRead(configuration.version(), document);
+    } else if (command instanceof RelayCommand.BeginRollOut begin) {
+      return begin(begin);
+    } else if (command instanceof RelayCommand.AdvanceRollOut advance) {
+      return advance(advance);
+    } else if (command instanceof RelayCommand.ReadRollOut read) {
+      return new RelayResult.RollOutRead(rollOuts.get(read.service()));
+    } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
+      return leave(leaves.instance());
+    }
+    return new CommandResult.Rejected("submit this command to the group of its family");
+  }
+
+  private CommandResult put(RelayCommand.PutConfiguration put) {
+    if (put.configuration().version() > configuration.version()) {
+      configuration = put.configuration();
+      document = put.document();
+    }
+    return new RelayResult.ConfigurationAccepted(configuration.version());
+  }
+
+  private CommandResult begin(RelayCommand.BeginRollOut begin) {
+    ServiceRollOut known = rollOuts.get(begin.service());
+    if (known != null && known.target().equals(begin.target())) {
+      return new RelayResult.RollOutRead(known);
+    }
+    if (known != null && known.running()) {
+      return new CommandResult.Rejected(
+          "a roll-out to " + known.target() + " is running; wait until it is decided");
+    }
+    ServiceRollOut begun =
+        new ServiceRollOut(
+            begin.service(), begin.target(), begin.deadlineMillis(), RollOutPhase.CANARY);
+    rollOuts.put(begin.service(), begun);
+    return new RelayResult.RollOutRead(begun);
+  }
+
+  private CommandResult advance(RelayCommand.AdvanceRollOut advance) {
+    @Nullable ServiceRollOut known = rollOuts.get(advance.service());
+    boolean meant = known != null && known.target().equals(advance.target()) && known.running();
+    if (meant && advance.phase().compareTo(known.phase()) > 0) {
+      rollOuts.put(advance.service(), known.in(advance.phase()));
+    }
+    return new CommandResult.Done();
+  }
+
+  private CommandResult leave(String instance) {
+    leaving.remove(instance);
+    leaving.add(instance);
+    if (leaving.size() > MAX_LEAVING) {
+      leaving.remove(leaving.iterator().next());
+    }
+    return new CommandResult.Done();
+  }
+
+  @Override
+  public GroupState snapshot() {
+    return new RelayState(configuration, document, rollOuts(), leaving());
+  }
+
+  @Override
+  public void restore(GroupState state) {
+    configuration = RelayConfiguration.NONE;
+    document = NO_DOCUMENT;
+    rollOuts.clear();
+    leaving.clear();
+    if (state instanceof RelayState saved) {
+      configuration = saved.configuration();
+      document = saved.document();
+      saved.rollOuts().forEach(rollOut -> rollOuts.put(rollOut.service(), rollOut));
+      leaving.addAll(saved.leaving());
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequest.java
@@ -0,0 +1,40 @@
+package org.skylarkfork.core.relay;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The head of a caller's request, as far as decisions rest on it.
+ *
+ * @param number number that the entry gave it
+ * @param id id that the caller gave it, for logs
+ * @param host host that it names
+ * @param path path with its query
+ * @param waitMillis how long the caller waits from the arrival, in milliseconds; 0 if it didn't say
+ * @param key the caller's key, or null
+ * @param model the model it names, or null
+ * @param promptTokens tokens of its prompt; 0 if unknown
+ * @param outputTokens most tokens of its answer; 0 if unknown
+ * @param prompt the shared parts of its prompt in order, its own part last
+ * @param session session that it belongs to, or null
+ * @param lastEventId event after which its stream is to begin, or null
+ */
+public record RelayRequest(
+    long number,
+    String id,
+    String host,
+    String path,
+    long waitMillis,
+    @Nullable String key,
+    @Nullable String model,
+    int promptTokens,
+    int outputTokens,
+    List<PromptPart> prompt,
+    @Nullable String session,
+    @Nullable String lastEventId) {
+
+  /** Copies the list. */
+  public RelayRequest {
+    prompt = List.copyOf(prompt);
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -0,0 +1,30 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** What an entry believes of configuration and upstreams. */
+interface RelayView {
+
+  /** Returns the configuration in force here. */
+  RouteTable table();
+
+  /** Returns whether a configuration is known. */
+  boolean configured();
+
+  /** Returns whether the configuration is proven to be new enough for keyed requests. */
+  boolean proven(Instant now);
+
+  /** Returns the known upstreams of a service. */
+  List<UpstreamTrack> upstreams(String service);
+
+  /** Returns the newest roll-out of each service. */
+  List<ServiceRollOut> rollOuts();
+
+  /** Returns the version of a service that is used apart from roll-outs, or null if none is. */
+  @Nullable String usualVersion(String service);
+
+  /** Returns how many entries serve, at least 1. */
+  int entries();
+}
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutSettings.java
@@ -0,0 +1,24 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+
+/**
+ * How roll-outs go on.
+ *
+ * @param canaryShare share of new work that a version gets until it has proved itself
+ * @param moveShare share of the roll-out's time after which all new work moves
+ * @param drain time that work on the old version gets to end; longer than most streams
+ */
+public record RollOutSettings(double canaryShare, double moveShare, Duration drain) {
+
+  /**
+   * Usual settings: a twentieth of new work until 0.62 of the time is over. A version that turns
+   * bad after the move has then had 0.03 of all requests and is found within two seconds.
+   */
+  public static final RollOutSettings DEFAULT =
+      new RollOutSettings(0.05, 0.62, Duration.ofMillis(5000));
+
+  long moveAfter(long deadlineMillis) {
+    return (long) (deadlineMillis * moveShare);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -0,0 +1,107 @@
+package org.skylarkfork.runtime.loop;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+
+/**
+ * Applies events to the reducer on the thread that also serves the connections.
+ *
+ * <p>An event that comes from that thread is applied at once, so that a request is decided on
+ * without a change of threads. A failure of the reducer means that an invariant broke; nothing is
+ * applied after it.
+ */
+public final class EventLoopReducer {
+
+  private final InstantSource clock;
+  private final EventExecutor executor;
+  private final EffectHandler handler;
+  private final Consumer<Throwable> onFailure;
+  private final Deque<Event> waiting = new ArrayDeque<>();
+  private @Nullable Reducer reducer;
+  private boolean applying;
+  private boolean failed;
+
+  /**
+   * Makes a loop; {@link #start} runs it.
+   *
+   * @param clock gives the present time; must never go back
+   * @param executor the one thread that touches the reducer
+   * @param handler carries effects out, on that thread
+   * @param onFailure told once if the reducer or the handler fails
+   */
+  public EventLoopReducer(
+      InstantSource clock,
+      EventExecutor executor,
+      EffectHandler handler,
+      Consumer<Throwable> onFailure) {
+    this.clock = clock;
+    this.executor = executor;
+    this.handler = handler;
+    this.onFailure = onFailure;
+  }
+
+  /**
+   * Starts to apply events.
+   *
+   * @param started what decides; touched by the executor's thread only from now on
+   * @param tick time between two ticks
+   */
+  public void start(Reducer started, Duration tick) {
+    executor.execute(
+        () -> {
+          reducer = started;
+          drain();
+        });
+    executor.scheduleWithFixedDelay(
+        () -> submit(new LifecycleEvent.Tick()),
+        tick.toNanos(),
+        tick.toNanos(),
+        TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns the present time. */
+  public Instant now() {
+    return clock.instant();
+  }
+
+  /** Applies an event, at once if this is the executor's thread. */
+  public void submit(Event event) {
+    if (executor.inEventLoop()) {
+      waiting.addLast(event);
+      drain();
+    } else {
+      executor.execute(() -> submit(event));
+    }
+  }
+
+  private void drain() {
+    Reducer running = reducer;
+    if (applying || failed || running == null) {
+      return;
+    }
+    applying = true;
+    try {
+      while (!waiting.isEmpty()) {
+        List<Effect> effects = running.apply(waiting.removeFirst(), clock.instant());
+        effects.forEach(handler::carryOut);
+      }
+    } catch (RuntimeException | Error failure) {
+      failed = true;
+      onFailure.accept(failure);
+    } finally {
+      applying = false;
+    }
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/WireCodec.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/WireCodec.java
@@ -6,8 +6,12 @@
 import org.skylarkfork.runtime.codec.Codec;
 import org.skylarkfork.runtime.codec.CodecException;
 
-/** Gives consensus the wire's codec. */
-record WireCodec(Codec codec) implements GroupCodec {
+/**
+ * Gives consensus the wire's codec.
+ *
+ * @param codec the codec
+ */
+public record WireCodec(Codec codec) implements GroupCodec {
 
   @Override
   public byte[] encode(Snapshot snapshot) {
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/BadHeadException.java
@@ -0,0 +1,16 @@
+package org.skylarkfork.runtime.relay;
+
+/** A request's head can't be read; the message says why and what to send instead. */
+public final class BadHeadException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Makes the exception.
+   *
+   * @param message what is wrong and what to send instead
+   */
+  public BadHeadException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallerConnection.java
@@ -0,0 +1,239 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/** One caller's connection, which is served one request at a time. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+  private static final int MAX_PIPELINED = 256;
+
+  private final RelayFront front;
+  private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+  private @Nullable ChannelHandlerContext context;
+  private @Nullable HttpRequest head;
+  private @Nullable CompositeByteBuf body;
+  private @Nullable RelayExchange exchange;
+  private boolean keepAlive;
+  private boolean closing;
+  private boolean quiet = true;
+  private long quietSince = System.nanoTime();
+
+  CallerConnection(RelayFront front) {
+    this.front = front;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext opened) {
+    context = opened;
+    front.opened(this);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (closing || !(message instanceof HttpObject part)) {
+      ReferenceCountUtil.release(message);
+    } else if (exchange != null) {
+      wait(part);
+    } else {
+      take(part);
+    }
+  }
+
+  private void wait(HttpObject part) {
+    pipelined.addLast(part);
+    if (pipelined.size() > MAX_PIPELINED) {
+      channel().close();
+    }
+  }
+
+  private void take(HttpObject part) {
+    try {
+      if (part.decoderResult().isFailure()) {
+        reject(HttpResponseStatus.BAD_REQUEST);
+        return;
+      }
+      if (part instanceof HttpRequest request) {
+        takeHead(request);
+      }
+      if (part instanceof HttpContent content && head != null) {
+        takeContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(part);
+    }
+  }
+
+  private void takeHead(HttpRequest request) {
+    quiet = false;
+    if (ambiguousLength(request)) {
+      reject(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    head = request;
+    body = ByteBufAllocator.DEFAULT.compositeBuffer(MAX_PIPELINED);
+    keepAlive = HttpUtil.isKeepAlive(request);
+    if (HttpUtil.is100ContinueExpected(request)) {
+      channel()
+          .writeAndFlush(
+              new DefaultFullHttpResponse(
+                  HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  /**
+   * Returns whether two readers could see the end of the body at different places.
+   *
+   * <p>What one takes for the body the other takes for a further request, which would run in the
+   * name of this caller.
+   */
+  private static boolean ambiguousLength(HttpRequest request) {
+    int lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size();
+    int encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size();
+    boolean unknownEncoding = encodings > 0 && !HttpUtil.isTransferEncodingChunked(request);
+    return lengths > 1 || encodings > 1 || lengths > 0 && encodings > 0 || unknownEncoding;
+  }
+
+  private void takeContent(HttpContent content) {
+    CompositeByteBuf whole = body;
+    if (whole == null) {
+      return;
+    }
+    if (whole.readableBytes() + content.content().readableBytes() > front.maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+    whole.addComponent(true, content.content().retain());
+    if (content instanceof LastHttpContent) {
+      HttpRequest whose = head;
+      head = null;
+      body = null;
+      if (whose != null) {
+        exchange = front.begin(whose, whole, this);
+      }
+    }
+  }
+
+  /** Answers a request that can't be read and closes, since its end isn't known. */
+  void reject(HttpResponseStatus status) {
+    closing = true;
+    forgetBody();
+    DefaultFullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel().writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void forgetBody() {
+    head = null;
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  private Channel channel() {
+    if (context == null) {
+      throw new IllegalStateException("the connection is not open yet");
+    }
+    return context.channel();
+  }
+
+  void write(HttpObject part, RelayExchange from) {
+    if (part instanceof HttpResponse answer) {
+      announceClose(answer);
+    }
+    channel().writeAndFlush(part);
+    from.callerReads(channel().isWritable());
+  }
+
+  private void announceClose(HttpResponse answer) {
+    if (!keepAlive || front.stopping()) {
+      closing = true;
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  /** Writes the end of an answer and goes on with the next request. */
+  void finish(HttpObject last, RelayExchange from) {
+    if (last instanceof HttpResponse answer) {
+      announceClose(answer);
+    }
+    exchange = null;
+    quiet = true;
+    quietSince = System.nanoTime();
+    if (closing) {
+      channel().writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    channel().writeAndFlush(last);
+    while (exchange == null && !closing && !pipelined.isEmpty()) {
+      take(pipelined.removeFirst());
+    }
+  }
+
+  void breakOff(RelayExchange from) {
+    exchange = null;
+    closing = true;
+    channel().close();
+  }
+
+  /** Closes the connection if no request is on it. */
+  void closeIfQuiet(long idleNanos, long now) {
+    if (quiet && exchange == null && now - quietSince > idleNanos) {
+      closing = true;
+      channel().close();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (exchange != null) {
+      exchange.callerReads(context.channel().isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    front.closed(this);
+    forgetBody();
+    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.clear();
+    RelayExchange open = exchange;
+    exchange = null;
+    if (open != null) {
+      open.callerLeft();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      Logger.warn(cause, "caller: a connection fails");
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -0,0 +1,29 @@
+package org.skylarkfork.runtime.relay;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.relay.UpstreamInstance;
+
+/** What a control VM does for operators, upstreams and callers; called on its one thread. */
+public interface ControlCalls {
+
+  /**
+   * Has a command agreed on.
+   *
+   * @param command the command
+   * @return what it gave; fails with {@link NotAgreedException} if that isn't known in time
+   */
+  CompletableFuture<CommandResult> ask(RelayCommand command);
+
+  /** Takes note of an upstream's heartbeat. */
+  void heartbeat(UpstreamInstance instance);
+
+  /**
+   * Returns where callers may connect, entries of their zone first.
+   *
+   * @param zone the caller's availability zone
+   */
+  List<String> callerAddresses(String zone);
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HttpCall.java
@@ -0,0 +1,21 @@
+package org.skylarkfork.runtime.relay;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A whole HTTP request to a control VM.
+ *
+ * @param method method in upper case
+ * @param path path without its query
+ * @param query decoded parameters of the query
+ * @param body the body
+ */
+public record HttpCall(String method, String path, Map<String, List<String>> query, byte[] body) {
+
+  /** Returns the first value of a parameter, or an empty text. */
+  public String parameter(String name) {
+    List<String> values = query.get(name);
+    return values == null || values.isEmpty() ? "" : values.get(0);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HttpEndpoint.java
@@ -0,0 +1,139 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.tinylog.Logger;
+
+/** A small HTTP server for whole calls, such as operators' and health checks. */
+final class HttpEndpoint {
+
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+  private static final int IDLE_SECONDS = 30;
+
+  private HttpEndpoint() {}
+
+  /**
+   * Opens a server.
+   *
+   * @param eventLoop thread that serves it
+   * @param address address to listen on
+   * @param answers gives the answer to a call; the future never fails
+   * @return the listener
+   */
+  static Channel open(
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      Function<HttpCall, CompletableFuture<HttpReply>> answers) {
+    return new ServerBootstrap()
+        .group(eventLoop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(
+                        new IdleStateHandler(0, 0, IDLE_SECONDS),
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(MAX_BODY_BYTES),
+                        new Calls(answers));
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Function<HttpCall, CompletableFuture<HttpReply>> answers;
+
+    private Calls(Function<HttpCall, CompletableFuture<HttpReply>> answers) {
+      this.answers = answers;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (request.decoderResult().isFailure()) {
+        context.close();
+        return;
+      }
+      QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+      HttpCall call =
+          new HttpCall(
+              request.method().name(),
+              uri.path(),
+              uri.parameters(),
+              ByteBufUtil.getBytes(request.content()));
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      answers
+          .apply(call)
+          .whenComplete(
+              (reply, failure) -> {
+                if (failure != null) {
+                  Logger.error(failure, "control: a call failed path={}", call.path());
+                  context.close();
+                } else {
+                  write(context, reply, keepAlive);
+                }
+              });
+    }
+
+    private static void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+      DefaultFullHttpResponse answer =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(reply.status()),
+              Unpooled.wrappedBuffer(reply.body()));
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+      if (!keepAlive) {
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      ChannelFuture written = context.writeAndFlush(answer);
+      if (!keepAlive) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (!(cause instanceof IOException)) {
+        Logger.warn(cause, "control: a connection fails");
+      }
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -0,0 +1,62 @@
+package org.skylarkfork.runtime.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.RelayControlPart;
+import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.runtime.loop.EventLoopReducer;
+
+/** Calls to a control VM that wait for an answer of the reducer; one thread only. */
+final class OpenCalls implements ControlCalls {
+
+  /** Longest wait; callers move on to another control VM after a second. */
+  private static final long LIMIT_MILLIS = 900;
+
+  private final EventLoopReducer loop;
+  private final RelayControlPart control;
+  private final Map<Long, CompletableFuture<CommandResult>> open = new HashMap<>();
+  private long lastCall;
+
+  OpenCalls(EventLoopReducer loop, RelayControlPart control) {
+    this.loop = loop;
+    this.control = control;
+  }
+
+  @Override
+  public CompletableFuture<CommandResult> ask(RelayCommand command) {
+    long call = ++lastCall;
+    CompletableFuture<CommandResult> answer = new CompletableFuture<>();
+    open.put(call, answer);
+    loop.submit(new RelayEvent.CommandAsked(call, command, LIMIT_MILLIS));
+    return answer;
+  }
+
+  void reply(RelayEffect.ReplyToCall reply) {
+    CompletableFuture<CommandResult> answer = open.remove(reply.callId());
+    CommandResult result = reply.result();
+    if (answer == null) {
+      return;
+    }
+    if (result == null) {
+      answer.completeExceptionally(new NotAgreedException(reply.remedy()));
+    } else {
+      answer.complete(result);
+    }
+  }
+
+  @Override
+  public void heartbeat(UpstreamInstance instance) {
+    loop.submit(new RelayEvent.HeartbeatReceived(instance));
+  }
+
+  @Override
+  public List<String> callerAddresses(String zone) {
+    return control.callerAddresses(zone);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -0,0 +1,229 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.AttemptTarget;
+import org.skylarkfork.core.relay.Refusal;
+import org.skylarkfork.runtime.loop.EventLoopReducer;
+
+/** A caller's request with its body, and its answer so far. */
+final class RelayExchange {
+
+  private static final long MILLIS_A_SECOND = 1000;
+
+  private final long number;
+  private final HttpRequest head;
+  private final ByteBuf body;
+  private final CallerConnection caller;
+  private final RelayDialect dialect;
+  private final UpstreamPools pools;
+  private final EventLoopReducer loop;
+  private final String requestId;
+  private @Nullable UpstreamAttempt attempt;
+  private Instant sentAt = Instant.EPOCH;
+  private boolean begun;
+  private boolean over;
+  private @Nullable String lastEventId;
+
+  RelayExchange(
+      long number,
+      HttpRequest head,
+      ByteBuf body,
+      CallerConnection caller,
+      RelayDialect dialect,
+      UpstreamPools pools,
+      EventLoopReducer loop) {
+    this.number = number;
+    this.head = head;
+    this.body = body;
+    this.caller = caller;
+    this.dialect = dialect;
+    this.pools = pools;
+    this.loop = loop;
+    this.requestId = head.headers().get(dialect.requestIdHeader(), "");
+  }
+
+  long number() {
+    return number;
+  }
+
+  String requestId() {
+    return requestId;
+  }
+
+  void raise(RelayEvent event) {
+    loop.submit(event);
+  }
+
+  /** Sends the request to an upstream, once a connection is there. */
+  void start(int attemptNumber, AttemptTarget target) {
+    UpstreamAttempt started = new UpstreamAttempt(this, attemptNumber, target, dialect);
+    attempt = started;
+    sentAt = loop.now();
+    pools
+        .pool(target.upstream())
+        .acquire(target.fresh(), target.maxConnections(), started::connected);
+  }
+
+  void sendOn(UpstreamConnection connection, UpstreamAttempt sender) {
+    HttpHeaders headers = head.headers().copy();
+    ConnectionHeaders.remove(headers);
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    }
+    long waited = Duration.between(sentAt, loop.now()).toMillis();
+    long left = Math.max(1, sender.target().leftMillis() - waited);
+    dialect.forUpstream(headers, sender.target(), left);
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            head.method(),
+            head.uri(),
+            body.retainedDuplicate(),
+            headers,
+            EmptyHttpHeaders.INSTANCE);
+    connection.send(request, sender);
+  }
+
+  void pass() {
+    if (attempt != null) {
+      attempt.pass();
+    }
+  }
+
+  void drop() {
+    if (attempt != null) {
+      attempt.drop();
+      attempt = null;
+    }
+  }
+
+  void answerWhole(HttpResponse answer, ByteBuf content) {
+    if (over) {
+      content.release();
+      return;
+    }
+    HttpHeaders headers = answer.headers().copy();
+    ConnectionHeaders.remove(headers);
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+    end(
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, answer.status(), content, headers, EmptyHttpHeaders.INSTANCE));
+  }
+
+  /** Begins a stream of events, unless an earlier attempt has begun it. */
+  void beginStream(HttpResponse answer) {
+    if (begun || over) {
+      return;
+    }
+    begun = true;
+    HttpHeaders headers = answer.headers().copy();
+    ConnectionHeaders.remove(headers);
+    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+    headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    caller.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), headers), this);
+  }
+
+  void passEvents(ByteBuf events) {
+    if (over) {
+      events.release();
+    } else {
+      caller.write(new DefaultHttpContent(events), this);
+    }
+  }
+
+  void endStream() {
+    if (!over) {
+      over = true;
+      body.release();
+      caller.finish(LastHttpContent.EMPTY_LAST_CONTENT, this);
+    }
+  }
+
+  /** Returns the newest event that the caller has, given what an attempt passed on. */
+  @Nullable String givenUpTo(@Nullable String lastOfAttempt, boolean passed) {
+    if (passed && lastOfAttempt != null) {
+      lastEventId = lastOfAttempt;
+    }
+    return lastEventId;
+  }
+
+  /** Ends the request with an answer of the entry's own. */
+  void refuse(Refusal refusal, long retryAfterMillis) {
+    if (over) {
+      return;
+    }
+    DefaultFullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status(refusal), Unpooled.EMPTY_BUFFER);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    if (!requestId.isEmpty()) {
+      answer.headers().set(dialect.requestIdHeader(), requestId);
+    }
+    if (retryAfterMillis > 0) {
+      String seconds =
+          String.format(Locale.ROOT, "%.3f", (double) retryAfterMillis / MILLIS_A_SECOND);
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+    end(answer);
+  }
+
+  private static HttpResponseStatus status(Refusal refusal) {
+    return switch (refusal) {
+      case UNKNOWN_KEY -> HttpResponseStatus.UNAUTHORIZED;
+      case NO_ROUTE -> HttpResponseStatus.NOT_FOUND;
+      case NOT_SERVING, NO_UPSTREAM, TOO_LATE -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+      case OUTCOME_UNKNOWN -> HttpResponseStatus.BAD_GATEWAY;
+      case TIME_OUT -> HttpResponseStatus.GATEWAY_TIMEOUT;
+    };
+  }
+
+  private void end(DefaultFullHttpResponse answer) {
+    over = true;
+    body.release();
+    caller.finish(answer, this);
+  }
+
+  /** Closes the caller's connection in the middle of the answer. */
+  void breakOff() {
+    if (!over) {
+      over = true;
+      body.release();
+      caller.breakOff(this);
+    }
+  }
+
+  /** Takes note that the caller's connection is closed. */
+  void callerLeft() {
+    if (!over) {
+      over = true;
+      body.release();
+      raise(new RelayEvent.CallerLeft(number));
+    }
+  }
+
+  void callerReads(boolean reads) {
+    if (attempt != null) {
+      attempt.readMore(reads);
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayFront.java
@@ -0,0 +1,184 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.RelayLimits;
+import org.skylarkfork.core.relay.RelayRequest;
+import org.skylarkfork.runtime.loop.EventLoopReducer;
+
+/** The callers' side of an entry: listener, connections and requests; one thread only. */
+final class RelayFront {
+
+  private static final int BACKLOG = 1024;
+  private static final long SWEEP_MILLIS = 500;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+  private final EventLoop eventLoop;
+  private final RelayDialect dialect;
+  private final EventLoopReducer loop;
+  private final Supplier<RelayLimits> limits;
+  private final UpstreamPools pools;
+  private final Map<Long, RelayExchange> exchanges = new HashMap<>();
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private @Nullable Channel listener;
+  private long lastNumber;
+  private boolean stopping;
+
+  RelayFront(
+      EventLoop eventLoop,
+      RelayDialect dialect,
+      EventLoopReducer loop,
+      Supplier<RelayLimits> limits) {
+    this.eventLoop = eventLoop;
+    this.dialect = dialect;
+    this.loop = loop;
+    this.limits = limits;
+    this.pools = new UpstreamPools(eventLoop, dialect, CONNECT_TIMEOUT);
+  }
+
+  /** Opens the listener and returns its address. */
+  InetSocketAddress start(InetSocketAddress address) {
+    Channel opened =
+        new ServerBootstrap()
+            .group(eventLoop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpResponseEncoder(),
+                            new HttpRequestDecoder(HttpSizes.decoder()),
+                            new CallerConnection(RelayFront.this));
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+    listener = opened;
+    eventLoop.scheduleWithFixedDelay(
+        this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    return (InetSocketAddress) opened.localAddress();
+  }
+
+  private void sweep() {
+    closeQuiet(Duration.ofMillis(limits.get().idleTimeoutMillis()));
+    pools.sweep();
+  }
+
+  int maxBodyBytes() {
+    return limits.get().maxBodyBytes();
+  }
+
+  boolean stopping() {
+    return stopping;
+  }
+
+  /** From now on each answer says that its connection closes. */
+  void stopKeepingConnections() {
+    stopping = true;
+  }
+
+  /** Takes no new connections. */
+  void stopListening() {
+    if (listener != null) {
+      listener.close();
+    }
+  }
+
+  /** Closes connections that have been without a request for some time. */
+  void closeQuiet(Duration quiet) {
+    long now = System.nanoTime();
+    for (CallerConnection connection : new ArrayList<>(connections)) {
+      connection.closeIfQuiet(quiet.toNanos(), now);
+    }
+  }
+
+  int openConnections() {
+    return connections.size();
+  }
+
+  int underWay() {
+    return exchanges.size();
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Starts a request that was read whole. */
+  @Nullable RelayExchange begin(HttpRequest head, ByteBuf body, CallerConnection caller) {
+    long number = ++lastNumber;
+    RelayRequest request;
+    try {
+      request = dialect.read(number, head);
+    } catch (BadHeadException unreadable) {
+      body.release();
+      caller.reject(HttpResponseStatus.BAD_REQUEST);
+      return null;
+    }
+    RelayExchange exchange = new RelayExchange(number, head, body, caller, dialect, pools, loop);
+    exchanges.put(number, exchange);
+    eventLoop.execute(() -> loop.submit(new RelayEvent.RequestArrived(request)));
+    return exchange;
+  }
+
+  /** Carries an effect out. */
+  void carryOut(RelayEffect effect) {
+    if (effect instanceof RelayEffect.SendAttempt send) {
+      with(send.request(), exchange -> exchange.start(send.attempt(), send.target()));
+    } else if (effect instanceof RelayEffect.PassAnswer pass) {
+      with(pass.request(), RelayExchange::pass);
+    } else if (effect instanceof RelayEffect.DropAttempt drop) {
+      with(drop.request(), RelayExchange::drop);
+    } else if (effect instanceof RelayEffect.Refuse refuse) {
+      with(
+          refuse.request(),
+          exchange -> exchange.refuse(refuse.refusal(), refuse.retryAfterMillis()));
+      exchanges.remove(refuse.request());
+    } else if (effect instanceof RelayEffect.BreakOff broken) {
+      with(broken.request(), RelayExchange::breakOff);
+      exchanges.remove(broken.request());
+    } else if (effect instanceof RelayEffect.Forget forget) {
+      exchanges.remove(forget.request());
+    }
+  }
+
+  private void with(long number, Consumer<RelayExchange> action) {
+    RelayExchange exchange = exchanges.get(number);
+    if (exchange != null) {
+      action.accept(exchange);
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -0,0 +1,307 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.Growth;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.effect.StorageEffect;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.EntryIdentity;
+import org.skylarkfork.core.relay.RelayControlPart;
+import org.skylarkfork.core.relay.RelayEntryPart;
+import org.skylarkfork.core.relay.RelayMachine;
+import org.skylarkfork.core.relay.RelayRequestPart;
+import org.skylarkfork.core.relay.RelayTimes;
+import org.skylarkfork.core.relay.RollOutSettings;
+import org.skylarkfork.core.relay.VersionLedger;
+import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.loop.EventLoopReducer;
+import org.skylarkfork.runtime.node.WireCodec;
+import org.skylarkfork.runtime.storage.DiskStorage;
+import org.skylarkfork.runtime.storage.FileDisk;
+import org.skylarkfork.runtime.storage.StorageSettings;
+import org.skylarkfork.runtime.trace.Metrics;
+import org.skylarkfork.runtime.trace.TraceHandler;
+import org.skylarkfork.runtime.transport.PeerFilter;
+import org.skylarkfork.runtime.transport.PeerTransport;
+import org.skylarkfork.runtime.transport.TransportSettings;
+import org.tinylog.Logger;
+
+/** One daemon of the relay: an entry, a control VM, or both. */
+public final class RelayNode {
+
+  private static final Duration TICK = Duration.ofMillis(25);
+  private static final String CLUSTER = "relay";
+  private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
+
+  /** Time after the order to stop in which callers' lists with this entry run out. */
+  private static final Duration LISTS_RUN_OUT = Duration.ofMillis(6300);
+
+  private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+  private static final Duration QUIET = Duration.ofMillis(100);
+  private static final long POLL_MILLIS = 50;
+
+  private final RelaySettings settings;
+  private final RelayDialect dialect;
+  private final ControlDialect controlDialect;
+  private final Codec codec = new Codec();
+  private final Metrics metrics = new Metrics();
+  private final TraceHandler traces;
+  private final EventLoop eventLoop =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final EventLoopReducer loop;
+  private final PeerTransport transport;
+  private final AddressedPeers peers;
+  private final @Nullable DiskStorage storage;
+  private final long incarnation;
+  private final long seed = UUID.randomUUID().getMostSignificantBits();
+  private @Nullable RelayEntryPart entry;
+  private @Nullable RelayFront front;
+  private @Nullable OpenCalls calls;
+  private volatile boolean stopping;
+
+  /**
+   * Makes a daemon; {@link #start} opens it.
+   *
+   * @param settings its settings
+   * @param clock the daemon's clock, which never goes back and counts a suspension
+   * @param dialect names of headers of requests
+   * @param controlDialect calls to control VMs
+   * @param onFailure told if an invariant breaks
+   */
+  public RelayNode(
+      RelaySettings settings,
+      InstantSource clock,
+      RelayDialect dialect,
+      ControlDialect controlDialect,
+      Consumer<Throwable> onFailure) {
+    this.settings = settings;
+    this.dialect = dialect;
+    this.controlDialect = controlDialect;
+    this.incarnation = clock.instant().toEpochMilli();
+    this.traces = new TraceHandler(settings.name(), metrics, null);
+    this.loop = new EventLoopReducer(clock, eventLoop, this::carryOut, onFailure);
+    this.transport =
+        new PeerTransport(transportSettings(), codec, loop::submit, PeerFilter.PASS_ALL);
+    this.peers = new AddressedPeers(transport);
+    this.storage = openStorage(settings.dataFolder());
+  }
+
+  private TransportSettings transportSettings() {
+    return new TransportSettings(
+        settings.peerName(),
+        CLUSTER,
+        incarnation,
+        settings.peer().getAddress().getHostAddress(),
+        settings.peer().getPort(),
+        RelayPeerLimits.LIMITS,
+        null);
+  }
+
+  private @Nullable DiskStorage openStorage(@Nullable Path folder) {
+    if (folder == null) {
+      return null;
+    }
+    return new DiskStorage(
+        new StorageSettings(folder, SEGMENT_BYTES, UUID.randomUUID().toString()),
+        codec,
+        new FileDisk(),
+        loop::submit);
+  }
+
+  /** Opens the listeners, recovers what is stored and starts to work. */
+  public void start() {
+    transport.start();
+    List<Part> parts = new ArrayList<>();
+    if (settings.dataFolder() != null) {
+      addControl(parts);
+    }
+    if (settings.caller() != null) {
+      addEntry(parts, settings.caller());
+    }
+    openMetrics();
+    loop.start(new Reducer(parts), TICK);
+    if (storage != null) {
+      storage.recover(GroupId.RELAY);
+    }
+    loop.submit(new LifecycleEvent.Started());
+    Logger.info(
+        "node: started name={} peer={} zone={} voters={} mayFound={}",
+        settings.name(),
+        settings.peerName(),
+        settings.zone(),
+        settings.voters(),
+        settings.mayFound());
+  }
+
+  private void addControl(List<Part> parts) {
+    RelayMachine machine = new RelayMachine();
+    Growth growth =
+        new Growth(settings.mayFound(), settings.voters(), RelayPeerLimits.VOTER_SILENCE);
+    ConsensusPart consensus =
+        new ConsensusPart(
+            settings.peerName(),
+            List.of(new GroupSetup(GroupId.RELAY, settings.seeds(), growth, machine)),
+            RelayPeerLimits.raft(),
+            new WireCodec(codec),
+            seed);
+    RelayControlPart control =
+        new RelayControlPart(
+            settings.peerName(), machine, consensus, times(), RollOutSettings.DEFAULT);
+    OpenCalls open = new OpenCalls(loop, control);
+    calls = open;
+    parts.add(consensus);
+    parts.add(control);
+    listen(settings.control(), call -> controlDialect.answer(call, open));
+    listen(settings.lists(), call -> controlDialect.answer(call, open));
+  }
+
+  private RelayTimes times() {
+    return RelayTimes.of(settings.keyBound(), settings.heartbeat());
+  }
+
+  private void listen(
+      @Nullable InetSocketAddress address,
+      Function<HttpCall, CompletableFuture<HttpReply>> answers) {
+    if (address != null) {
+      HttpEndpoint.open(eventLoop, address, answers);
+    }
+  }
+
+  private void addEntry(List<Part> parts, InetSocketAddress caller) {
+    VersionLedger counts = new VersionLedger();
+    EntryIdentity self =
+        new EntryIdentity(
+            caller.getAddress().getHostAddress() + ":" + caller.getPort(),
+            settings.zone(),
+            incarnation);
+    RelayEntryPart made = new RelayEntryPart(self, settings.seeds(), times(), counts);
+    entry = made;
+    parts.add(made);
+    parts.add(
+        new RelayRequestPart(
+            made,
+            settings.zone(),
+            settings.retryRatio(),
+            RollOutSettings.DEFAULT.canaryShare(),
+            counts,
+            seed));
+    RelayFront opened =
+        new RelayFront(eventLoop, dialect, loop, () -> made.table().configuration().limits());
+    front = opened;
+    opened.start(caller);
+    listen(settings.ready(), call -> CompletableFuture.completedFuture(readiness(made)));
+  }
+
+  private HttpReply readiness(RelayEntryPart made) {
+    boolean ready = !stopping && made.ready(loop.now());
+    return text(ready ? 200 : 503, ready ? "ready" : "not ready");
+  }
+
+  private static HttpReply text(int status, String text) {
+    return new HttpReply(status, "text/plain", text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void openMetrics() {
+    listen(
+        settings.metrics(), call -> CompletableFuture.completedFuture(text(200, metrics.text())));
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof RelayEffect.ReplyToCall reply) {
+      if (calls != null) {
+        calls.reply(reply);
+      }
+    } else if (effect instanceof RelayEffect relay) {
+      if (front != null) {
+        front.carryOut(relay);
+      }
+    } else if (effect instanceof PeerEffect.SendToPeer own
+        && own.node().equals(settings.peerName())) {
+      loop.submit(new PeerEvent.MessageReceived(own.node(), own.message()));
+    } else if (effect instanceof PeerEffect peer) {
+      peers.carryOut(peer);
+    } else if (effect instanceof StorageEffect write) {
+      if (storage != null) {
+        storage.carryOut(write);
+      }
+    } else if (effect instanceof TraceEffect trace) {
+      traces.carryOut(trace);
+    }
+  }
+
+  /**
+   * Takes changed settings over: the control VMs to ask.
+   *
+   * @param seeds peer names of control VMs
+   */
+  public void reload(List<String> seeds) {
+    Logger.info("node: reloaded seeds={}", seeds);
+    loop.submit(new RelayEvent.SeedsChanged(seeds));
+  }
+
+  /**
+   * Stops gracefully within the grace time.
+   *
+   * <p>Callers learn of other entries first, and go on using this one until their lists have run
+   * out; a request that comes until then is served.
+   */
+  public void stop() throws InterruptedException {
+    final long end = System.nanoTime() + settings.grace().minus(STOP_MARGIN).toNanos();
+    Logger.info("node: stops name={}", settings.name());
+    stopping = true;
+    loop.submit(new LifecycleEvent.StopRequested());
+    RelayFront open = front;
+    if (open != null) {
+      stopFront(open, end);
+    } else {
+      TimeUnit.MILLISECONDS.sleep(2 * POLL_MILLIS);
+    }
+    Logger.info("node: stopped name={}", settings.name());
+  }
+
+  private void stopFront(RelayFront open, long end) throws InterruptedException {
+    eventLoop.execute(open::stopKeepingConnections);
+    long listsOut = Math.min(end, System.nanoTime() + LISTS_RUN_OUT.toNanos());
+    while (System.nanoTime() < listsOut) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+    }
+    eventLoop.execute(open::stopListening);
+    CountDownLatch done = new CountDownLatch(1);
+    while (System.nanoTime() < end && done.getCount() > 0) {
+      eventLoop.execute(
+          () -> {
+            open.closeQuiet(QUIET);
+            if (open.underWay() == 0 && open.openConnections() == 0) {
+              done.countDown();
+            }
+          });
+      done.await(POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
@@ -0,0 +1,46 @@
+package org.skylarkfork.runtime.relay;
+
+import java.time.Duration;
+import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.runtime.transport.TransportSettings;
+
+/** Times and bounds between the relay's daemons, on VMs with less than half a core each. */
+final class RelayPeerLimits {
+
+  /** Connections can fall silent without a reset; one is given up after 1.5 s of silence. */
+  static final TransportSettings.Limits LIMITS =
+      new TransportSettings.Limits(
+          8 << 20,
+          8 << 20,
+          Duration.ofMillis(700),
+          Duration.ofMillis(500),
+          Duration.ofMillis(1500),
+          Duration.ofSeconds(60),
+          Duration.ofMillis(50),
+          Duration.ofMillis(400));
+
+  /** A voter is replaced after this silence, well after a restart, which takes about a second. */
+  static final Duration VOTER_SILENCE = Duration.ofMillis(2500);
+
+  private RelayPeerLimits() {}
+
+  /** Returns settings under which a slow start or a pause of collection deposes no leader. */
+  static RaftSettings raft() {
+    return new RaftSettings(
+        Duration.ofMillis(700),
+        Duration.ofMillis(1200),
+        Duration.ofMillis(200),
+        Duration.ofMillis(600),
+        Duration.ofSeconds(1),
+        Duration.ofMillis(300),
+        256,
+        64,
+        128,
+        256 * 1024,
+        256,
+        64 * 1024,
+        4096,
+        16 * 1024 * 1024,
+        4096);
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -0,0 +1,233 @@
+package org.skylarkfork.runtime.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.AttemptFailure;
+import org.tinylog.Logger;
+
+/** One connection to an upstream, which carries one request at a time. */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+
+  private static final long NANOS_A_SECOND = 1_000_000_000L;
+
+  /** Time before the upstream's own idle timeout at which a connection isn't used any more. */
+  private static final long IDLE_MARGIN_NANOS = 700_000_000L;
+
+  private static final int MAX_SKIPPED = 2;
+
+  private final UpstreamPool pool;
+  private final RelayDialect dialect;
+  private @Nullable Channel channel;
+  private @Nullable UpstreamAttempt attempt;
+  private long idleNanos;
+  private long idleSince;
+  private boolean written;
+  private boolean reusable = true;
+  private boolean reset;
+  private boolean answering;
+  private boolean skipping;
+  private int skipped;
+  private boolean untilClose;
+
+  UpstreamConnection(UpstreamPool pool, RelayDialect dialect, long idleNanos) {
+    this.pool = pool;
+    this.dialect = dialect;
+    this.idleNanos = idleNanos;
+  }
+
+  UpstreamPool pool() {
+    return pool;
+  }
+
+  /** Sends a request; its answer goes to the attempt. */
+  void send(FullHttpRequest request, UpstreamAttempt sender) {
+    attempt = sender;
+    written = false;
+    answering = false;
+    Channel open = open();
+    open.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+  }
+
+  private Channel open() {
+    if (channel == null) {
+      throw new IllegalStateException("the connection is not open yet");
+    }
+    return channel;
+  }
+
+  /** Gives the attempt up, so that the upstream stops working on it. */
+  void abandon() {
+    attempt = null;
+    close();
+  }
+
+  void close() {
+    reusable = false;
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  void readMore(boolean more) {
+    if (channel != null) {
+      channel.config().setAutoRead(more);
+    }
+  }
+
+  /** Returns whether a request may be sent on this idle connection. */
+  boolean usable(long now) {
+    return channel != null && channel.isActive() && reusable && now - idleSince < idleNanos;
+  }
+
+  void idle(long now) {
+    idleSince = now;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (attempt == null || !(message instanceof HttpObject part)) {
+        // Bytes that no request waits for belong to none; the next answer here could be another's.
+        close();
+      } else if (part.decoderResult().isFailure()) {
+        fail(AttemptFailure.NOT_AN_ANSWER);
+      } else {
+        onPart(part);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onPart(HttpObject part) {
+    if (part instanceof HttpResponse head) {
+      onHead(head);
+    }
+    if (part instanceof HttpContent content) {
+      onContent(content.content());
+    }
+    if (part instanceof LastHttpContent) {
+      onEnd();
+    }
+  }
+
+  private void onHead(HttpResponse head) {
+    UpstreamAttempt waiting = attempt;
+    if (waiting == null) {
+      return;
+    }
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skipping = true;
+      return;
+    }
+    String id = dialect.requestIdOf(head);
+    boolean foreign = id == null ? dialect.isSigned(head) : !id.equals(waiting.requestId());
+    if (foreign) {
+      skipForeign();
+      return;
+    }
+    answering = true;
+    noteKeepAlive(head);
+    waiting.onHead(head);
+  }
+
+  private void skipForeign() {
+    skipping = true;
+    reusable = false;
+    skipped++;
+    if (skipped > MAX_SKIPPED) {
+      fail(AttemptFailure.NOT_AN_ANSWER);
+    }
+  }
+
+  private void noteKeepAlive(HttpResponse head) {
+    if (!HttpUtil.isKeepAlive(head)) {
+      reusable = false;
+    }
+    untilClose = !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
+    String keepAlive = head.headers().get("Keep-Alive");
+    int place = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+    if (keepAlive != null && place >= 0) {
+      String digits = keepAlive.substring(place + "timeout=".length()).split("\\D", 2)[0];
+      if (!digits.isEmpty() && digits.length() < 6) {
+        idleNanos = Long.parseLong(digits) * NANOS_A_SECOND - IDLE_MARGIN_NANOS;
+      }
+    }
+  }
+
+  private void onContent(ByteBuf bytes) {
+    UpstreamAttempt waiting = attempt;
+    if (!skipping && waiting != null && bytes.isReadable()) {
+      waiting.onBytes(bytes);
+    }
+  }
+
+  private void onEnd() {
+    if (skipping) {
+      skipping = false;
+      return;
+    }
+    UpstreamAttempt waiting = attempt;
+    if (waiting == null) {
+      return;
+    }
+    if (untilClose && reset) {
+      fail(AttemptFailure.BROKEN_OFF);
+      return;
+    }
+    attempt = null;
+    answering = false;
+    // Before the request is written whole, the upstream still waits for its rest on this
+    // connection, and would take the next request for it.
+    if (reusable && written && !untilClose) {
+      pool.release(this);
+    } else {
+      close();
+    }
+    waiting.onEnd();
+  }
+
+  private void fail(AttemptFailure failure) {
+    UpstreamAttempt waiting = attempt;
+    attempt = null;
+    close();
+    if (waiting != null) {
+      waiting.onFailure(failure);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    pool.closed(this);
+    if (attempt != null) {
+      fail(answering ? AttemptFailure.BROKEN_OFF : AttemptFailure.NO_ANSWER);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    reset = true;
+    if (!(cause instanceof IOException)) {
+      Logger.warn(cause, "upstream: a connection fails");
+    }
+    fail(answering ? AttemptFailure.BROKEN_OFF : AttemptFailure.NO_ANSWER);
+    context.close();
+  }
+}
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/package-info.java
@@ -0,0 +1,5 @@
+/** Carries the relay's effects out: connections to callers and upstreams, bodies, control calls. */
+@NullMarked
+package org.skylarkfork.runtime.relay;
+
+import org.jspecify.annotations.NullMarked;
