--- a/deploy/Rehearse.java
+++ b/deploy/Rehearse.java
@@ -20,7 +20,11 @@
  */
 public final class Rehearse {
 
-  private static final String HOST = "127.0.0.61";
+  /** A loopback address of this process's own, so that builds at the same time don't meet. */
+  private static final String HOST =
+      "127." + (1 + ProcessHandle.current().pid() % 250) + "."
+          + ProcessHandle.current().pid() / 250 % 250 + ".61";
+
   private static final int FRONT = 18080;
   private static final int READY = 18081;
   private static final int CONTROL = 18082;
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -0,0 +1,190 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.RelayEvent;
+
+/** An entry's decisions with a view that tests set by hand. */
+final class RelayFixture {
+
+  static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final double RATIO = 0.9;
+
+  final FakeView view = new FakeView();
+  final VersionLedger counts = new VersionLedger();
+  private final Reducer reducer;
+  private Instant now = START;
+
+  RelayFixture() {
+    reducer =
+        new Reducer(
+            List.of(
+                new RelayRequestPart(
+                    view,
+                    new CostPicker(view, "a", 1),
+                    new ConfidenceCascade(),
+                    new VersionRule(view, 0.05),
+                    new RetryBudget(RATIO),
+                    counts,
+                    1)));
+  }
+
+  List<RelayEffect> apply(Event event) {
+    List<RelayEffect> effects = new ArrayList<>();
+    for (Effect effect : reducer.apply(event, now)) {
+      if (effect instanceof RelayEffect relay) {
+        effects.add(relay);
+      }
+    }
+    return effects;
+  }
+
+  List<RelayEffect> pass(long millis) {
+    now = now.plusMillis(millis);
+    return apply(new LifecycleEvent.Tick());
+  }
+
+  /** Sends a request and returns the attempt that it starts. */
+  RelayEffect.SendAttempt sent(long number, String path) {
+    return only(arrives(number, path), RelayEffect.SendAttempt.class);
+  }
+
+  List<RelayEffect> arrives(long number, String path) {
+    return apply(new RelayEvent.RequestArrived(request(number, path, "key")));
+  }
+
+  static RelayRequest request(long number, String path, @Nullable String key) {
+    return new RelayRequest(
+        number,
+        "id-" + number,
+        "host.example",
+        path,
+        2000,
+        key,
+        "*",
+        100,
+        10,
+        List.of(),
+        null,
+        null);
+  }
+
+  List<RelayEffect> answers(long number, int attempt, int status, boolean notRun) {
+    return apply(new RelayEvent.AnswerBegan(number, attempt, status, notRun, null));
+  }
+
+  List<RelayEffect> fails(
+      long number, int attempt, AttemptFailure failure, @Nullable String lastEvent) {
+    return apply(new RelayEvent.AttemptFailed(number, attempt, failure, lastEvent));
+  }
+
+  static <E extends RelayEffect> E only(List<RelayEffect> effects, Class<E> type) {
+    List<E> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+    if (found.size() != 1) {
+      throw new AssertionError("one " + type.getSimpleName() + " expected in " + effects);
+    }
+    return found.get(0);
+  }
+
+  static boolean none(List<RelayEffect> effects, Class<? extends RelayEffect> type) {
+    return effects.stream().noneMatch(type::isInstance);
+  }
+
+  static RelayRoute route(String prefix, RouteKind kind, boolean resumable, List<String> models) {
+    return new RelayRoute(
+        prefix,
+        "host.example",
+        prefix,
+        kind,
+        List.of(new WeightedService("service", 1)),
+        1500,
+        1000,
+        800,
+        3,
+        1,
+        false,
+        !models.isEmpty(),
+        resumable,
+        models);
+  }
+
+  static RelayConfiguration configuration(long version, String... keys) {
+    return new RelayConfiguration(
+        version,
+        List.of(
+            route("/lookup/", RouteKind.IDEMPOTENT, false, List.of()),
+            route("/book/", RouteKind.NON_IDEMPOTENT, false, List.of()),
+            route("/stream/", RouteKind.STREAMING, true, List.of()),
+            route("/once/", RouteKind.STREAMING, false, List.of()),
+            route("/sized/", RouteKind.STREAMING, true, List.of("small", "large"))),
+        List.of(new RelayService("service", "/health", 100, null)),
+        List.of(new RelayTeam("team", List.of(keys), 2)),
+        RelayLimits.DEFAULT);
+  }
+
+  static UpstreamInstance instance(String id, String version) {
+    return new UpstreamInstance(id, "service", "10.0.0.1:80", "a", version, 6, 1);
+  }
+
+  /** What the entry believes, set by hand. */
+  static final class FakeView implements RelayView {
+    RouteTable table = new RouteTable(configuration(1, "key"));
+    boolean proven = true;
+    final List<UpstreamTrack> tracks = new ArrayList<>();
+    List<ServiceRollOut> rollOuts = List.of();
+    @Nullable String usual;
+
+    FakeView() {
+      for (String id : List.of("up-1", "up-2", "up-3")) {
+        add(id, "v1");
+      }
+    }
+
+    void add(String id, String version) {
+      tracks.add(
+          new UpstreamTrack(new UpstreamStatus(instance(id, version), UpstreamCondition.READY)));
+    }
+
+    @Override
+    public RouteTable table() {
+      return table;
+    }
+
+    @Override
+    public boolean configured() {
+      return table.configuration().version() > 0;
+    }
+
+    @Override
+    public boolean proven(Instant now) {
+      return proven;
+    }
+
+    @Override
+    public List<UpstreamTrack> upstreams(String service) {
+      return tracks;
+    }
+
+    @Override
+    public List<ServiceRollOut> rollOuts() {
+      return rollOuts;
+    }
+
+    @Override
+    public @Nullable String usualVersion(String service) {
+      return usual;
+    }
+
+    @Override
+    public int entries() {
+      return 1;
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -0,0 +1,88 @@
+package org.skylarkfork.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.command.RelayResult;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link RelayMachine}. */
+public final class RelayMachineTest {
+
+  private RelayMachine machine = new RelayMachine();
+
+  /** Each test begins anew. */
+  @BeforeMethod
+  public void setUp() {
+    machine = new RelayMachine();
+  }
+
+  private long index;
+
+  private CommandResult apply(RelayCommand command) {
+    return machine.apply(++index, RelayFixture.START, command);
+  }
+
+  private static RelayCommand put(long version, String document) {
+    return new RelayCommand.PutConfiguration(
+        RelayFixture.configuration(version, "key"), document.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private String document() {
+    RelayResult.ConfigurationRead read =
+        (RelayResult.ConfigurationRead) apply(new RelayCommand.ReadConfiguration());
+    return read.version() + " " + new String(read.document(), StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Both operators are told that their change is taken, and a reader sees the higher one. The lower
+   * one came late, or again, or with other content under the number in force.
+   */
+  @Test
+  public void highestVersionWinsAndResendsChangeNothing() {
+    apply(put(7, "seven"));
+    for (RelayCommand late : new RelayCommand[] {put(5, "five"), put(7, "other")}) {
+      assertEquals(apply(late), new RelayResult.ConfigurationAccepted(7));
+      assertEquals(document(), "7 seven");
+    }
+    apply(put(9, "nine"));
+    assertEquals(document(), "9 nine");
+  }
+
+  @Test
+  public void rollOutIsBegunOnceAndEndsOnce() {
+    RelayCommand begin = new RelayCommand.BeginRollOut("service", "v2", 10_000);
+    apply(begin);
+    apply(new RelayCommand.AdvanceRollOut("service", "v2", RollOutPhase.ROLLED_BACK));
+    apply(new RelayCommand.AdvanceRollOut("service", "v2", RollOutPhase.SUCCEEDED));
+    apply(begin);
+    assertEquals(machine.rollOuts().get(0).phase(), RollOutPhase.ROLLED_BACK);
+  }
+
+  @Test
+  public void secondRollOutWaitsForTheFirst() {
+    apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
+    assertTrue(
+        apply(new RelayCommand.BeginRollOut("service", "v3", 10_000))
+            instanceof CommandResult.Rejected);
+    apply(new RelayCommand.AdvanceRollOut("service", "v2", RollOutPhase.SUCCEEDED));
+    apply(new RelayCommand.BeginRollOut("service", "v3", 10_000));
+    assertEquals(machine.rollOuts().get(0).target(), "v3");
+  }
+
+  @Test
+  public void snapshotHoldsEverything() {
+    apply(put(3, "three"));
+    apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
+    apply(new RelayCommand.UpstreamLeaves("up-1"));
+    RelayMachine other = new RelayMachine();
+    other.restore(machine.snapshot());
+    assertEquals(other.configuration(), machine.configuration());
+    assertEquals(other.rollOuts(), machine.rollOuts());
+    assertTrue(other.isLeaving("up-1"));
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RouteTableTest.java
@@ -0,0 +1,76 @@
+package org.skylarkfork.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of {@link RouteTable} and {@link RelayConfigurationValidator}. */
+public final class RouteTableTest {
+
+  private static RelayRoute route(String name, String prefix, int timeout, int weight) {
+    return new RelayRoute(
+        name,
+        "host.example",
+        prefix,
+        RouteKind.IDEMPOTENT,
+        List.of(new WeightedService("service", weight)),
+        timeout,
+        0,
+        0,
+        1,
+        0,
+        true,
+        false,
+        false,
+        List.of());
+  }
+
+  private static RelayConfiguration configuration(List<RelayRoute> routes, List<RelayTeam> teams) {
+    return new RelayConfiguration(
+        1,
+        routes,
+        List.of(new RelayService("service", "/h", 10, null)),
+        teams,
+        RelayLimits.DEFAULT);
+  }
+
+  @Test
+  public void longestPrefixOfTheHostWins() {
+    RouteTable table =
+        new RouteTable(
+            configuration(
+                List.of(route("short", "/a/", 1, 1), route("long", "/a/b/", 1, 1)), List.of()));
+    assertEquals(name(table, "host.example", "/a/b/c"), "long");
+    assertEquals(name(table, "HOST.example:80", "/a/c?x=/a/b/"), "short");
+    assertNull(table.route("host.example", "/a"));
+    assertNull(table.route("other.example", "/a/b/"));
+  }
+
+  private static String name(RouteTable table, String host, String path) {
+    RelayRoute route = table.route(host, path);
+    assertNotNull(route);
+    return route.name();
+  }
+
+  @Test
+  public void everyMistakeIsNamed() {
+    RelayTeam one = new RelayTeam("one", List.of("key"), null);
+    RelayTeam other = new RelayTeam("other", List.of("key"), null);
+    RelayRoute good = route("good", "/a/", 1, 1);
+    assertEquals(problems(List.of(good), List.of(one)), 0);
+    assertEquals(problems(List.of(good), List.of(one, other)), 1);
+    assertEquals(problems(List.of(good, route("twin", "/a/", 1, 1)), List.of()), 1);
+    assertEquals(problems(List.of(route("timeless", "/a/", 0, 1)), List.of()), 1);
+    assertEquals(problems(List.of(route("weightless", "/a/", 1, 0)), List.of()), 1);
+    RelayConfiguration unknown =
+        new RelayConfiguration(1, List.of(good), List.of(), List.of(), RelayLimits.DEFAULT);
+    assertEquals(RelayConfigurationValidator.problems(unknown).size(), 1);
+  }
+
+  private static int problems(List<RelayRoute> routes, List<RelayTeam> teams) {
+    return RelayConfigurationValidator.problems(configuration(routes, teams)).size();
+  }
+}
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the relay. */
+@NullMarked
+package org.skylarkfork.core.relay;
+
+import org.jspecify.annotations.NullMarked;
