--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -31,6 +31,17 @@
   /** When to come back where nothing could take the request, in milliseconds. */
   private static final long RETRY_MILLIS = 250;
 
+  /**
+   * Longest wait of a request for this entry to be able to serve; less than half of the shortest
+   * objective but one, so that most such requests are still answered in time.
+   */
+  private static final Duration LONGEST_HOLD = Duration.ofMillis(450);
+
+  private static final int MAX_HELD = 512;
+
+  /** When to come back to an entry that can't serve, in milliseconds. */
+  private static final long NOT_SERVING_RETRY_MILLIS = 700;
+
   /** Time by which an answer under way may overrun before it is broken off. */
   private static final Duration OVERRUN = Duration.ofMillis(60);
 
@@ -45,6 +56,7 @@
   private final VersionLedger counts;
   private final UniformRandomProvider random;
   private final Map<Long, ActiveRelay> active = new LinkedHashMap<>();
+  private final Map<Long, HeldRequest> held = new LinkedHashMap<>();
 
   /**
    * Makes the part.
@@ -130,6 +142,39 @@
 
   private void arrived(RelayRequest request, Instant now, Output output) {
     Refusal refusal = refusal(request, now);
+    if (refusal == Refusal.NOT_SERVING && held.size() < MAX_HELD) {
+      held.put(request.number(), new HeldRequest(request, now));
+    } else {
+      decide(request, refusal, now, now, output);
+    }
+  }
+
+  /**
+   * Goes on with requests that came before this entry could serve.
+   *
+   * <p>An entry that has just started, or a core that elects, is ready again within a second; a
+   * caller that is refused instead comes back once at most and finds the same.
+   */
+  private void serveHeld(Instant now, Output output) {
+    if (held.isEmpty()) {
+      return;
+    }
+    for (HeldRequest waiting : new ArrayList<>(held.values())) {
+      Refusal refusal = refusal(waiting.request(), now);
+      boolean tooLong = !now.isBefore(waiting.arrivedAt().plus(LONGEST_HOLD));
+      if (refusal != Refusal.NOT_SERVING || tooLong) {
+        held.remove(waiting.request().number());
+        decide(waiting.request(), refusal, waiting.arrivedAt(), now, output);
+      }
+    }
+  }
+
+  private void decide(
+      RelayRequest request,
+      @Nullable Refusal refusal,
+      Instant arrivedAt,
+      Instant now,
+      Output output) {
     if (refusal != null) {
       output.effect(new RelayEffect.Refuse(request.number(), refusal, retryAfter(refusal)));
       trace(true, "refused id=" + request.id() + " why=" + refusal + version(), output);
@@ -146,7 +191,8 @@
             ? Math.min(request.waitMillis(), route.timeoutMillis())
             : route.timeoutMillis();
     RelayTeam team = route.isPublic() ? null : table.team(request.key());
-    ActiveRelay relay = new ActiveRelay(request, route, service, team, now, now.plusMillis(wait));
+    ActiveRelay relay =
+        new ActiveRelay(request, route, service, team, arrivedAt, arrivedAt.plusMillis(wait));
     if (!route.models().isEmpty()) {
       relay.model = models.first(route, request);
     }
@@ -212,7 +258,18 @@
     output.effect(
         new RelayEffect.SendAttempt(
             relay.request.number(), relay.attempt, target(relay, track, left)));
-    log("sent attempt=" + relay.attempt + " upstream=" + track.instance().id(), relay, now, output);
+    log(
+        "sent attempt="
+            + relay.attempt
+            + " upstream="
+            + track.instance().id()
+            + " session="
+            + relay.request.session()
+            + " session="
+            + relay.request.session(),
+        relay,
+        now,
+        output);
   }
 
   private AttemptTarget target(ActiveRelay relay, UpstreamTrack track, long left) {
@@ -380,6 +437,7 @@
   }
 
   private void tick(Instant now, Output output) {
+    serveHeld(now, output);
     for (ActiveRelay relay : new ArrayList<>(active.values())) {
       if (now.isBefore(relay.deadline)) {
         continue;
@@ -395,6 +453,9 @@
   }
 
   private void callerLeft(long request, Instant now, Output output) {
+    if (held.remove(request) != null) {
+      output.effect(new RelayEffect.Forget(request));
+    }
     ActiveRelay relay = active.get(request);
     if (relay != null) {
       drop(relay, output);
@@ -439,7 +500,8 @@
 
   private static long retryAfter(Refusal refusal) {
     return switch (refusal) {
-      case NOT_SERVING, NO_UPSTREAM -> RETRY_MILLIS;
+      case NOT_SERVING -> NOT_SERVING_RETRY_MILLIS;
+      case NO_UPSTREAM -> RETRY_MILLIS;
       case UNKNOWN_KEY, NO_ROUTE, TOO_LATE, OUTCOME_UNKNOWN, TIME_OUT -> 0;
     };
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayDialect.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayDialect.java
@@ -35,7 +35,7 @@
   /** Returns whether an answer states that the request did not run. */
   boolean saysNotRun(HttpResponse answer);
 
-  /** Returns whether an answer bears the upstream's signature. */
+  /** Returns whether an answer's head is certainly whole and bears the upstream's signature. */
   boolean isSigned(HttpResponse answer);
 
   /** Returns the model's opinion of its answer from 0 to 100, or null if there is none. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
@@ -27,10 +27,10 @@
   /** Returns settings under which a slow start or a pause of collection deposes no leader. */
   static RaftSettings raft() {
     return new RaftSettings(
-        Duration.ofMillis(700),
-        Duration.ofMillis(1200),
-        Duration.ofMillis(200),
-        Duration.ofMillis(600),
+        Duration.ofMillis(450),
+        Duration.ofMillis(900),
+        Duration.ofMillis(150),
+        Duration.ofMillis(400),
         Duration.ofSeconds(1),
         Duration.ofMillis(300),
         256,
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -143,6 +143,11 @@
       skipForeign();
       return;
     }
+    // An upstream that dies while it writes its head leaves one that looks whole but lacks its end.
+    if (head.status().codeClass() == HttpStatusClass.SUCCESS && !dialect.isSigned(head)) {
+      fail(AttemptFailure.NOT_AN_ANSWER);
+      return;
+    }
     answering = true;
     noteKeepAlive(head);
     waiting.onHead(head);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupId;
@@ -35,6 +36,9 @@
   private static final int MAX_EFFECTS_A_BATCH = 512;
   private static final int MAX_ENTRIES_A_RECORD = 4096;
 
+  /** Pause between two tries on a full disk: 0.1 s, short against an election. */
+  private static final long FULL_PAUSE_NANOS = 100_000_000L;
+
   private final StorageSettings settings;
   private final Codec codec;
   private final Disk disk;
@@ -45,6 +49,7 @@
   private final Set<GroupId> failed = new HashSet<>();
   private final LongAdder syncs = new LongAdder();
   private final Thread thread;
+  private volatile boolean closing;
 
   /**
    * Locks the data folder and starts the thread.
@@ -110,6 +115,7 @@
 
   @Override
   public void close() {
+    closing = true;
     queue.add(new Stop());
     boolean interrupted = false;
     while (thread.isAlive()) {
@@ -224,7 +230,7 @@
       if (log == null) {
         throw new IOException(group + " was not recovered before its first write");
       }
-      answer = work.run(log);
+      answer = untilThereIsRoom(group, log, work);
       syncs.increment();
     } catch (IOException | RuntimeException e) {
       failed.add(group);
@@ -234,6 +240,31 @@
     events.accept(answer);
   }
 
+  /**
+   * Repeats work on a full disk until there is room.
+   *
+   * <p>Nothing is promised meanwhile, so that the replica looks like one with a stalled disk: it
+   * doesn't lead, and takes part again by itself once there is room.
+   */
+  private StorageEvent untilThereIsRoom(GroupId group, GroupLog log, LogWork work)
+      throws IOException {
+    boolean told = false;
+    while (true) {
+      try {
+        return work.run(log);
+      } catch (DiskFullException full) {
+        if (closing) {
+          throw full;
+        }
+        if (!told) {
+          Logger.warn("storage: {} waits, since the disk is full", group);
+          told = true;
+        }
+        LockSupport.parkNanos(FULL_PAUSE_NANOS);
+      }
+    }
+  }
+
   private void closeFiles() {
     try {
       for (GroupLog log : logs.values()) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -90,13 +90,22 @@
     }
   }
 
+  private static boolean isFull(IOException failure) {
+    String said = String.valueOf(failure.getMessage());
+    return said.contains("No space left") || said.contains("quota");
+  }
+
   private record ChannelFile(FileChannel channel) implements AppendFile {
 
     @Override
     public void write(byte[] bytes) throws IOException {
       ByteBuffer buffer = ByteBuffer.wrap(bytes);
-      while (buffer.hasRemaining()) {
-        channel.write(buffer);
+      try {
+        while (buffer.hasRemaining()) {
+          channel.write(buffer);
+        }
+      } catch (IOException failure) {
+        throw isFull(failure) ? new DiskFullException(failure) : failure;
       }
     }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -27,6 +27,7 @@
   private Disk.@Nullable AppendFile current;
   private @Nullable HardState hardState;
   private long lastIndex;
+  private boolean tornEnd;
 
   GroupLog(GroupId group, StorageSettings settings, Codec codec, Disk disk) {
     this.group = group;
@@ -43,7 +44,7 @@
     disk.syncFolder(folder.toAbsolutePath().getParent());
     Snapshot snapshot = snapshots.newest();
     ReplayedLog log = new ReplayedLog(snapshot == null ? 0 : snapshot.index());
-    List<Long> numbers = segmentNumbers();
+    List<Long> numbers = snapshot == null ? segmentNumbers() : newestRun(segmentNumbers());
     checkWhole(numbers, snapshot);
     for (long number : numbers) {
       boolean last = number == numbers.get(numbers.size() - 1);
@@ -59,8 +60,38 @@
     return new StorageEvent.Recovered(group, hardState, snapshot, log.entries());
   }
 
-  /** Appends writes as one record and syncs it. */
+  /**
+   * Appends writes as one record and syncs it.
+   *
+   * @throws DiskFullException if the disk is full; the log is as before and the call may be
+   *     repeated
+   */
   void append(List<LogWrite> writes) throws IOException {
+    final HardState stateBefore = hardState;
+    final long indexBefore = lastIndex;
+    if (tornEnd) {
+      cutOwnTornEnd();
+    }
+    try {
+      appendOnce(writes);
+    } catch (DiskFullException full) {
+      hardState = stateBefore;
+      lastIndex = indexBefore;
+      tornEnd = true;
+      throw full;
+    }
+  }
+
+  /** Cuts off what a failed write has left; nothing behind it was synced or promised. */
+  private void cutOwnTornEnd() throws IOException {
+    if (current == null) {
+      current = disk.append(segments.getLast().file());
+    }
+    disk.truncate(segments.getLast().file(), segments.getLast().size());
+    tornEnd = false;
+  }
+
+  private void appendOnce(List<LogWrite> writes) throws IOException {
     if (segments.getLast().size() >= segmentBytes) {
       roll();
     }
@@ -120,7 +151,16 @@
 
   private void roll() throws IOException {
     openFile().close();
-    begin(segments.getLast().number() + 1);
+    current = null;
+    long next = segments.getLast().number() + 1;
+    try {
+      begin(next);
+    } catch (DiskFullException full) {
+      openFile().close();
+      current = null;
+      disk.delete(new Segment(folder, next).file());
+      throw full;
+    }
   }
 
   private void begin(long number) throws IOException {
@@ -142,6 +182,23 @@
         .toList();
   }
 
+  /**
+   * Drops segments before a gap, which a snapshot has replaced.
+   *
+   * <p>Their deletion wasn't synced before a power failure, so that some came back and others not.
+   * The rest must still continue the snapshot, which the replay checks.
+   */
+  private List<Long> newestRun(List<Long> numbers) throws IOException {
+    int first = numbers.size() - 1;
+    while (first > 0 && numbers.get(first - 1) == numbers.get(first) - 1) {
+      first--;
+    }
+    for (int place = 0; place < first; place++) {
+      disk.delete(new Segment(folder, numbers.get(place)).file());
+    }
+    return first <= 0 ? numbers : numbers.subList(first, numbers.size());
+  }
+
   private void checkWhole(List<Long> numbers, @Nullable Snapshot snapshot) {
     if (numbers.isEmpty() && snapshot != null) {
       throw corrupt("a snapshot but no log; a vote may be forgotten");
