--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CostPicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CostPicker.java
@@ -29,6 +29,12 @@
   /** Milliseconds of wait that the bytes to another zone are worth. */
   private static final double OTHER_ZONE_MILLIS = 12.0;
 
+  /**
+   * Engines of a zone from which on each zone keeps its own copies of shared parts; with fewer the
+   * copies of one zone don't fit into their memories.
+   */
+  private static final int LEAST_KEEPERS = 4;
+
   /** Milliseconds of wait that a certain failure is worth. */
   private static final double FAILURE_MILLIS = 500.0;
 
@@ -81,7 +87,7 @@
   private @Nullable UpstreamTrack best(
       RelayService service, RelayRequest request, List<UpstreamTrack> usable) {
     PromptPart shared = service.engine() == null ? null : sharedPart(request);
-    UpstreamTrack keeper = shared == null ? null : keeper(shared, usable);
+    UpstreamTrack keeper = shared == null ? null : keeper(shared, near(usable));
     UpstreamTrack best = null;
     double least = Double.MAX_VALUE;
     for (UpstreamTrack track : usable) {
@@ -97,6 +103,16 @@
     return best;
   }
 
+  /**
+   * Returns the upstreams of this zone if there are enough of them to keep the shared parts, else
+   * all.
+   */
+  private List<UpstreamTrack> near(List<UpstreamTrack> usable) {
+    List<UpstreamTrack> near =
+        usable.stream().filter(track -> zone.equals(track.instance().zone())).toList();
+    return near.size() >= LEAST_KEEPERS ? near : usable;
+  }
+
   private double cost(UpstreamTrack track) {
     double cost = track.workMillis() * Math.min(4, view.entries());
     cost += FAILURE_MILLIS * track.failureShare();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/Refusal.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/Refusal.java
@@ -8,6 +8,8 @@
   NO_ROUTE,
   /** This entry can't serve now; the request has not run. */
   NOT_SERVING,
+  /** This entry stops and could not end the request in time; the request has not run. */
+  STOPPING,
   /** No upstream took the request; it has not run. */
   NO_UPSTREAM,
   /** The time was up before the request could be sent; it has not run. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -39,6 +39,9 @@
 
   private static final int MAX_HELD = 512;
 
+  /** When to come back, to another entry, in milliseconds. */
+  private static final long STOPPING_RETRY_MILLIS = 10;
+
   /** When to come back to an entry that can't serve, in milliseconds. */
   private static final long NOT_SERVING_RETRY_MILLIS = 700;
 
@@ -54,6 +57,7 @@
   private final VersionRule versions;
   private final RetryBudget budget;
   private final VersionLedger counts;
+  private final StopPlan stopPlan;
   private final UniformRandomProvider random;
   private final Map<Long, ActiveRelay> active = new LinkedHashMap<>();
   private final Map<Long, HeldRequest> held = new LinkedHashMap<>();
@@ -62,26 +66,20 @@
    * Makes the part.
    *
    * @param entry what this entry believes
-   * @param zone availability zone of this entry
-   * @param retryRatio repeats that are allowed for each request
-   * @param canaryShare share of new work that tries a new version
+   * @param settings what the deployment sets
    * @param counts takes what is seen of each version
    * @param seed seed of random choices
    */
   public RelayRequestPart(
-      RelayEntryPart entry,
-      String zone,
-      double retryRatio,
-      double canaryShare,
-      VersionLedger counts,
-      long seed) {
+      RelayEntryPart entry, RelayRequestSettings settings, VersionLedger counts, long seed) {
     this(
         entry,
-        new CostPicker(entry, zone, seed),
+        new CostPicker(entry, settings.zone(), seed),
         new ConfidenceCascade(),
-        new VersionRule(entry, canaryShare),
-        new RetryBudget(retryRatio),
+        new VersionRule(entry, settings.canaryShare()),
+        new RetryBudget(settings.retryRatio()),
         counts,
+        new StopPlan(settings.grace()),
         seed);
   }
 
@@ -92,8 +90,10 @@
       VersionRule versions,
       RetryBudget budget,
       VersionLedger counts,
+      StopPlan stopPlan,
       long seed) {
     this.view = view;
+    this.stopPlan = stopPlan;
     this.picker = picker;
     this.models = models;
     this.versions = versions;
@@ -111,6 +111,8 @@
   public void apply(Event event, Instant now, Output output) {
     if (event instanceof LifecycleEvent.Tick) {
       tick(now, output);
+    } else if (event instanceof LifecycleEvent.StopRequested) {
+      stopPlan.stop(now);
     } else if (event instanceof RelayEvent.RequestArrived arrived) {
       arrived(arrived.request(), now, output);
     } else if (event instanceof RelayEvent.AnswerBegan began) {
@@ -208,6 +210,9 @@
     }
     RelayRoute route = table.route(request.host(), request.path());
     boolean proven = view.proven(now);
+    if (route != null && !stopPlan.takes(route, now)) {
+      return Refusal.STOPPING;
+    }
     if (route == null) {
       return proven ? Refusal.NO_ROUTE : Refusal.NOT_SERVING;
     }
@@ -502,6 +507,7 @@
     return switch (refusal) {
       case NOT_SERVING -> NOT_SERVING_RETRY_MILLIS;
       case NO_UPSTREAM -> RETRY_MILLIS;
+      case STOPPING -> STOPPING_RETRY_MILLIS;
       case UNKNOWN_KEY, NO_ROUTE, TOO_LATE, OUTCOME_UNKNOWN, TIME_OUT -> 0;
     };
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutSettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutSettings.java
@@ -12,11 +12,11 @@
 public record RollOutSettings(double canaryShare, double moveShare, Duration drain) {
 
   /**
-   * Usual settings: a twentieth of new work until 0.62 of the time is over. A version that turns
+   * Usual settings: a twentieth of new work until 0.55 of the time is over. A version that turns
    * bad after the move has then had 0.03 of all requests and is found within two seconds.
    */
   public static final RollOutSettings DEFAULT =
-      new RollOutSettings(0.05, 0.62, Duration.ofMillis(5000));
+      new RollOutSettings(0.05, 0.55, Duration.ofMillis(5000));
 
   long moveAfter(long deadlineMillis) {
     return (long) (deadlineMillis * moveShare);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +34,7 @@
                     new VersionRule(view, 0.05),
                     new RetryBudget(RATIO),
                     counts,
+                    new StopPlan(Duration.ofSeconds(8)),
                     1)));
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRequestPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRequestPartTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.RelayEvent;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -190,6 +191,24 @@
     RelayFixture.only(effects, RelayEffect.PassAnswer.class);
   }
 
+  /**
+   * The caller is sent to another entry. This one stops, and a stream that begins late would be cut
+   * when its time is over; a short call is still served.
+   */
+  @Test
+  public void stoppingEntryRefusesWhatItCouldNotEnd() {
+    entry.apply(new LifecycleEvent.StopRequested());
+    entry.pass(5000);
+    entry.sent(1, "/stream/x");
+    entry.pass(1500);
+    for (String path : List.of("/stream/x", "/book/x")) {
+      RelayEffect.Refuse refuse =
+          RelayFixture.only(entry.arrives(2, path), RelayEffect.Refuse.class);
+      assertEquals(refuse.refusal(), Refusal.STOPPING);
+      assertTrue(refuse.retryAfterMillis() > 0);
+    }
+  }
+
   /**
    * Upstreams get no more repeats than their share when all fail. Without the budget a failing
    * service would get three times its usual requests.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/SealedTypeIntrospector.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/SealedTypeIntrospector.java
@@ -1,12 +1,13 @@
 package org.skylarkfork.runtime.codec;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.cfg.MapperConfig;
 import com.fasterxml.jackson.databind.introspect.Annotated;
 import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
-import com.fasterxml.jackson.databind.jsontype.NamedType;
-import java.util.List;
+import com.fasterxml.jackson.databind.jsontype.TypeResolverBuilder;
+import com.fasterxml.jackson.databind.jsontype.impl.StdTypeResolverBuilder;
 import org.jspecify.annotations.Nullable;
 
 /** Reads from sealed interfaces what annotations would say, so that the core needs none. */
@@ -29,11 +30,12 @@
   }
 
   @Override
-  public @Nullable List<NamedType> findSubtypes(Annotated annotated) {
-    if (annotated instanceof AnnotatedClass type && type.getRawType().isSealed()) {
-      return SealedFamilies.members(type.getRawType());
-    }
-    return null;
+  public @Nullable TypeResolverBuilder<?> findTypeResolver(
+      MapperConfig<?> config, AnnotatedClass annotated, JavaType baseType) {
+    JsonTypeInfo.Value info = findPolymorphicTypeInfo(config, annotated);
+    return info == null
+        ? null
+        : new StdTypeResolverBuilder().init(info, new SealedTypeIds(baseType));
   }
 
   @Override
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -36,6 +36,7 @@
 import org.skylarkfork.core.relay.RelayEntryPart;
 import org.skylarkfork.core.relay.RelayMachine;
 import org.skylarkfork.core.relay.RelayRequestPart;
+import org.skylarkfork.core.relay.RelayRequestSettings;
 import org.skylarkfork.core.relay.RelayTimes;
 import org.skylarkfork.core.relay.RollOutSettings;
 import org.skylarkfork.core.relay.VersionLedger;
@@ -208,9 +209,11 @@
     parts.add(
         new RelayRequestPart(
             made,
-            settings.zone(),
-            settings.retryRatio(),
-            RollOutSettings.DEFAULT.canaryShare(),
+            new RelayRequestSettings(
+                settings.zone(),
+                settings.retryRatio(),
+                RollOutSettings.DEFAULT.canaryShare(),
+                settings.grace()),
             counts,
             seed));
     RelayFront opened =
