--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -151,7 +151,7 @@
     if (command instanceof RelayCommand.UpstreamLeaves leaves) {
       upstreams.leaves(leaves.instance());
     }
-    log(output, "state", "index=" + committed.index() + " command=" + describe(command));
+    log(output, "state_changed", "index=" + committed.index() + " command=" + describe(command));
     if (leads()) {
       entries.nodes().forEach(entry -> update(entry, null, output));
     }
@@ -181,7 +181,7 @@
         send(leader, new RelayMessage.UpstreamHeard(status.instance()), output);
       }
     }
-    log(output, "leader", "node=" + leader + " term=" + term);
+    log(output, "leader_changed", "node=" + leader + " term=" + term);
   }
 
   private boolean leads() {
@@ -199,7 +199,7 @@
     long before = upstreams.sequence();
     upstreams.heard(instance, machine.isLeaving(instance.id()), now);
     if (upstreams.sequence() != before) {
-      log(output, "upstream", "heard id=" + instance.id() + " address=" + instance.address());
+      log(output, "upstream_heard", "id=" + instance.id() + " address=" + instance.address());
     }
     if (leads() && upstreams.sequence() != before) {
       entries.nodes().forEach(entry -> update(entry, null, output));
@@ -296,7 +296,17 @@
       }
       RollOutPhase next = judge.next(rollOut, now);
       if (next != null) {
-        log(output, "roll-out", rollOut + " next=" + next);
+        log(
+            output,
+            "roll_out",
+            "service="
+                + rollOut.service()
+                + " target="
+                + rollOut.target()
+                + " phase="
+                + rollOut.phase()
+                + " next="
+                + next);
         advance(rollOut, next, now, output);
       }
     }
@@ -319,6 +329,6 @@
   }
 
   private static void log(Output output, String what, String facts) {
-    output.effect(new TraceEffect.LogLine(false, "relay", what + " " + facts));
+    output.effect(new TraceEffect.LogLine(false, "relay", "event=" + what + " " + facts));
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -82,6 +82,11 @@
     return now.isBefore(provenAt.plus(times.lease()));
   }
 
+  @Override
+  public Duration proofAge(Instant now) {
+    return Duration.between(provenAt, now);
+  }
+
   /** Returns whether callers can be served. */
   public boolean ready(Instant now) {
     return configured() && proven(now) && !stopping;
@@ -125,10 +130,10 @@
   private void tick(Instant now, Output output) {
     if (wasProven && !proven(now)) {
       wasProven = false;
-      log(true, "lease lost version=" + table.configuration().version(), output);
+      log(true, "event=lease_lost configuration=" + table.configuration().version(), output);
     }
     if (leader != null && now.isAfter(leaderHeard.plus(times.poll().multipliedBy(3)))) {
-      log(true, "leader lost node=" + leader, output);
+      log(true, "event=leader_lost node=" + leader, output);
       leader = null;
     }
     for (String node : targets()) {
@@ -177,7 +182,7 @@
     Instant proof = update.provenAt();
     if (proof != null) {
       if (!from.equals(leader)) {
-        log(false, "leader found node=" + from, output);
+        log(false, "event=leader_found node=" + from, output);
       }
       leader = from;
       leaderHeard = now;
@@ -193,7 +198,7 @@
       provenAt = proof;
       if (!wasProven && proven(now)) {
         wasProven = true;
-        log(false, "lease gained version=" + table.configuration().version(), output);
+        log(false, "event=lease_gained configuration=" + table.configuration().version(), output);
       }
     }
   }
@@ -202,7 +207,7 @@
     if (newer != null && newer.version() > table.configuration().version()) {
       log(
           false,
-          "configuration taken version="
+          "event=configuration_taken version="
               + newer.version()
               + " before="
               + table.configuration().version(),
@@ -228,7 +233,7 @@
       UpstreamTrack track = byId.get(id);
       if (track != null && track.condition() != UpstreamCondition.LEAVING) {
         track.leaves();
-        log(false, "upstream leaves id=" + id + " index=" + stateIndex, output);
+        log(false, "event=upstream_leaves id=" + id + " index=" + stateIndex, output);
       }
     }
   }
@@ -268,7 +273,7 @@
           .computeIfAbsent(status.instance().service(), service -> new ArrayList<>())
           .add(track);
       usualVersions.putIfAbsent(status.instance().service(), status.instance().version());
-      log(false, "upstream taken " + status, output);
+      log(false, "event=upstream_taken " + facts(status), output);
     } else if (known.condition() != status.condition()
         || known.instance().sequence() < status.instance().sequence()) {
       known.told(status);
@@ -284,6 +289,22 @@
     }
   }
 
+  private static String facts(UpstreamStatus status) {
+    UpstreamInstance instance = status.instance();
+    return "id="
+        + instance.id()
+        + " service="
+        + instance.service()
+        + " address="
+        + instance.address()
+        + " zone="
+        + instance.zone()
+        + " version="
+        + instance.version()
+        + " condition="
+        + status.condition();
+  }
+
   private static void log(boolean warning, String facts, Output output) {
     output.effect(new TraceEffect.LogLine(warning, "relay", facts));
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -11,7 +11,6 @@
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.effect.RelayEffect;
-import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.RelayEvent;
@@ -58,6 +57,7 @@
   private final RetryBudget budget;
   private final VersionLedger counts;
   private final StopPlan stopPlan;
+  private final RequestTrace trace;
   private final UniformRandomProvider random;
   private final Map<Long, ActiveRelay> active = new LinkedHashMap<>();
   private final Map<Long, HeldRequest> held = new LinkedHashMap<>();
@@ -94,6 +94,7 @@
       long seed) {
     this.view = view;
     this.stopPlan = stopPlan;
+    this.trace = new RequestTrace(view);
     this.picker = picker;
     this.models = models;
     this.versions = versions;
@@ -130,7 +131,7 @@
       if (relay != null) {
         end(relay);
         output.effect(new RelayEffect.Forget(relay.request.number()));
-        log("done", relay, now, output);
+        trace.ended("done", relay, "attempts=" + relay.sent + " model=" + relay.model, now, output);
       }
     } else if (event instanceof RelayEvent.CallerLeft left) {
       callerLeft(left.request(), now, output);
@@ -179,7 +180,7 @@
       Output output) {
     if (refusal != null) {
       output.effect(new RelayEffect.Refuse(request.number(), refusal, retryAfter(refusal)));
-      trace(true, "refused id=" + request.id() + " why=" + refusal + version(), output);
+      trace.refused(request, refusal, now, output);
       return;
     }
     RouteTable table = view.table();
@@ -263,18 +264,7 @@
     output.effect(
         new RelayEffect.SendAttempt(
             relay.request.number(), relay.attempt, target(relay, track, left)));
-    log(
-        "sent attempt="
-            + relay.attempt
-            + " upstream="
-            + track.instance().id()
-            + " session="
-            + relay.request.session()
-            + " session="
-            + relay.request.session(),
-        relay,
-        now,
-        output);
+    trace.sent(relay, track, now, output);
   }
 
   private AttemptTarget target(ActiveRelay relay, UpstreamTrack track, long left) {
@@ -311,11 +301,12 @@
       return;
     }
     relay.mayHaveRun = true;
-    long millis = Duration.between(relay.sentAt, now).toMillis();
+    final long millis = Duration.between(relay.sentAt, now).toMillis();
     if (began.status() >= FIRST_SERVER_ERROR) {
       serverFailed(relay, track, began, now, output);
       return;
     }
+    trace.answered(relay, began.status(), now, output);
     track.succeeded();
     counts.answered(track.instance(), millis);
     if (relay.passing) {
@@ -336,14 +327,10 @@
     if (!allowed || !budget.repeat(relay.service.name(), now)) {
       return false;
     }
-    trace(
-        false,
-        "larger id="
-            + relay.request.id()
-            + " model="
-            + larger
-            + " confidence="
-            + began.confidence(),
+    trace.larger(
+        relay,
+        "from=" + relay.model + " to=" + larger + " confidence=" + began.confidence(),
+        now,
         output);
     drop(relay, output);
     relay.model = larger;
@@ -369,7 +356,7 @@
     } else {
       track.failed(false, now);
     }
-    log("not run status=" + began.status(), relay, now, output);
+    trace.attemptEnded("not_run", relay, "status=" + began.status(), now, output);
     drop(relay, output);
     tryAgain(relay, now, output);
   }
@@ -382,7 +369,7 @@
       Output output) {
     track.failed(false, now);
     counts.failed(track.instance());
-    log("failed status=" + began.status(), relay, now, output);
+    trace.attemptEnded("upstream_failed", relay, "status=" + began.status(), now, output);
     boolean again = relay.route.repeatable() && mayTryAgain(relay, now);
     if (relay.passing) {
       drop(relay, output);
@@ -436,7 +423,12 @@
     if (failed.lastEventId() != null) {
       relay.lastEventId = failed.lastEventId();
     }
-    log("failed how=" + failed.failure() + " event=" + relay.lastEventId, relay, now, output);
+    trace.attemptEnded(
+        "attempt_failed",
+        relay,
+        "how=" + failed.failure() + " after_event=" + relay.lastEventId,
+        now,
+        output);
     release(relay);
     tryAgain(relay, now, output);
   }
@@ -466,20 +458,30 @@
       drop(relay, output);
       end(relay);
       output.effect(new RelayEffect.Forget(request));
-      log("caller left", relay, now, output);
+      trace.ended("caller_left", relay, "attempts=" + relay.sent, now, output);
     }
   }
 
   private void giveUp(ActiveRelay relay, Refusal refusal, Instant now, Output output) {
     end(relay);
     output.effect(new RelayEffect.Refuse(relay.request.number(), refusal, retryAfter(refusal)));
-    log("refused why=" + refusal, relay, now, output);
+    trace.ended(
+        "refused",
+        relay,
+        "why=" + refusal + " attempts=" + relay.sent + " may_have_run=" + relay.mayHaveRun,
+        now,
+        output);
   }
 
   private void breakOff(ActiveRelay relay, Instant now, Output output) {
     end(relay);
     output.effect(new RelayEffect.BreakOff(relay.request.number()));
-    log("broken off", relay, now, output);
+    trace.ended(
+        "broken_off",
+        relay,
+        "attempts=" + relay.sent + " after_event=" + relay.lastEventId,
+        now,
+        output);
   }
 
   private void drop(ActiveRelay relay, Output output) {
@@ -511,25 +513,4 @@
       case UNKNOWN_KEY, NO_ROUTE, TOO_LATE, OUTCOME_UNKNOWN, TIME_OUT -> 0;
     };
   }
-
-  private String version() {
-    return " version=" + view.table().configuration().version();
-  }
-
-  private void log(String what, ActiveRelay relay, Instant now, Output output) {
-    String facts =
-        what
-            + " id="
-            + relay.request.id()
-            + " route="
-            + relay.route.name()
-            + " ms="
-            + Duration.between(relay.arrivedAt, now).toMillis()
-            + version();
-    trace(false, facts, output);
-  }
-
-  private static void trace(boolean warning, String facts, Output output) {
-    output.effect(new TraceEffect.LogLine(warning, "request", facts));
-  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -16,6 +17,9 @@
   /** Returns whether the configuration is proven to be new enough for keyed requests. */
   boolean proven(Instant now);
 
+  /** Returns the time since the newest such proof. */
+  Duration proofAge(Instant now);
+
   /** Returns the known upstreams of a service. */
   List<UpstreamTrack> upstreams(String service);
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -169,6 +169,11 @@
       return proven;
     }
 
+    @Override
+    public Duration proofAge(Instant now) {
+      return Duration.ZERO;
+    }
+
     @Override
     public List<UpstreamTrack> upstreams(String service) {
       return tracks;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -46,6 +47,7 @@
 import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.storage.FileDisk;
 import org.skylarkfork.runtime.storage.StorageSettings;
+import org.skylarkfork.runtime.trace.BoundedLog;
 import org.skylarkfork.runtime.trace.Metrics;
 import org.skylarkfork.runtime.trace.TraceHandler;
 import org.skylarkfork.runtime.transport.PeerFilter;
@@ -73,6 +75,7 @@
   private final Codec codec = new Codec();
   private final Metrics metrics = new Metrics();
   private final TraceHandler traces;
+  private final BoundedLog log;
   private final EventLoop eventLoop =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final EventLoopReducer loop;
@@ -108,6 +111,7 @@
     this.controlDialect = controlDialect;
     this.incarnation = clock.instant().toEpochMilli();
     this.traces = new TraceHandler(settings.name(), metrics, null);
+    this.log = new BoundedLog(settings.name());
     this.loop = new EventLoopReducer(clock, eventLoop, this::carryOut, onFailure);
     this.transport =
         new PeerTransport(transportSettings(), codec, loop::submit, PeerFilter.PASS_ALL);
@@ -237,6 +241,24 @@
         settings.metrics(), call -> CompletableFuture.completedFuture(text(200, metrics.text())));
   }
 
+  private void refreshGauges() {
+    RelayEntryPart known = entry;
+    RelayFront open = front;
+    if (known != null && open != null) {
+      Instant now = loop.now();
+      metrics.set("relay_configuration_version", "", known.table().configuration().version());
+      metrics.set("relay_proof_age_seconds", "", known.proofAge(now).toMillis() / 1000.0);
+      metrics.set("relay_ready", "", known.ready(now) ? 1 : 0);
+      metrics.set("relay_requests_under_way", "", open.underWay());
+      metrics.set("relay_caller_connections", "", open.openConnections());
+    }
+    Runtime memory = Runtime.getRuntime();
+    metrics.set("relay_heap_bytes", "", memory.totalMemory() - memory.freeMemory());
+    metrics.set("relay_peer_messages", "sent", transport.counts().sent());
+    metrics.set("relay_peer_messages", "received", transport.counts().received());
+    metrics.set("relay_peer_messages", "dropped", transport.counts().dropped());
+  }
+
   private void carryOut(Effect effect) {
     if (effect instanceof RelayEffect.ReplyToCall reply) {
       if (calls != null) {
@@ -255,6 +277,8 @@
       if (storage != null) {
         storage.carryOut(write);
       }
+    } else if (effect instanceof TraceEffect.LogLine line) {
+      log.add(line, loop.now().toEpochMilli());
     } else if (effect instanceof TraceEffect trace) {
       traces.carryOut(trace);
     }
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/trace/BoundedLog.java
@@ -0,0 +1,83 @@
+package org.skylarkfork.runtime.trace;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.LongAdder;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.tinylog.Logger;
+
+/**
+ * Writes log lines on a thread of its own, so that a slow reader of the log never holds a request.
+ *
+ * <p>What doesn't fit into its buffer is dropped and counted. A line is {@code node=NAME part=PART}
+ * and the facts of the decision.
+ */
+public final class BoundedLog {
+
+  private static final int MAX_WAITING = 2000;
+
+  private final String node;
+  private final LogBudget budget = new LogBudget();
+  private final BlockingQueue<Line> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
+  private final LongAdder dropped = new LongAdder();
+  private long toldMillis;
+
+  private record Line(boolean warning, String text) {}
+
+  /**
+   * Starts the log.
+   *
+   * @param node name of the daemon
+   */
+  public BoundedLog(String node) {
+    this.node = node;
+    Thread thread = new Thread(this::write, "log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /**
+   * Adds a line; used by one thread only.
+   *
+   * @param line the line
+   * @param millis the present time in milliseconds
+   */
+  public void add(TraceEffect.LogLine line, long millis) {
+    String kind = line.part() + (line.warning() ? " warning" : "");
+    if (budget.take(kind, millis)) {
+      offer(line.warning(), "part=" + line.part() + " " + line.sentence());
+    }
+    if (millis - toldMillis >= 1000) {
+      toldMillis = millis;
+      tellLeftOut();
+    }
+  }
+
+  private void tellLeftOut() {
+    long lines = budget.leftOut() + dropped.sumThenReset();
+    if (lines > 0) {
+      offer(true, "part=log event=lines_left_out count=" + lines);
+    }
+  }
+
+  private void offer(boolean warning, String text) {
+    if (!waiting.offer(new Line(warning, "node=" + node + " " + text))) {
+      dropped.increment();
+    }
+  }
+
+  private void write() {
+    try {
+      while (true) {
+        Line line = waiting.take();
+        if (line.warning()) {
+          Logger.warn(line.text());
+        } else {
+          Logger.info(line.text());
+        }
+      }
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
