--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
@@ -0,0 +1,118 @@
+package org.skylarkfork.daemon;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/** The log lines of one request over several processes, and what they come to. */
+final class RequestStory {
+
+  private static final Pattern FACT = Pattern.compile("(?:^|\\s)([a-z_]+)=(\\S+)");
+
+  private final String id;
+  private final List<String> lines = new ArrayList<>();
+
+  RequestStory(String id) {
+    this.id = id;
+  }
+
+  /** Keeps a line if it is of the request; lines begin with their time. */
+  void add(String line) {
+    if (id.equals(fact(line, "id")) && fact(line, "event") != null) {
+      lines.add(line);
+    }
+  }
+
+  /** Returns the request's lines by time. */
+  List<String> lines() {
+    lines.sort(Comparator.comparing(RequestStory::time));
+    return lines;
+  }
+
+  private static String time(String line) {
+    int node = line.indexOf("node=");
+    return node < 0 ? line : line.substring(0, node);
+  }
+
+  /** Returns the cause of how the request ended, in a sentence. */
+  String cause() {
+    String end = null;
+    String trouble = null;
+    for (String line : lines()) {
+      String event = String.valueOf(fact(line, "event"));
+      switch (event) {
+        case "not_run", "upstream_failed", "attempt_failed" -> trouble = line;
+        case "done", "refused", "broken_off", "caller_left" -> end = line;
+        default -> {
+          continue;
+        }
+      }
+    }
+    if (end == null) {
+      return lines.isEmpty()
+          ? "No line names this request; it never reached these processes, or the lines were left"
+              + " out."
+          : "The request's end is not in these files; its process may have crashed.";
+    }
+    return sentence(end, trouble);
+  }
+
+  private static String sentence(String end, @Nullable String trouble) {
+    String event = String.valueOf(fact(end, "event"));
+    String after = fact(end, "ms") + " ms";
+    return switch (event) {
+      case "done" ->
+          trouble == null
+              ? "It was answered after " + after + " at the first upstream."
+              : "It was answered after " + after + " although " + told(trouble) + ".";
+      case "caller_left" -> "The caller closed its connection after " + after + ".";
+      case "broken_off" -> "Its stream was broken off after " + after + ": " + told(trouble) + ".";
+      default -> refusal(end, trouble, after);
+    };
+  }
+
+  private static String refusal(String end, @Nullable String trouble, String after) {
+    String why = String.valueOf(fact(end, "why"));
+    String reason =
+        switch (why) {
+          case "UNKNOWN_KEY" -> "no team held its key in the configuration named in the line";
+          case "NO_ROUTE" -> "no route matched in the configuration named in the line";
+          case "NOT_SERVING" ->
+              "the entry had no proof that its configuration was the newest (see proof_age_ms)";
+          case "STOPPING" -> "the entry was stopping and could not have ended it in time";
+          case "NO_UPSTREAM" -> "no upstream took it: " + told(trouble);
+          case "TOO_LATE" -> "its time was over before it could be sent";
+          case "OUTCOME_UNKNOWN" -> "it may have run, but no whole answer came: " + told(trouble);
+          case "TIME_OUT" -> "its time was over while an upstream worked on it";
+          default -> why;
+        };
+    return "It was refused after " + after + ", since " + reason + ".";
+  }
+
+  private static String told(@Nullable String line) {
+    if (line == null) {
+      return "no attempt failed";
+    }
+    String how = fact(line, "how");
+    String status = fact(line, "status");
+    return "upstream "
+        + fact(line, "upstream")
+        + " ended attempt "
+        + fact(line, "attempt")
+        + " with "
+        + (how == null ? "status " + status : how);
+  }
+
+  private static @Nullable String fact(String line, String name) {
+    Matcher matcher = FACT.matcher(line);
+    while (matcher.find()) {
+      if (matcher.group(1).equals(name)) {
+        return matcher.group(2);
+      }
+    }
+    return null;
+  }
+}
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -18,6 +18,7 @@
       DaemonCommand.class,
       CheckCommand.class,
       TimelineCommand.class,
+      ExplainCommand.class,
       StandinCommand.class,
       LoadCommand.class,
       MeasureCommand.class,
--- /dev/null
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
@@ -0,0 +1,47 @@
+package org.skylarkfork.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of {@link RequestStory}. */
+public final class RequestStoryTest {
+
+  private static final String FAILED =
+      "2026-01-01 00:00:01.100 WARN node=b part=request event=attempt_failed id=abc route=r"
+          + " kind=NON_IDEMPOTENT attempt=1 upstream=up-1 how=NO_ANSWER ms=90";
+  private static final String REFUSED =
+      "2026-01-01 00:00:01.101 WARN node=b part=request event=refused id=abc route=r"
+          + " kind=NON_IDEMPOTENT why=OUTCOME_UNKNOWN attempts=1 may_have_run=true ms=91";
+  private static final String SENT =
+      "2026-01-01 00:00:01.010 INFO node=a part=request event=sent id=abc route=r attempt=1 ms=0";
+
+  private static RequestStory story(String... lines) {
+    RequestStory story = new RequestStory("abc");
+    for (String line : lines) {
+      story.add(line);
+    }
+    return story;
+  }
+
+  @Test
+  public void linesOfSeveralFilesAreOrderedAndOthersLeftOut() {
+    RequestStory story = story(REFUSED, FAILED, SENT.replace("id=abc", "id=abcd"), SENT);
+    assertEquals(story.lines().toArray(), new String[] {SENT, FAILED, REFUSED});
+  }
+
+  @Test
+  public void causeOfUnknownOutcomeNamesTheUpstream() {
+    assertEquals(
+        story(SENT, FAILED, REFUSED).cause(),
+        "It was refused after 91 ms, since it may have run, but no whole answer came: upstream"
+            + " up-1 ended attempt 1 with NO_ANSWER.");
+  }
+
+  @Test
+  public void requestWithoutLinesOrEndIsToldAsSuch() {
+    assertTrue(story().cause().startsWith("No line names this request"));
+    assertTrue(story(SENT).cause().startsWith("The request's end is not in these files"));
+  }
+}
