--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/engine/StandInEngine.java
@@ -110,13 +110,17 @@
    * @return the present state
    */
   public EngineState state() {
+    // Read before the places: a job leaves its place before it is counted, so that whoever sees the
+    // count sees the place free as well.
+    long finished = counters.finished().get();
+    long cancelled = counters.cancelled().get();
     return new EngineState(
         settings.id(),
         loop.running(),
         loop.queued(),
         counters.started().get(),
-        counters.finished().get(),
-        counters.cancelled().get(),
+        finished,
+        cancelled,
         counters.refused().get(),
         counters.resumed().get(),
         counters.tokens().get(),
