--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ModelPolicy.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ModelPolicy.java
@@ -20,6 +20,9 @@
    * @param model place of the model that answered
    * @param confidence its opinion of its answer from 0 to 100, or null if it gave none
    * @param usedMillis time since the request came, in milliseconds
+   * @param pressure how much of the objective engines lately took until the first byte, 0 to 1 and
+   *     more
    */
-  int larger(RelayRoute route, int model, @Nullable Integer confidence, long usedMillis);
+  int larger(
+      RelayRoute route, int model, @Nullable Integer confidence, long usedMillis, double pressure);
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -193,7 +193,9 @@
     if (!update.controlNodes().isEmpty()) {
       controlNodes = update.controlNodes();
     }
-    entries = update.entries();
+    // Entries that are cut off from the leader still hold their connections, so the count that
+    // divides an upstream's connections never falls.
+    entries = Math.max(entries, update.entries());
     if (proof != null && proof.isAfter(provenAt)) {
       provenAt = proof;
       if (!wasProven && proven(now)) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -39,6 +39,9 @@
 
   private static final int MAX_HELD = 512;
 
+  /** Weight of one answer in the pressure: the newest 20 count most, about a second's at a peak. */
+  private static final double PRESSURE_LEARNING = 0.05;
+
   /** When to come back, to another entry, in milliseconds. */
   private static final long STOPPING_RETRY_MILLIS = 10;
 
@@ -60,6 +63,7 @@
   private final StopPlan stopPlan;
   private final RequestTrace trace;
   private final UniformRandomProvider random;
+  private double pressure;
   private final Map<Long, ActiveRelay> active = new LinkedHashMap<>();
   private final Map<Long, HeldRequest> held = new LinkedHashMap<>();
 
@@ -310,6 +314,7 @@
     trace.answered(relay, began.status(), now, output);
     track.succeeded();
     counts.answered(track.instance(), millis);
+    notePressure(relay.route, millis);
     if (relay.passing) {
       output.effect(new RelayEffect.PassAnswer(relay.request.number(), relay.attempt));
       return;
@@ -320,10 +325,17 @@
     pass(relay, output);
   }
 
+  private void notePressure(RelayRoute route, long firstByteMillis) {
+    if (!route.models().isEmpty() && route.objectiveMillis() > 0) {
+      double share = (double) firstByteMillis / route.objectiveMillis();
+      pressure += PRESSURE_LEARNING * (share - pressure);
+    }
+  }
+
   private boolean askLarger(
       ActiveRelay relay, RelayEvent.AnswerBegan began, Instant now, Output output) {
     long used = Duration.between(relay.arrivedAt, now).toMillis();
-    int larger = models.larger(relay.route, relay.model, began.confidence(), used);
+    int larger = models.larger(relay.route, relay.model, began.confidence(), used, pressure);
     boolean allowed = larger >= 0 && relay.sent < relay.route.maxAttempts();
     if (!allowed || !budget.repeat(relay.service.name(), now)) {
       return false;
