--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
@@ -12,6 +12,8 @@
 
   private static final Pattern FACT = Pattern.compile("(?:^|\\s)([a-z_]+)=(\\S+)");
 
+  private static final Pattern TIME = Pattern.compile("\\d{4}-\\d\\d-\\d\\d [0-9:.]+");
+
   private final String id;
   private final List<String> lines = new ArrayList<>();
 
@@ -32,9 +34,10 @@
     return lines;
   }
 
+  /** Returns the line's time without its level, which would order lines of one moment wrongly. */
   private static String time(String line) {
-    int node = line.indexOf("node=");
-    return node < 0 ? line : line.substring(0, node);
+    Matcher matcher = TIME.matcher(line);
+    return matcher.find() ? matcher.group() : "";
   }
 
   /** Returns the cause of how the request ended, in a sentence. */
@@ -62,11 +65,12 @@
 
   private static String sentence(String end, @Nullable String trouble) {
     String event = String.valueOf(fact(end, "event"));
-    String after = fact(end, "ms") + " ms";
+    String millis = fact(end, "ms");
+    String after = millis == null ? "a wait in the entry" : millis + " ms";
     return switch (event) {
       case "done" ->
           trouble == null
-              ? "It was answered after " + after + " at the first upstream."
+              ? "It was answered after " + after + "; attempts: " + fact(end, "attempts") + "."
               : "It was answered after " + after + " although " + told(trouble) + ".";
       case "caller_left" -> "The caller closed its connection after " + after + ".";
       case "broken_off" -> "Its stream was broken off after " + after + ": " + told(trouble) + ".";
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
@@ -39,6 +39,23 @@
             + " up-1 ended attempt 1 with NO_ANSWER.");
   }
 
+  @Test
+  public void linesOfOneMomentKeepTheirOrder() {
+    String again = FAILED.replace("WARN", "INFO").replace("attempt_failed", "sent");
+    assertEquals(story(FAILED, again).lines().toArray(), new String[] {FAILED, again});
+  }
+
+  @Test
+  public void refusalWithoutRouteNamesTheProof() {
+    String refused =
+        "2026-01-01 00:00:01.101 WARN node=b part=request event=refused id=abc why=NOT_SERVING"
+            + " host=h configuration=2 proof_age_ms=5872";
+    assertEquals(
+        story(refused).cause(),
+        "It was refused after a wait in the entry, since the entry had no proof that its"
+            + " configuration was the newest (see proof_age_ms).");
+  }
+
   @Test
   public void requestWithoutLinesOrEndIsToldAsSuch() {
     assertTrue(story().cause().startsWith("No line names this request"));
