--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleUpstreams.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleUpstreams.java
@@ -51,6 +51,11 @@
             ExampleConfiguration.LARGE + ":2", 0.95));
   }
 
+  /** Returns the IP number and port of the service for lookups. */
+  String lookupAddress() {
+    return services.get(0).address();
+  }
+
   /** Returns how many upstreams there are. */
   int count() {
     return engines.size() + services.size();
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
@@ -57,7 +57,7 @@
       String entry = LOOPBACK + ":" + node.callerAddress().getPort();
       try (ExampleUpstreams upstreams = new ExampleUpstreams(ZONE, entry)) {
         configure(node, upstreams.count());
-        return serve(node, stopped);
+        return serve(node, upstreams, folder, stopped);
       }
     } finally {
       DeletedFolders.delete(folder);
@@ -80,11 +80,12 @@
     }
   }
 
-  private Integer serve(DaemonNode node, CountDownLatch stopped)
+  private Integer serve(
+      DaemonNode node, ExampleUpstreams upstreams, Path folder, CountDownLatch stopped)
       throws IOException, InterruptedException {
     String base = "http://" + LOOPBACK + ":" + node.callerAddress().getPort();
     if (once) {
-      return new SampleRequests(base, System.out).run() ? ExitCode.SUCCESS : ExitCode.FAILURE;
+      return samples(base, upstreams, folder) ? ExitCode.SUCCESS : ExitCode.FAILURE;
     }
     System.out.println("Callers: " + base);
     System.out.println("Operators: http://" + LOOPBACK + ":" + node.adminAddress().getPort());
@@ -96,6 +97,18 @@
     return ExitCode.SUCCESS;
   }
 
+  private static boolean samples(String base, ExampleUpstreams upstreams, Path folder)
+      throws IOException, InterruptedException {
+    Path relayFolder = Files.createDirectory(folder.resolve("relay"));
+    try (QuickstartRelay relay = new QuickstartRelay(relayFolder)) {
+      if (!relay.serve(upstreams.lookupAddress(), START_LIMIT)) {
+        throw new IllegalStateException(
+            "The relay was not ready in time. Try again on a machine that is less busy.");
+      }
+      return new SampleRequests(base, relay.base(), System.out).run();
+    }
+  }
+
   private static void fail(Throwable failure, CountDownLatch stopped) {
     System.err.println("The daemon stopped: " + failure);
     failure.printStackTrace();
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/SampleRequests.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/SampleRequests.java
@@ -21,6 +21,7 @@
 
   private final HttpClient client = HttpClient.newHttpClient();
   private final String base;
+  private final String relayBase;
   private final PrintStream out;
   private int passed;
   private int failed;
@@ -29,10 +30,12 @@
    * Makes a sender.
    *
    * @param base address of an entry, such as {@code http://127.0.0.1:8080}
+   * @param relayBase address of an entry of the relay
    * @param out where the lines go
    */
-  SampleRequests(String base, PrintStream out) {
+  SampleRequests(String base, String relayBase, PrintStream out) {
     this.base = base;
+    this.relayBase = relayBase;
     this.out = out;
   }
 
@@ -56,6 +59,7 @@
         403,
         "not-run");
     check("refused key", chat("auto", false, "no-such-key"), 401, "not-run");
+    check("relayed lookup", relayed("/register/chips/1201"), 200, "chips/1201");
     out.println(passed + " passed, " + failed + " failed");
     return failed == 0;
   }
@@ -70,6 +74,14 @@
     return to(path, ExampleConfiguration.TEAM_KEY).GET().build();
   }
 
+  private HttpRequest relayed(String path) {
+    return HttpRequest.newBuilder(URI.create(relayBase + path))
+        .timeout(TIMEOUT)
+        .header("Authorization", "Bearer " + ExampleConfiguration.TEAM_KEY)
+        .header(HttpNames.REQUEST_ID, "sample-relayed")
+        .build();
+  }
+
   private HttpRequest issue(String key) {
     return to("/services/certificates/issue", ExampleConfiguration.TEAM_KEY)
         .header(HttpNames.IDEMPOTENCY_KEY, key)
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -16,6 +16,7 @@
       HelpCommand.class,
       QuickstartCommand.class,
       DaemonCommand.class,
+      RelayCommand.class,
       CheckCommand.class,
       TimelineCommand.class,
       ExplainCommand.class,
