--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -281,6 +281,7 @@
     EntryPoll known = entries.poll(entry);
     RelayConfiguration newest = machine.configuration();
     boolean sharedKnown = known.stateIndex() >= stateIndex;
+    // The newest judgement is at most two tenths of a second old, which is close enough for this.
     boolean settled = leadsSince.plus(times.settling()).isBefore(judgedAt);
     send(
         entry,
