--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/EventSplitterTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/EventSplitterTest.java
@@ -15,7 +15,7 @@
 public final class EventSplitterTest {
 
   private static final String STREAM =
-      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: 30\ndata: \u00e4\n\n";
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: 30\ndata: ä\n\n";
 
   private static String taken(EventSplitter splitter) {
     ByteBuf whole = splitter.whole();
