Consensus: a wiped replica asks the leader that writes to it

Cause: a replica with a wiped disk asks the daemons of its settings to be taken in again. Change: it asks that leader too.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -70,6 +70,12 @@
     Set<String> nodes = new LinkedHashSet<>(initialVoters);
     nodes.addAll(votersHeardOf);
     nodes.addAll(voterNodes());
+    String leader = replica.leader();
+    if (leader != null) {
+      // A leader writes to a wiped replica as if it still were the old one. It may be the only
+      // daemon left that this one has heard of, once the others in the settings were replaced.
+      nodes.add(leader);
+    }
     nodes.remove(replica.node);
     for (String node : nodes) {
       turn.send(node, new JoinRequest(replica.group, replica.instance()));
