Relay: silent upstreams are left, unreachable ones are no attempt

An attempt that was never sent counted against a route's attempts (a lookup ended with 502 after 58 ms with 1.4 s left): it counts neither there nor in the budget now, four such tries a request. A request waited for a silent upstream until its connection closed: the entry keeps the usual time to the first byte of each route and model and asks another upstream once that is well exceeded, once a request and only where it may be repeated; a stream that falls silent goes on elsewhere after 0.6 of the longest pause. A kept connection that the upstream had given up blames neither upstream nor version; others to it rest shorter then.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -71,6 +71,16 @@
       long request, int attempt, AttemptFailure failure, @Nullable String lastEventId)
       implements RelayEvent {}
 
+  /**
+   * A stream that has begun has been silent for the time that its attempt names.
+   *
+   * @param request number of the request
+   * @param attempt number of the attempt
+   * @param lastEventId newest event that the caller was given, or null if none
+   */
+  record AnswerSilent(long request, int attempt, @Nullable String lastEventId)
+      implements RelayEvent {}
+
   /**
    * The answer of an attempt was read to its end.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -25,6 +25,12 @@
   /** Attempts that reached an upstream or may have. */
   int sent;
 
+  /** Attempts that failed before anything was sent. */
+  int unsent;
+
+  /** Whether it was taken from a silent upstream once, which is done once only. */
+  boolean movedOn;
+
   /** Whether an upstream may have run the request. */
   boolean mayHaveRun;
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptTarget.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptTarget.java
@@ -15,6 +15,8 @@
  * @param lastEventId event after which the stream goes on, or null
  * @param continues whether events follow those already given to the caller
  * @param fresh whether it needs a new connection
+ * @param silenceMillis time without a byte of a stream that has begun after which the entry is told
+ *     of it, in milliseconds; 0 for never
  */
 public record AttemptTarget(
     UpstreamInstance upstream,
@@ -26,4 +28,5 @@
     boolean streams,
     @Nullable String lastEventId,
     boolean continues,
-    boolean fresh) {}
+    boolean fresh,
+    int silenceMillis) {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -30,15 +31,6 @@
   /** When to come back where nothing could take the request, in milliseconds. */
   private static final long RETRY_MILLIS = 250;
 
-  /**
-   * Longest wait of a request for this entry to be able to serve. A restart of everything takes two
-   * seconds, and the entries are up a second before the control VMs; an engine answers in 0.2 s, so
-   * that a stream that waited this long is still in time.
-   */
-  private static final Duration LONGEST_HOLD = Duration.ofMillis(900);
-
-  private static final int MAX_HELD = 512;
-
   /** Weight of one answer in the pressure: the newest 20 count most, about a second's at a peak. */
   private static final double PRESSURE_LEARNING = 0.05;
 
@@ -51,6 +43,15 @@
   /** Time by which an answer under way may overrun before it is broken off. */
   private static final Duration OVERRUN = Duration.ofMillis(60);
 
+  /** Upstreams to which no connection can be made that are tried for one request. */
+  private static final int MAX_UNSENT = 4;
+
+  /**
+   * Share of the longest pause that is on time after which a silent stream goes on elsewhere; the
+   * rest is for the other upstream to begin.
+   */
+  private static final double SILENCE_SHARE = 0.6;
+
   /** Connections of all entries together stay below the upstream's bound by this share. */
   private static final double CONNECTION_SHARE = 0.8;
 
@@ -61,11 +62,13 @@
   private final RetryBudget budget;
   private final VersionLedger counts;
   private final StopPlan stopPlan;
+  private final RequestAdmission admission;
+  private final Patience patience = new Patience();
   private final RequestTrace trace;
   private final UniformRandomProvider random;
   private double pressure;
   private final Map<Long, ActiveRelay> active = new LinkedHashMap<>();
-  private final Map<Long, HeldRequest> held = new LinkedHashMap<>();
+  private final HeldRequests held = new HeldRequests();
 
   /**
    * Makes the part.
@@ -99,6 +102,7 @@
       long seed) {
     this.view = view;
     this.stopPlan = stopPlan;
+    this.admission = new RequestAdmission(view, stopPlan);
     this.trace = new RequestTrace(view);
     this.picker = picker;
     this.models = models;
@@ -131,6 +135,11 @@
       if (relay != null) {
         attemptFailed(relay, failed, now, output);
       }
+    } else if (event instanceof RelayEvent.AnswerSilent silent) {
+      ActiveRelay relay = current(silent.request(), silent.attempt());
+      if (relay != null) {
+        answerSilent(relay, silent.lastEventId(), now, output);
+      }
     } else if (event instanceof RelayEvent.AnswerEnded ended) {
       ActiveRelay relay = current(ended.request(), ended.attempt());
       if (relay != null) {
@@ -149,31 +158,18 @@
   }
 
   private void arrived(RelayRequest request, Instant now, Output output) {
-    Refusal refusal = refusal(request, now);
-    if (refusal == Refusal.NOT_SERVING && held.size() < MAX_HELD) {
-      held.put(request.number(), new HeldRequest(request, now));
-    } else {
+    Refusal refusal = admission.refusal(request, now);
+    if (refusal != Refusal.NOT_SERVING || !held.hold(request, now)) {
       decide(request, refusal, now, now, output);
     }
   }
 
-  /**
-   * Goes on with requests that came before this entry could serve.
-   *
-   * <p>An entry that has just started, or a core that elects, is ready again within a second; a
-   * caller that is refused instead comes back once at most and finds the same.
-   */
   private void serveHeld(Instant now, Output output) {
-    if (held.isEmpty()) {
-      return;
-    }
-    for (HeldRequest waiting : new ArrayList<>(held.values())) {
-      Refusal refusal = refusal(waiting.request(), now);
-      boolean tooLong = !now.isBefore(waiting.arrivedAt().plus(LONGEST_HOLD));
-      if (refusal != Refusal.NOT_SERVING || tooLong) {
-        held.remove(waiting.request().number());
-        decide(waiting.request(), refusal, waiting.arrivedAt(), now, output);
-      }
+    List<HeldRequest> released =
+        held.release(request -> admission.refusal(request, now) != Refusal.NOT_SERVING, now);
+    for (HeldRequest waited : released) {
+      Refusal refusal = admission.refusal(waited.request(), now);
+      decide(waited.request(), refusal, waited.arrivedAt(), now, output);
     }
   }
 
@@ -209,30 +205,6 @@
     send(relay, now, output);
   }
 
-  private @Nullable Refusal refusal(RelayRequest request, Instant now) {
-    RouteTable table = view.table();
-    if (!view.configured()) {
-      return Refusal.NOT_SERVING;
-    }
-    RelayRoute route = table.route(request.host(), request.path());
-    boolean proven = view.proven(now);
-    if (route != null && !stopPlan.takes(route, now)) {
-      return Refusal.STOPPING;
-    }
-    if (route == null) {
-      return proven ? Refusal.NO_ROUTE : Refusal.NOT_SERVING;
-    }
-    if (!route.isPublic() && table.keyed()) {
-      if (!proven) {
-        return Refusal.NOT_SERVING;
-      }
-      if (table.team(request.key()) == null) {
-        return Refusal.UNKNOWN_KEY;
-      }
-    }
-    return null;
-  }
-
   private RelayService service(RouteTable table, RelayRoute route) {
     int total = route.services().stream().mapToInt(WeightedService::weight).sum();
     int drawn = random.nextInt(total);
@@ -252,10 +224,7 @@
       giveUp(relay, relay.mayHaveRun ? Refusal.TIME_OUT : Refusal.TOO_LATE, now, output);
       return;
     }
-    String version = relay.version;
-    VersionRule.Allowed allowed =
-        version == null ? versions.allowed(relay.service.name(), relay.request) : version::equals;
-    UpstreamTrack track = picker.pick(relay.service, relay.request, allowed, relay.tried, now);
+    UpstreamTrack track = pick(relay, now);
     if (track == null) {
       giveUp(relay, unsent(relay), now, output);
       return;
@@ -272,6 +241,13 @@
     trace.sent(relay, track, now, output);
   }
 
+  private @Nullable UpstreamTrack pick(ActiveRelay relay, Instant now) {
+    String version = relay.version;
+    VersionRule.Allowed allowed =
+        version == null ? versions.allowed(relay.service.name(), relay.request) : version::equals;
+    return picker.pick(relay.service, relay.request, allowed, relay.tried, now);
+  }
+
   private AttemptTarget target(ActiveRelay relay, UpstreamTrack track, long left) {
     RelayTeam team = relay.team;
     Integer teamPriority = team == null ? null : team.priority();
@@ -288,7 +264,8 @@
         relay.streams(),
         relay.lastEventId,
         relay.passing,
-        relay.route.kind() == RouteKind.NON_IDEMPOTENT);
+        relay.route.kind() == RouteKind.NON_IDEMPOTENT,
+        relay.route.repeatable() ? (int) (relay.route.pauseMillis() * SILENCE_SHARE) : 0);
   }
 
   private static Refusal unsent(ActiveRelay relay) {
@@ -306,7 +283,9 @@
       return;
     }
     relay.mayHaveRun = true;
+    track.answered(now);
     final long millis = Duration.between(relay.sentAt, now).toMillis();
+    patience.waited(relay.route, relay.model, millis);
     if (began.status() >= FIRST_SERVER_ERROR) {
       serverFailed(relay, track, began, now, output);
       return;
@@ -427,10 +406,14 @@
     if (track == null) {
       return;
     }
-    boolean hard = failed.failure() == AttemptFailure.NOT_SENT;
-    track.failed(hard, now);
+    boolean unsent = failed.failure() == AttemptFailure.NOT_SENT;
+    if (failed.failure() != AttemptFailure.STALE_CONNECTION) {
+      track.failed(unsent, now);
+    }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
+    }
+    if (failed.failure().blamesVersion()) {
       counts.failed(track.instance());
     }
     if (failed.lastEventId() != null) {
@@ -443,13 +426,102 @@
         now,
         output);
     release(relay);
-    tryAgain(relay, now, output);
+    if (unsent) {
+      tryElsewhere(relay, now, output);
+    } else {
+      tryAgain(relay, now, output);
+    }
+  }
+
+  /**
+   * Goes on after an upstream that could not be reached.
+   *
+   * <p>Nothing reached an upstream, so this is no repeat: neither the route's attempts nor the
+   * budget count it. Counted, a route with two attempts ended in an error after 58 ms because two
+   * upstreams had just crashed.
+   */
+  private void tryElsewhere(ActiveRelay relay, Instant now, Output output) {
+    relay.sent--;
+    relay.unsent++;
+    if (relay.unsent <= MAX_UNSENT && now.isBefore(relay.deadline)) {
+      sendOrBreak(relay, now, output);
+    } else if (relay.passing) {
+      breakOff(relay, now, output);
+    } else {
+      giveUp(relay, unsent(relay), now, output);
+    }
+  }
+
+  private void sendOrBreak(ActiveRelay relay, Instant now, Output output) {
+    if (relay.passing && pick(relay, now) == null) {
+      breakOff(relay, now, output);
+    } else {
+      send(relay, now, output);
+    }
+  }
+
+  /** Takes a stream that has begun from an upstream that has fallen silent. */
+  private void answerSilent(
+      ActiveRelay relay, @Nullable String lastEventId, Instant now, Output output) {
+    if (lastEventId != null) {
+      relay.lastEventId = lastEventId;
+    }
+    if (relay.passing) {
+      moveOn(relay, "silent_stream", now, output);
+    }
+  }
+
+  /** Looks whether an upstream keeps a request waiting for longer than is usual. */
+  private void lookAtWait(ActiveRelay relay, Instant now, Output output) {
+    double waited = Duration.between(relay.sentAt, now).toMillis();
+    if (!relay.passing && patience.exhausted(relay.route, relay.model, waited)) {
+      moveOn(relay, "silent", now, output);
+    }
+  }
+
+  /**
+   * Asks another upstream in place of a silent one, once for each request.
+   *
+   * <p>The attempt is dropped first, so that the two never work on it at once; that needs another
+   * upstream and room in the budget, or the caller would lose an answer that may still come.
+   */
+  private void moveOn(ActiveRelay relay, String why, Instant now, Output output) {
+    UpstreamTrack silent = relay.upstream;
+    boolean possible = !relay.movedOn && silent != null && relay.route.repeatable();
+    if (!possible || relay.sent >= relay.route.maxAttempts()) {
+      return;
+    }
+    relay.movedOn = true;
+    relay.tried.add(silent.instance().id());
+    if (pick(relay, now) == null || !budget.repeat(relay.service.name(), now)) {
+      return;
+    }
+    silent.failed(silent.silentSince(relay.sentAt), now);
+    noteWait(relay, silent, now);
+    trace.attemptEnded(why, relay, "after_event=" + relay.lastEventId, now, output);
+    drop(relay, output);
+    send(relay, now, output);
+  }
+
+  /**
+   * Counts the time of an attempt that was not waited out as if the answer had begun now.
+   *
+   * <p>A new version has read no prompts yet and is slow at first. Counted as failures, the waits
+   * that were given up had a good version rolled back.
+   */
+  private void noteWait(ActiveRelay relay, UpstreamTrack silent, Instant now) {
+    if (!relay.passing) {
+      long waited = Duration.between(relay.sentAt, now).toMillis();
+      patience.waited(relay.route, relay.model, waited);
+      counts.answered(silent.instance(), waited);
+    }
   }
 
   private void tick(Instant now, Output output) {
     serveHeld(now, output);
     for (ActiveRelay relay : new ArrayList<>(active.values())) {
       if (now.isBefore(relay.deadline)) {
+        lookAtWait(relay, now, output);
         continue;
       }
       if (!relay.passing) {
@@ -463,7 +535,7 @@
   }
 
   private void callerLeft(long request, Instant now, Output output) {
-    if (held.remove(request) != null) {
+    if (held.forget(request)) {
       output.effect(new RelayEffect.Forget(request));
     }
     ActiveRelay relay = active.get(request);
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestAdmission.java
@@ -0,0 +1,44 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+
+/** Decides whether an entry may take a request at all. */
+final class RequestAdmission {
+
+  private final RelayView view;
+  private final StopPlan stopPlan;
+
+  RequestAdmission(RelayView view, StopPlan stopPlan) {
+    this.view = view;
+    this.stopPlan = stopPlan;
+  }
+
+  /**
+   * Returns why a request can't be taken now, or null if it has a route and a service.
+   *
+   * @param request the request
+   * @param now the present time
+   */
+  @Nullable Refusal refusal(RelayRequest request, Instant now) {
+    if (!view.configured()) {
+      return Refusal.NOT_SERVING;
+    }
+    RouteTable table = view.table();
+    RelayRoute route = table.route(request.host(), request.path());
+    boolean proven = view.proven(now);
+    if (route == null) {
+      return proven ? Refusal.NO_ROUTE : Refusal.NOT_SERVING;
+    }
+    if (!stopPlan.takes(route, now)) {
+      return Refusal.STOPPING;
+    }
+    if (route.isPublic() || !table.keyed()) {
+      return null;
+    }
+    if (!proven) {
+      return Refusal.NOT_SERVING;
+    }
+    return table.team(request.key()) == null ? Refusal.UNKNOWN_KEY : null;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
@@ -16,6 +16,7 @@
   private int failuresInRow;
   private double failureShare;
   private Instant avoidedUntil = Instant.EPOCH;
+  private Instant answeredAt = Instant.EPOCH;
   private boolean wrongRun;
 
   UpstreamTrack(UpstreamStatus status) {
@@ -72,6 +73,16 @@
     workMillis = running == 0 ? 0 : Math.max(0, workMillis - millis);
   }
 
+  /** Returns whether nothing has come from the upstream since a time. */
+  boolean silentSince(Instant time) {
+    return answeredAt.isBefore(time);
+  }
+
+  /** Takes note of the beginning of an answer. */
+  void answered(Instant now) {
+    answeredAt = now;
+  }
+
   void succeeded() {
     failuresInRow = 0;
     failureShare -= LEARNING * failureShare;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRequestPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRequestPartTest.java
@@ -101,6 +101,133 @@
     assertTrue(next.target().continues());
   }
 
+  /**
+   * The caller gets the third upstream's answer. Two upstreams had just crashed, so that no
+   * connection to them could be made; nothing was sent, so the route's single attempt was still
+   * unused.
+   */
+  @Test
+  public void upstreamThatCannotBeReachedIsNoAttempt() {
+    busy();
+    entry.sent(1, "/book/x");
+    RelayEffect.SendAttempt second =
+        RelayFixture.only(
+            entry.fails(1, 1, AttemptFailure.NOT_SENT, null), RelayEffect.SendAttempt.class);
+    RelayEffect.SendAttempt third =
+        RelayFixture.only(
+            entry.fails(1, 2, AttemptFailure.NOT_SENT, null), RelayEffect.SendAttempt.class);
+    assertNotEquals(third.target().upstream().id(), second.target().upstream().id());
+    RelayFixture.only(entry.answers(1, 3, 200, false), RelayEffect.PassAnswer.class);
+  }
+
+  /**
+   * The caller is told at once that nothing ran and when to come back. No upstream could be
+   * reached.
+   */
+  @Test
+  public void requestThatReachesNoUpstreamHasNotRun() {
+    entry.sent(1, "/book/x");
+    entry.fails(1, 1, AttemptFailure.NOT_SENT, null);
+    entry.fails(1, 2, AttemptFailure.NOT_SENT, null);
+    List<RelayEffect> effects = entry.fails(1, 3, AttemptFailure.NOT_SENT, null);
+    RelayEffect.Refuse refuse = RelayFixture.only(effects, RelayEffect.Refuse.class);
+    assertEquals(refuse.refusal(), Refusal.NO_UPSTREAM);
+    assertTrue(refuse.retryAfterMillis() > 0);
+  }
+
+  private void answered(int count, String path, int millis) {
+    for (long number = 5000; number < 5000 + count; number++) {
+      entry.sent(number, path);
+      entry.pass(millis);
+      entry.answers(number, 1, 200, false);
+      entry.apply(new RelayEvent.AnswerEnded(number, 1));
+    }
+  }
+
+  /**
+   * The caller gets another upstream's answer in time. The first was cut off without a reset; the
+   * entry drops that attempt before it asks the other, so that the two never work on it at once.
+   */
+  @Test
+  public void lookupIsTakenFromUpstreamThatKeepsSilent() {
+    busy();
+    answered(20, "/lookup/x", 40);
+    String silent = entry.sent(1, "/lookup/x").target().upstream().id();
+    assertTrue(entry.pass(250).isEmpty(), "less than three tenths of the objective");
+    List<RelayEffect> effects = entry.pass(100);
+    assertTrue(effects.get(0) instanceof RelayEffect.DropAttempt, effects.toString());
+    RelayEffect.SendAttempt next = RelayFixture.only(effects, RelayEffect.SendAttempt.class);
+    assertNotEquals(next.target().upstream().id(), silent);
+    assertEquals(entry.counts.all().get(0).failures(), 0, "a slow version isn't a failing one");
+    assertTrue(entry.pass(1000).isEmpty(), "only once");
+  }
+
+  /**
+   * The caller waits for its booking. It may have run at the silent upstream, so no other one is
+   * asked.
+   */
+  @Test
+  public void bookingIsNeverTakenFromSilentUpstream() {
+    busy();
+    answered(20, "/book/x", 40);
+    entry.sent(1, "/book/x");
+    assertTrue(entry.pass(1400).isEmpty());
+  }
+
+  /**
+   * Callers of a busy service wait. All its answers take long, so that a long wait shows no fault,
+   * and asking another upstream would only add to the load.
+   */
+  @Test
+  public void patienceGrowsWithTheUsualTimes() {
+    busy();
+    answered(20, "/lookup/x", 700);
+    entry.sent(1, "/lookup/x");
+    assertTrue(entry.pass(800).isEmpty());
+  }
+
+  /**
+   * The caller sees one stream with a pause. The upstream fell silent after event 4 without closing
+   * its connection, and another one goes on from there.
+   */
+  @Test
+  public void silentStreamGoesOnAtAnotherUpstream() {
+    busy();
+    RelayEffect.SendAttempt first = entry.sent(1, "/stream/x");
+    assertEquals(first.target().silenceMillis(), 480);
+    entry.answers(1, 1, 200, false);
+    List<RelayEffect> effects = entry.apply(new RelayEvent.AnswerSilent(1, 1, "4"));
+    assertTrue(effects.get(0) instanceof RelayEffect.DropAttempt, effects.toString());
+    RelayEffect.SendAttempt next = RelayFixture.only(effects, RelayEffect.SendAttempt.class);
+    assertEquals(next.target().lastEventId(), "4");
+    assertTrue(next.target().continues());
+  }
+
+  /** The caller's stream isn't touched: it can't be resumed, so its events may still come. */
+  @Test
+  public void silentStreamThatCannotBeResumedGoesOn() {
+    busy();
+    assertEquals(entry.sent(1, "/once/x").target().silenceMillis(), 0);
+    entry.answers(1, 1, 200, false);
+    assertTrue(entry.apply(new RelayEvent.AnswerSilent(1, 1, "4")).isEmpty());
+  }
+
+  /**
+   * A roll-out isn't judged by connections that had rested too long, nor is the upstream avoided;
+   * the lookup is asked again, and the booking had a connection of its own.
+   */
+  @Test
+  public void staleConnectionBlamesNobody() {
+    busy();
+    String first = entry.sent(1, "/lookup/x").target().upstream().id();
+    RelayFixture.only(
+        entry.fails(1, 1, AttemptFailure.STALE_CONNECTION, null), RelayEffect.SendAttempt.class);
+    assertTrue(entry.counts.all().isEmpty(), entry.counts.all().toString());
+    for (UpstreamTrack track : entry.view.tracks) {
+      assertEquals(track.failureShare(), 0.0, first);
+    }
+  }
+
   /**
    * The caller sees a stream that breaks off. Its route can't be resumed, so a second run would
    * join pieces of two answers.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -221,6 +221,13 @@
     }
   }
 
+  /** Looks whether the upstream has fallen silent in the middle of a stream. */
+  void lookForSilence(long now) {
+    if (attempt != null) {
+      attempt.lookForSilence(now);
+    }
+  }
+
   void callerReads(boolean reads) {
     if (attempt != null) {
       attempt.readMore(reads);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayFront.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayFront.java
@@ -33,6 +33,10 @@
 
   private static final int BACKLOG = 1024;
   private static final long SWEEP_MILLIS = 500;
+
+  /** Time between two looks for silent streams; a fifth of the shortest silence that matters. */
+  private static final long SILENCE_MILLIS = 100;
+
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
   private final EventLoop eventLoop;
@@ -85,9 +89,18 @@
     listener = opened;
     eventLoop.scheduleWithFixedDelay(
         this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.scheduleWithFixedDelay(
+        this::lookForSilence, SILENCE_MILLIS, SILENCE_MILLIS, TimeUnit.MILLISECONDS);
     return (InetSocketAddress) opened.localAddress();
   }
 
+  private void lookForSilence() {
+    long now = System.nanoTime();
+    for (RelayExchange exchange : new ArrayList<>(exchanges.values())) {
+      exchange.lookForSilence(now);
+    }
+  }
+
   private void sweep() {
     closeQuiet(Duration.ofMillis(limits.get().idleTimeoutMillis()));
     pools.sweep();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.AttemptFailure;
@@ -25,6 +26,9 @@
   private @Nullable ByteBuf body;
   private @Nullable EventSplitter events;
   private boolean passing;
+  private long lastBytesAt;
+  private boolean silenceTold;
+  private boolean paused;
   private boolean ended;
   private boolean over;
 
@@ -61,6 +65,7 @@
 
   void onHead(HttpResponse answer) {
     head = answer;
+    lastBytesAt = System.nanoTime();
     boolean stream =
         answer.status().code() == HttpResponseStatus.OK.code()
             && startsWith(answer.headers().get(HttpHeaderNames.CONTENT_TYPE), EVENT_STREAM);
@@ -87,6 +92,8 @@
   }
 
   void onBytes(ByteBuf bytes) {
+    lastBytesAt = System.nanoTime();
+    silenceTold = false;
     EventSplitter splitter = events;
     if (splitter != null) {
       splitter.add(bytes);
@@ -182,7 +189,21 @@
     }
   }
 
+  /** Tells of a stream that has begun and from which nothing has come for too long. */
+  void lookForSilence(long now) {
+    boolean flows = passing && events != null && !ended && !over && !paused;
+    long longest = TimeUnit.MILLISECONDS.toNanos(target.silenceMillis());
+    if (flows && longest > 0 && !silenceTold && now - lastBytesAt > longest) {
+      silenceTold = true;
+      exchange.raise(
+          new RelayEvent.AnswerSilent(
+              exchange.number(), number, exchange.givenUpTo(events.lastId(), true)));
+    }
+  }
+
   void readMore(boolean more) {
+    paused = !more;
+    lastBytesAt = System.nanoTime();
     if (connection != null) {
       connection.readMore(more);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -27,12 +27,20 @@
 
   private static final int MAX_SKIPPED = 2;
 
+  /** Rest of a connection from which on an upstream may have given it up without a word. */
+  private static final long LEAST_REST_NANOS = 100_000_000L;
+
+  /** Time in which the reset of such a connection comes back; a few times a way between zones. */
+  private static final long RESET_NANOS = 50_000_000L;
+
   private final UpstreamPool pool;
   private final RelayDialect dialect;
   private @Nullable Channel channel;
   private @Nullable UpstreamAttempt attempt;
   private long idleNanos;
   private long idleSince;
+  private long rested;
+  private long sentAt;
   private boolean written;
   private boolean reusable = true;
   private boolean reset;
@@ -54,6 +62,8 @@
   /** Sends a request; its answer goes to the attempt. */
   void send(FullHttpRequest request, UpstreamAttempt sender) {
     attempt = sender;
+    sentAt = System.nanoTime();
+    rested = idleSince == 0 ? 0 : sentAt - idleSince;
     written = false;
     answering = false;
     Channel open = open();
@@ -88,7 +98,8 @@
 
   /** Returns whether a request may be sent on this idle connection. */
   boolean usable(long now) {
-    return channel != null && channel.isActive() && reusable && now - idleSince < idleNanos;
+    long longest = Math.min(idleNanos, pool.longestRest(now));
+    return channel != null && channel.isActive() && reusable && now - idleSince < longest;
   }
 
   void idle(long now) {
@@ -222,8 +233,20 @@
   public void channelInactive(ChannelHandlerContext context) {
     pool.closed(this);
     if (attempt != null) {
-      fail(answering ? AttemptFailure.BROKEN_OFF : AttemptFailure.NO_ANSWER);
+      fail(failure());
+    }
+  }
+
+  private AttemptFailure failure() {
+    if (answering) {
+      return AttemptFailure.BROKEN_OFF;
+    }
+    boolean stale = rested > LEAST_REST_NANOS && System.nanoTime() - sentAt < RESET_NANOS;
+    if (!stale) {
+      return AttemptFailure.NO_ANSWER;
     }
+    pool.wasStale(rested);
+    return AttemptFailure.STALE_CONNECTION;
   }
 
   @Override
@@ -232,7 +255,9 @@
     if (!(cause instanceof IOException)) {
       Logger.warn(cause, "upstream: a connection fails");
     }
-    fail(answering ? AttemptFailure.BROKEN_OFF : AttemptFailure.NO_ANSWER);
+    if (attempt != null) {
+      fail(failure());
+    }
     context.close();
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -19,6 +19,12 @@
 
   private static final int MAX_WAITING = 256;
 
+  /** Share of the rest that was too long up to which connections are still used. */
+  private static final double SAFE_SHARE = 0.7;
+
+  /** Time for which a rest that was too long is remembered. */
+  private static final long REMEMBERED_NANOS = 20_000_000_000L;
+
   private final Bootstrap bootstrap;
   private final InetSocketAddress address;
   private final RelayDialect dialect;
@@ -26,6 +32,8 @@
   private final Deque<Waiter> waiting = new ArrayDeque<>();
   private int open;
   private long usedAt;
+  private long longestRest = Long.MAX_VALUE;
+  private long staleAt;
 
   UpstreamPool(Bootstrap bootstrap, InetSocketAddress address, RelayDialect dialect) {
     this.bootstrap = bootstrap;
@@ -112,6 +120,25 @@
         });
   }
 
+  /**
+   * Takes note that the upstream had given up a connection that rested here.
+   *
+   * <p>An upstream may forget connections sooner than it says. Each request on one is lost after it
+   * was sent, and counts as a repeat when it is sent again, so the others are used no longer.
+   */
+  void wasStale(long restNanos) {
+    longestRest = Math.min(longestRest, (long) (restNanos * SAFE_SHARE));
+    staleAt = System.nanoTime();
+  }
+
+  /** Returns for how long a connection may rest until it isn't used any more, in nanoseconds. */
+  long longestRest(long now) {
+    if (now - staleAt > REMEMBERED_NANOS) {
+      longestRest = Long.MAX_VALUE;
+    }
+    return longestRest;
+  }
+
   void release(UpstreamConnection connection) {
     connection.idle(System.nanoTime());
     idle.addLast(connection);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
@@ -146,9 +146,8 @@
   }
 
   private void awaitControl(String path, String body) throws Exception {
-    assertNotNull(node().controlAddress());
-    URI uri =
-        URI.create("http://127.0.0.1:" + node().controlAddress().getPort() + "/relay/v1/" + path);
+    int port = node().controlAddress().join().getPort();
+    URI uri = URI.create("http://127.0.0.1:" + port + "/relay/v1/" + path);
     HttpRequest request =
         HttpRequest.newBuilder(uri).PUT(HttpRequest.BodyPublishers.ofString(body)).build();
     for (int tries = 0; tries < MAX_TRIES; tries++) {
@@ -264,6 +263,31 @@
     assertTrue(answer.endsWith("0\r\n\r\n"), answer);
   }
 
+  /**
+   * The caller sees one whole stream. The upstream falls silent after the second event with its
+   * connection open, as one that is cut off does; another goes on from there.
+   */
+  @Test
+  public void streamGoesOnElsewhereAfterSilence() throws Exception {
+    ScriptedUpstream.Script script =
+        (run, head, out) -> {
+          out.write(ScriptedUpstream.streamHead(head));
+          if (head.contains("Last-Event-Id: 2")) {
+            out.write(ScriptedUpstream.chunk("id: 3\ndata: c\n\n"));
+            out.write(ScriptedUpstream.bytes("0\r\n\r\n"));
+          } else {
+            out.write(ScriptedUpstream.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+          }
+          return true;
+        };
+    serveWith(script, script);
+    String answer = served("/stream/x", "one");
+    String text = answer.replaceAll("\r\n[0-9a-f]+\r\n", "");
+    assertTrue(text.contains("data: b\n\nid: 3\ndata: c\n\n"), answer);
+    assertEquals(text.split("id: 2", -1).length, 2, answer);
+    assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+  }
+
   /**
    * The caller gets 502. The upstream dies while it writes its head, and what is left lacks the
    * repeated id; taken for a whole answer it would be a success without content.
--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -0,0 +1,30 @@
+package org.skylarkfork.runtime.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.bootstrap.Bootstrap;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Tests of {@link UpstreamPool}. */
+public final class UpstreamPoolTest {
+
+  /**
+   * Callers' requests aren't lost one after the other. The upstream forgets resting connections
+   * sooner than it says; after the first that it had given up, others aren't used for as long, and
+   * some time later the upstream is trusted again.
+   */
+  @Test
+  public void connectionsRestShorterAfterOneWasStale() {
+    UpstreamPool pool =
+        new UpstreamPool(
+            new Bootstrap(), new InetSocketAddress("127.0.0.1", 1), new RelayHeaders());
+    long now = System.nanoTime();
+    assertEquals(pool.longestRest(now), Long.MAX_VALUE);
+    pool.wasStale(TimeUnit.MILLISECONDS.toNanos(400));
+    pool.wasStale(TimeUnit.MILLISECONDS.toNanos(900));
+    assertEquals(pool.longestRest(now), TimeUnit.MILLISECONDS.toNanos(280));
+    assertEquals(pool.longestRest(now + TimeUnit.SECONDS.toNanos(60)), Long.MAX_VALUE);
+  }
+}
