Soak: the relay as real processes under faults from outside

Checked from outside: whole own answers, bookings at most once, "not run" true, removed keys dead in 5 s, reads never older than what was accepted, stops that end, service again after all faults. Each check is shown to notice its violation.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
@@ -18,6 +18,9 @@
 import org.skylarkfork.daemon.proof.ProofReport;
 import org.skylarkfork.daemon.proof.ProofRun;
 import org.skylarkfork.daemon.proof.ProofSettings;
+import org.skylarkfork.daemon.soak.SoakResult;
+import org.skylarkfork.daemon.soak.SoakRun;
+import org.skylarkfork.daemon.soak.SoakSettings;
 import org.skylarkfork.runtime.settings.Units;
 import org.skylarkfork.standin.load.LoadOutcome;
 
@@ -27,6 +30,9 @@
     description = "Disturbs several daemons under load and checks every promise afterwards.")
 public final class ProofCommand implements Callable<Integer> {
 
+  /** Upstreams of a soak; one may be down while another is full. */
+  private static final int UPSTREAMS = 3;
+
   @Option(name = "--seed", title = "N", description = "Seed of load and faults; 1 if absent.")
   private long seed = 1;
 
@@ -48,6 +54,24 @@
   @Option(name = "--keep", title = "FOLDER", description = "Keeps data and time lines there.")
   private @Nullable String keep;
 
+  @Option(
+      name = "--processes",
+      description =
+          "Soaks the relay instead: real processes, faults by signals and proxies on loopback.")
+  private boolean processes;
+
+  @Option(
+      name = "--controls",
+      title = "N",
+      description = "With --processes: control VMs, an odd number; 3 if absent.")
+  private int controls = 3;
+
+  @Option(
+      name = "--callers",
+      title = "N",
+      description = "With --processes: callers at a time; 6 if absent.")
+  private int callers = 6;
+
   @Override
   public Integer call() throws IOException, InterruptedException {
     Path folder =
@@ -55,6 +79,9 @@
             ? Files.createTempDirectory("skylarkfork-proof")
             : Files.createDirectories(Path.of(keep));
     try {
+      if (processes) {
+        return soak(folder);
+      }
       ProofSettings settings =
           new ProofSettings(folder, seed, Units.duration(duration), entries, rate, names(), 0);
       ProofEvidence evidence = new ProofRun(settings).run();
@@ -69,6 +96,27 @@
     }
   }
 
+  private int soak(Path folder) throws IOException, InterruptedException {
+    SoakSettings settings =
+        new SoakSettings(
+            folder, seed, Units.duration(duration), controls, entries, UPSTREAMS, callers);
+    SoakResult result = new SoakRun(settings).run();
+    System.out.printf(
+        "seed %d: %d processes, %d faults, %d changes, %d requests, %d whole, %d findings%n",
+        seed,
+        result.processes(),
+        result.faults().size(),
+        result.changes(),
+        result.requests(),
+        result.whole(),
+        result.findings().size());
+    result.findings().forEach(System.out::println);
+    if (!result.findings().isEmpty()) {
+      result.faults().forEach(System.out::println);
+    }
+    return result.findings().isEmpty() ? ExitCode.SUCCESS : ExitCode.FAILURE;
+  }
+
   private static Map<LoadOutcome, Integer> outcomes(ProofEvidence evidence) {
     Map<LoadOutcome, Integer> counts = new EnumMap<>(LoadOutcome.class);
     evidence.records().forEach(record -> counts.merge(record.outcome(), 1, Integer::sum));
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
@@ -123,7 +123,13 @@
 
   private boolean put(String path, String body, Instant until)
       throws IOException, InterruptedException {
-    int port = node.controlAddress().join().getPort();
+    long left = Math.max(1, Duration.between(Instant.now(), until).toMillis());
+    InetSocketAddress bound =
+        node.controlAddress().copy().completeOnTimeout(null, left, TimeUnit.MILLISECONDS).join();
+    if (bound == null) {
+      return false;
+    }
+    int port = bound.getPort();
     URI uri = URI.create("http://" + HOST + ":" + port + "/relay/v1/" + path);
     return repeated(
         HttpRequest.newBuilder(uri).PUT(HttpRequest.BodyPublishers.ofString(body)).build(), until);
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
@@ -0,0 +1,92 @@
+package org.skylarkfork.daemon.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.daemon.Skylarkfork;
+
+/** One daemon of the relay as a process of its own, with the signals that it gets. */
+final class RelayProcess {
+
+  private static final List<String> OPTIONS =
+      List.of("-Xmx48m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+  private final String name;
+  private final Path settings;
+  private final Path data;
+  private final File log;
+  private @Nullable Process process;
+
+  /**
+   * Makes a daemon; {@link #start} starts it.
+   *
+   * @param name name of the daemon
+   * @param folder takes its settings, data and log
+   * @param text its settings
+   */
+  RelayProcess(String name, Path folder, String text) throws IOException {
+    this.name = name;
+    this.settings = folder.resolve(name + ".yaml");
+    this.data = folder.resolve(name);
+    this.log = folder.resolve(name + ".log").toFile();
+    Files.createDirectories(data);
+    Files.writeString(settings, text);
+  }
+
+  String name() {
+    return name;
+  }
+
+  void start() throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(OPTIONS);
+    command.addAll(
+        List.of("-cp", System.getProperty("java.class.path"), Skylarkfork.class.getName()));
+    command.addAll(List.of("relay", "--settings", settings.toString()));
+    process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start();
+  }
+
+  boolean runs() {
+    return process != null && process.isAlive();
+  }
+
+  void kill() throws InterruptedException {
+    if (process != null) {
+      process.destroyForcibly();
+      process.waitFor();
+    }
+  }
+
+  /** Sends a signal, such as {@code STOP}, {@code CONT}, {@code TERM} or {@code HUP}. */
+  void signal(String signal) throws IOException, InterruptedException {
+    if (process != null && process.isAlive()) {
+      new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+    }
+  }
+
+  /** Waits until the process has ended by itself. */
+  boolean awaitEnd(long seconds) throws InterruptedException {
+    return process == null || process.waitFor(seconds, TimeUnit.SECONDS);
+  }
+
+  /** Empties the disk; only while it doesn't run. */
+  void wipe() throws IOException {
+    try (var files = Files.walk(data)) {
+      List<Path> all = new ArrayList<>(files.toList());
+      all.remove(data);
+      for (int place = all.size() - 1; place >= 0; place--) {
+        Files.delete(all.get(place));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
@@ -0,0 +1,178 @@
+package org.skylarkfork.daemon.soak;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Strikes processes, connections and upstreams from outside, in an order drawn from the seed. */
+final class SoakFaults {
+
+  private static final int KINDS = 11;
+
+  /** Time after the loss of a disk in which no other one is lost. */
+  private static final Duration REPAIR = Duration.ofSeconds(9);
+
+  private static final long LONGEST_STOP_SECONDS = 20;
+
+  private final SoakSystem system;
+  private final UniformRandomProvider random;
+  private final List<Thread> restarts = new CopyOnWriteArrayList<>();
+  private final List<String> told = new CopyOnWriteArrayList<>();
+  private final List<String> findings;
+  private Instant wipedAt = Instant.EPOCH;
+
+  SoakFaults(SoakSystem system, UniformRandomProvider random, List<String> findings) {
+    this.system = system;
+    this.random = random;
+    this.findings = findings;
+  }
+
+  List<String> told() {
+    return List.copyOf(told);
+  }
+
+  /** Carries one fault out, which may go on beside later ones. */
+  void strike() throws IOException, InterruptedException {
+    long millis = 200 + random.nextLong(2300);
+    switch (random.nextInt(KINDS)) {
+      case 0 -> kill(List.of(pick(system.controls())), millis);
+      case 1 -> kill(List.of(pick(system.entries())), millis);
+      case 2 -> kill(system.controls(), 50 + random.nextLong(800));
+      case 3 -> kill(all(), 50 + random.nextLong(800));
+      case 4 -> pause(pick(system.controls()), millis);
+      case 5 -> pause(pick(system.entries()), millis);
+      case 6 -> stop(pick(system.entries()));
+      case 7 -> wipe(pick(system.controls()), millis);
+      case 8 -> disturb(system.callerProxies(), millis);
+      case 9 -> disturb(system.upstreamProxies(), millis);
+      default -> upstream(millis);
+    }
+  }
+
+  private List<RelayProcess> all() {
+    List<RelayProcess> all = new ArrayList<>(system.controls());
+    all.addAll(system.entries());
+    return all;
+  }
+
+  private <T> T pick(List<T> from) {
+    return from.get(random.nextInt(from.size()));
+  }
+
+  private void tell(String what) {
+    told.add(Instant.now() + " " + what);
+  }
+
+  /** Does something later, beside other faults. */
+  private void later(long millis, SoakThreads.Work work) {
+    restarts.add(
+        SoakThreads.start(
+            "fault",
+            () -> {
+              try {
+                TimeUnit.MILLISECONDS.sleep(millis);
+                work.run();
+              } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+              }
+            }));
+  }
+
+  private void kill(List<RelayProcess> struck, long millis) throws InterruptedException {
+    for (RelayProcess process : struck) {
+      tell("kill " + process.name() + " for " + millis + " ms");
+      process.kill();
+    }
+    later(millis, () -> system.startAll(struck));
+  }
+
+  private void pause(RelayProcess process, long millis) throws IOException, InterruptedException {
+    tell("pause " + process.name() + " for " + millis + " ms");
+    process.signal("STOP");
+    later(millis, () -> resume(process));
+  }
+
+  private static void resume(RelayProcess process) throws IOException {
+    try {
+      process.signal("CONT");
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void stop(RelayProcess process) throws IOException, InterruptedException {
+    tell("stop " + process.name());
+    process.signal("CONT");
+    process.signal("TERM");
+    later(0, () -> awaitStop(process));
+  }
+
+  private void awaitStop(RelayProcess process) throws IOException {
+    try {
+      if (!process.awaitEnd(LONGEST_STOP_SECONDS)) {
+        findings.add(process.name() + " didn't end after SIGTERM");
+      }
+      system.startAll(List.of(process));
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void wipe(RelayProcess process, long millis) throws IOException, InterruptedException {
+    if (Instant.now().isBefore(wipedAt.plus(REPAIR)) || !system.wholeGroup()) {
+      return;
+    }
+    wipedAt = Instant.now();
+    tell("wipe " + process.name() + " for " + millis + " ms");
+    process.kill();
+    process.wipe();
+    later(millis, () -> system.startAll(List.of(process)));
+  }
+
+  private void disturb(List<LoopbackProxy> proxies, long millis) {
+    LoopbackProxy proxy = pick(proxies);
+    if (random.nextInt(4) == 0) {
+      tell("reset connections of a proxy");
+      proxy.reset();
+      return;
+    }
+    LoopbackProxy.Mode mode =
+        LoopbackProxy.Mode.values()[1 + random.nextInt(LoopbackProxy.Mode.values().length - 1)];
+    tell("proxy " + mode + " for " + millis + " ms");
+    proxy.mode(mode);
+    later(
+        millis,
+        () -> {
+          proxy.mode(LoopbackProxy.Mode.PASS);
+          proxy.reset();
+        });
+  }
+
+  private void upstream(long millis) {
+    SoakUpstream upstream = pick(system.upstreams());
+    if (random.nextBoolean()) {
+      tell("an upstream drops its connections");
+      upstream.crash();
+      return;
+    }
+    tell("an upstream is full for " + millis + " ms");
+    upstream.full(true);
+    later(millis, () -> upstream.full(false));
+  }
+
+  /** Waits until all that was struck is back, and starts what isn't. */
+  void settle() throws IOException, InterruptedException {
+    for (Thread restart : restarts) {
+      restart.join();
+    }
+    for (RelayProcess process : all()) {
+      process.signal("CONT");
+    }
+    system.startAll(all());
+  }
+}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
@@ -0,0 +1,164 @@
+package org.skylarkfork.daemon.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.RelayLimits;
+import org.skylarkfork.core.relay.RelayRoute;
+import org.skylarkfork.core.relay.RelayService;
+import org.skylarkfork.core.relay.RelayTeam;
+import org.skylarkfork.core.relay.RouteKind;
+import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.runtime.codec.Codec;
+
+/** Operators and upstreams at the control VMs' calls. */
+final class SoakOperator {
+
+  /** Key that each configuration has. */
+  static final String LASTING_KEY = "lasting";
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final String SERVICE = "service";
+  private static final int OK = 200;
+
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+  private final Codec codec = new Codec();
+  private final List<Integer> ports;
+  private final List<String> findings;
+  private final List<Accepted> accepted = new CopyOnWriteArrayList<>();
+  private long version;
+
+  /**
+   * A configuration that was accepted.
+   *
+   * @param version its version
+   * @param at when the answer came
+   */
+  record Accepted(long version, Instant at) {}
+
+  /**
+   * Makes an operator.
+   *
+   * @param ports ports of the control VMs' calls
+   * @param findings takes what must not be
+   */
+  SoakOperator(List<Integer> ports, List<String> findings) {
+    this.ports = ports;
+    this.findings = findings;
+  }
+
+  /** Returns the key of a version, which the next version takes away. */
+  static String key(long ofVersion) {
+    return "key-" + ofVersion;
+  }
+
+  /** Returns the newest version that was sent. */
+  synchronized long newest() {
+    return version;
+  }
+
+  List<Accepted> accepted() {
+    return List.copyOf(accepted);
+  }
+
+  long acceptedVersion() {
+    return accepted.stream().mapToLong(Accepted::version).max().orElse(0);
+  }
+
+  /** Sends the next configuration to one control VM. */
+  void put(int control) throws InterruptedException {
+    long next;
+    synchronized (this) {
+      version++;
+      next = version;
+    }
+    if (call("PUT", control, "configuration", codec.toJson(configuration(next))) != null) {
+      accepted.add(new Accepted(next, Instant.now()));
+    }
+  }
+
+  /** Reads the configuration at one control VM and compares it with what was accepted before. */
+  long read(int control) throws InterruptedException {
+    long before = acceptedVersion();
+    String text = call("GET", control, "configuration", "");
+    if (text == null) {
+      return 0;
+    }
+    long found = codec.fromJson(text, RelayConfiguration.class).version();
+    if (found < before) {
+      findings.add("version " + found + " was read after " + before + " had been accepted");
+    }
+    return found;
+  }
+
+  /** Announces an upstream at the first control VM that takes it. */
+  void announce(String id, int port, long sequence) throws InterruptedException {
+    UpstreamInstance instance =
+        new UpstreamInstance(id, SERVICE, "127.0.0.1:" + port, "a", "1", 50, sequence);
+    for (int control = 0; control < ports.size(); control++) {
+      int turn = (int) ((control + sequence) % ports.size());
+      if (call("PUT", turn, "upstreams/" + id, codec.toJson(instance)) != null) {
+        return;
+      }
+    }
+  }
+
+  private @Nullable String call(String method, int control, String path, String body)
+      throws InterruptedException {
+    URI uri = URI.create("http://127.0.0.1:" + ports.get(control) + "/relay/v1/" + path);
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .timeout(TIMEOUT)
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+      return answer.statusCode() == OK ? answer.body() : null;
+    } catch (IOException unreachable) {
+      return null;
+    }
+  }
+
+  private static RelayConfiguration configuration(long version) {
+    List<RelayRoute> routes = new ArrayList<>();
+    routes.add(route(SoakAnswer.Kind.LOOKUP, RouteKind.IDEMPOTENT));
+    routes.add(route(SoakAnswer.Kind.BOOKING, RouteKind.NON_IDEMPOTENT));
+    routes.add(route(SoakAnswer.Kind.STREAM, RouteKind.STREAMING));
+    return new RelayConfiguration(
+        version,
+        routes,
+        List.of(new RelayService(SERVICE, "/health", 400, null)),
+        List.of(
+            new RelayTeam("lasting", List.of(LASTING_KEY), null),
+            new RelayTeam("changing", List.of(key(version)), null)),
+        RelayLimits.DEFAULT);
+  }
+
+  private static RelayRoute route(SoakAnswer.Kind kind, RouteKind allows) {
+    return new RelayRoute(
+        kind.name(),
+        "soak.example",
+        kind.path,
+        allows,
+        List.of(new WeightedService(SERVICE, 1)),
+        3000,
+        500,
+        600,
+        allows == RouteKind.NON_IDEMPOTENT ? 1 : 3,
+        1,
+        false,
+        false,
+        allows == RouteKind.STREAMING,
+        List.of());
+  }
+}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakResult.java
@@ -0,0 +1,28 @@
+package org.skylarkfork.daemon.soak;
+
+import java.util.List;
+
+/**
+ * What a soak has seen.
+ *
+ * @param requests requests that were sent
+ * @param whole those that got their whole answer
+ * @param processes processes that took part
+ * @param faults the faults, with their times
+ * @param changes configurations that were accepted
+ * @param findings what must not be; empty if every promise was kept
+ */
+public record SoakResult(
+    int requests,
+    int whole,
+    int processes,
+    List<String> faults,
+    int changes,
+    List<String> findings) {
+
+  /** Copies the lists. */
+  public SoakResult {
+    faults = List.copyOf(faults);
+    findings = List.copyOf(findings);
+  }
+}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSettings.java
@@ -0,0 +1,24 @@
+package org.skylarkfork.daemon.soak;
+
+import java.nio.file.Path;
+import java.time.Duration;
+
+/**
+ * What a soak does.
+ *
+ * @param folder takes settings, data and logs
+ * @param seed seed of all chance
+ * @param duration time of load and faults
+ * @param controls control VMs, an odd number
+ * @param entries entries
+ * @param upstreams upstreams of the one service
+ * @param callers callers at a time
+ */
+public record SoakSettings(
+    Path folder,
+    long seed,
+    Duration duration,
+    int controls,
+    int entries,
+    int upstreams,
+    int callers) {}
--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
@@ -0,0 +1,180 @@
+package org.skylarkfork.daemon.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+/** The processes, upstreams and proxies of one soak. */
+final class SoakSystem implements AutoCloseable {
+
+  private static final String HOST = "127.0.0.1";
+
+  private final List<RelayProcess> controls = new ArrayList<>();
+  private final List<RelayProcess> entries = new ArrayList<>();
+  private final List<Integer> controlPorts = new ArrayList<>();
+  private final List<SoakUpstream> upstreams = new ArrayList<>();
+  private final List<LoopbackProxy> callerProxies = new ArrayList<>();
+  private final List<LoopbackProxy> upstreamProxies = new ArrayList<>();
+  private boolean closed;
+
+  /**
+   * Makes everything; {@link #start} starts the processes.
+   *
+   * @param settings how much of it
+   * @param runs takes the runs of each request
+   */
+  SoakSystem(SoakSettings settings, Map<String, AtomicInteger> runs) throws IOException {
+    List<Integer> peers = freePorts(settings.controls() + settings.entries());
+    List<String> seeds =
+        peers.subList(0, settings.controls()).stream().map(port -> HOST + ":" + port).toList();
+    for (int number = 0; number < settings.controls(); number++) {
+      int port = freePorts(1).get(0);
+      controlPorts.add(port);
+      controls.add(control(number, settings, peers.get(number), port, seeds));
+    }
+    for (int number = 0; number < settings.entries(); number++) {
+      int port = freePorts(1).get(0);
+      entries.add(entry(number, settings, peers.get(settings.controls() + number), port, seeds));
+      callerProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, port)));
+    }
+    for (int number = 0; number < settings.upstreams(); number++) {
+      SoakUpstream upstream = new SoakUpstream(runs);
+      upstreams.add(upstream);
+      upstreamProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, upstream.port())));
+    }
+  }
+
+  /** Finds ports that a process can have again after a restart. */
+  private static List<Integer> freePorts(int count) {
+    List<ServerSocket> sockets = new ArrayList<>();
+    try {
+      for (int place = 0; place < count; place++) {
+        sockets.add(new ServerSocket(0, 1, InetAddress.getByName(HOST)));
+      }
+      List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+      for (ServerSocket socket : sockets) {
+        socket.close();
+      }
+      return ports;
+    } catch (IOException failure) {
+      throw new UncheckedIOException("There is no free port.", failure);
+    }
+  }
+
+  private static RelayProcess control(
+      int number, SoakSettings settings, int peer, int port, List<String> seeds)
+      throws IOException {
+    String name = "control-" + (number + 1);
+    Path data = settings.folder().resolve(name);
+    String text =
+        common(name, peer, seeds)
+            + "controlPort: "
+            + port
+            + "\ndataFolder: "
+            + data
+            + "\nvoters: "
+            + settings.controls()
+            + "\n";
+    return new RelayProcess(name, settings.folder(), text);
+  }
+
+  private static RelayProcess entry(
+      int number, SoakSettings settings, int peer, int port, List<String> seeds)
+      throws IOException {
+    String name = "entry-" + (number + 1);
+    String text = common(name, peer, seeds) + "callerPort: " + port + "\nretryRatio: 0.9\n";
+    return new RelayProcess(name, settings.folder(), text);
+  }
+
+  private static String common(String name, int peer, List<String> seeds) {
+    return "node: "
+        + name
+        + "\nzone: a\nhost: "
+        + HOST
+        + "\npeerPort: "
+        + peer
+        + "\nseeds: ["
+        + String.join(", ", seeds.stream().map(seed -> '"' + seed + '"').toList())
+        + "]\n";
+  }
+
+  void start() throws IOException {
+    startAll(controls);
+    startAll(entries);
+  }
+
+  /** Starts those that don't run, unless all is over. */
+  synchronized void startAll(List<RelayProcess> processes) throws IOException {
+    for (RelayProcess process : processes) {
+      if (!closed && !process.runs()) {
+        process.start();
+      }
+    }
+  }
+
+  List<RelayProcess> controls() {
+    return controls;
+  }
+
+  List<RelayProcess> entries() {
+    return entries;
+  }
+
+  List<Integer> controlPorts() {
+    return controlPorts;
+  }
+
+  List<SoakUpstream> upstreams() {
+    return upstreams;
+  }
+
+  List<LoopbackProxy> callerProxies() {
+    return callerProxies;
+  }
+
+  List<LoopbackProxy> upstreamProxies() {
+    return upstreamProxies;
+  }
+
+  /** Returns whether all control VMs run, so that one disk may be lost. */
+  boolean wholeGroup() {
+    return controls.stream().allMatch(RelayProcess::runs);
+  }
+
+  /** Returns how many processes there are. */
+  int size() {
+    return IntStream.of(controls.size(), entries.size()).sum();
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    closed = true;
+    try {
+      for (RelayProcess process : controls) {
+        process.kill();
+      }
+      for (RelayProcess process : entries) {
+        process.kill();
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    for (SoakUpstream upstream : upstreams) {
+      upstream.close();
+    }
+    for (LoopbackProxy proxy : callerProxies) {
+      proxy.close();
+    }
+    for (LoopbackProxy proxy : upstreamProxies) {
+      proxy.close();
+    }
+  }
+}
--- /dev/null
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -0,0 +1,57 @@
+package org.skylarkfork.daemon.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/** Tests of the soak: a short run, and that its checks notice what they are for. */
+public final class SoakRunTest {
+
+  private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+  /** Real processes keep their promises under some faults from outside. */
+  @Test
+  public void shortSoakKeepsThePromises() throws IOException, InterruptedException {
+    SoakSettings settings =
+        new SoakSettings(Files.createTempDirectory("soak"), 1, Duration.ofSeconds(8), 3, 2, 2, 4);
+    SoakResult result = new SoakRun(settings).run();
+    assertEquals(result.findings(), List.of(), result.toString());
+    assertTrue(result.whole() > 0, result.toString());
+  }
+
+  private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
+    return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "");
+  }
+
+  private static int found(SoakAnswer answer, int ran, Duration takenAway) {
+    return new SoakChecker(
+            List.of(answer),
+            Map.of("one", new AtomicInteger(ran)),
+            List.of(new SoakOperator.Accepted(8, NOW.minus(takenAway))))
+        .findings()
+        .size();
+  }
+
+  @Test
+  public void eachCheckNoticesItsViolation() {
+    Duration none = Duration.ZERO;
+    assertEquals(found(answer(SoakAnswer.Kind.LOOKUP, "lasting", 200, true), 2, none), 0);
+    assertEquals(found(answer(SoakAnswer.Kind.LOOKUP, "lasting", 200, false), 1, none), 1);
+    assertEquals(found(answer(SoakAnswer.Kind.BOOKING, "lasting", 200, true), 2, none), 1);
+    assertEquals(found(answer(SoakAnswer.Kind.BOOKING, "lasting", 503, false), 1, none), 1);
+    assertEquals(found(answer(SoakAnswer.Kind.BOOKING, "lasting", 502, false), 1, none), 0);
+    Duration late = Duration.ofMillis(5001);
+    assertEquals(found(answer(SoakAnswer.Kind.LOOKUP, "key-7", 200, true), 1, late), 1);
+    assertEquals(found(answer(SoakAnswer.Kind.LOOKUP, "key-8", 200, true), 1, late), 0);
+    assertEquals(
+        found(answer(SoakAnswer.Kind.LOOKUP, "key-7", 200, true), 1, Duration.ofMillis(4999)), 0);
+  }
+}
