--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -123,8 +123,8 @@
    *
    * <p>Before, there is nothing to answer. After a crash of everything all callers and upstreams
    * call at once, and a control VM that answers them delays its own votes: with less than half a
-   * core the election took 0.83 s in place of 0.49. One that finds no leader in time is cut off and tells
-   * callers at least which entries it hears.
+   * core the election took 0.83 s in place of 0.49. One that finds no leader in time is cut off and
+   * tells callers at least which entries it hears.
    */
   private void takeCalls(Output output) {
     if (!takesCalls) {
