Relay: a later start under the id of an earlier one is another upstream

Cause: heartbeats were told apart by id and number only. An upstream that starts again under its id counts from 1 anew, so its heartbeats were dropped as old, and an id that had lost its address or said that it leaves never came back. Ruled out: taking a lower number for a restart, which a late heartbeat has as well.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -2,6 +2,7 @@
 
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RollOutPhase;
+import org.skylarkfork.core.relay.UpstreamRun;
 
 /** Changes to what the relay's control VMs agree on. */
 public sealed interface RelayCommand extends Command {
@@ -47,7 +48,7 @@
   /**
    * Records that an upstream leaves and gets no new work.
    *
-   * @param instance id of the upstream's run
+   * @param run the start that leaves; earlier ones are long gone
    */
-  record UpstreamLeaves(String instance) implements RelayCommand {}
+  record UpstreamLeaves(UpstreamRun run) implements RelayCommand {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.relay.UpstreamRun;
 
 /**
  * The state that the relay's control VMs agree on.
@@ -10,13 +11,13 @@
  * @param configuration newest configuration
  * @param document the operator's text of it
  * @param rollOuts newest roll-out of each service
- * @param leaving ids of upstreams that leave, oldest first
+ * @param leaving upstreams that leave, oldest first
  */
 public record RelayState(
     RelayConfiguration configuration,
     byte[] document,
     List<ServiceRollOut> rollOuts,
-    List<String> leaving)
+    List<UpstreamRun> leaving)
     implements GroupState {
 
   /** Copies the lists. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -6,6 +6,7 @@
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.VersionCounts;
 
@@ -83,9 +84,9 @@
    * Agreed state beside the configuration.
    *
    * @param rollOuts newest roll-out of each service
-   * @param leaving ids of upstreams that leave
+   * @param leaving upstreams that leave
    */
-  record SharedState(List<ServiceRollOut> rollOuts, List<String> leaving) {
+  record SharedState(List<ServiceRollOut> rollOuts, List<UpstreamRun> leaving) {
 
     /** Copies the lists. */
     public SharedState {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -176,7 +176,7 @@
     }
     stateIndex = committed.index();
     if (command instanceof RelayCommand.UpstreamLeaves leaves) {
-      upstreams.leaves(leaves.instance());
+      upstreams.leaves(leaves.run());
     }
     // A restart replays the log, as fast as it can; only what is new is told.
     if (Duration.between(committed.stampedAt(), now).compareTo(REPLAYED) < 0) {
@@ -223,18 +223,42 @@
   }
 
   private void onHeartbeat(UpstreamInstance instance, Instant now, Output output) {
+    if (isUnknown(instance.service())) {
+      log(output, "heartbeat_ignored", "id=" + instance.id() + " service=" + instance.service());
+      return;
+    }
     heard(instance, now, output);
     if (leader != null && !leads()) {
       send(leader, new RelayMessage.UpstreamHeard(instance), output);
     }
   }
 
+  /**
+   * Returns whether a service is none of the configuration's.
+   *
+   * <p>A heartbeat of such a one is another writer's. Believed, it could take the address of an
+   * upstream that serves. A real one whose service is added just now comes again with its next.
+   */
+  private boolean isUnknown(String service) {
+    RelayConfiguration known = machine.configuration();
+    return known.version() > 0
+        && known.services().stream().noneMatch(one -> one.name().equals(service));
+  }
+
   private void heard(UpstreamInstance instance, Instant now, Output output) {
     long before = upstreams.sequence();
-    upstreams.heard(instance, machine.isLeaving(instance.id()), now);
+    upstreams.heard(instance, machine.isLeaving(instance.run()), now);
     if (upstreams.sequence() != before) {
       news = true;
-      log(output, "upstream_heard", "id=" + instance.id() + " address=" + instance.address());
+      log(
+          output,
+          "upstream_heard",
+          "id="
+              + instance.id()
+              + " born_ms="
+              + instance.bornMillis()
+              + " address="
+              + instance.address());
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -45,7 +45,7 @@
   private boolean wasProven;
   private long stateIndex;
   private List<ServiceRollOut> rollOuts = List.of();
-  private Set<String> leaving = Set.of();
+  private final Map<String, UpstreamRun> leaving = new HashMap<>();
   private long directoryEpoch;
   private long directorySequence;
   private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
@@ -244,17 +244,19 @@
     }
     stateIndex = update.stateIndex();
     rollOuts = shared.rollOuts();
-    leaving = new HashSet<>(shared.leaving());
+    leaving.clear();
+    shared.leaving().forEach(run -> leaving.put(run.id(), run));
     for (ServiceRollOut rollOut : rollOuts) {
       if (rollOut.phase() == RollOutPhase.SUCCEEDED) {
         usualVersions.put(rollOut.service(), rollOut.target());
       }
     }
-    for (String id : leaving) {
-      UpstreamTrack track = byId.get(id);
-      if (track != null && track.condition() != UpstreamCondition.LEAVING) {
+    for (UpstreamRun run : leaving.values()) {
+      UpstreamTrack track = byId.get(run.id());
+      boolean meant = track != null && run.covers(track.instance().run());
+      if (meant && track.condition() != UpstreamCondition.LEAVING) {
         track.leaves();
-        log(false, "event=upstream_leaves id=" + id + " index=" + stateIndex, output);
+        log(false, "event=upstream_leaves id=" + run.id() + " index=" + stateIndex, output);
       }
     }
   }
@@ -282,25 +284,38 @@
   }
 
   private void takeUpstream(UpstreamStatus status, Output output) {
-    String id = status.instance().id();
-    UpstreamTrack known = byId.get(id);
-    if (known == null) {
-      UpstreamTrack track = new UpstreamTrack(status);
-      if (leaving.contains(id)) {
-        track.leaves();
-      }
-      byId.put(id, track);
-      byService
-          .computeIfAbsent(status.instance().service(), service -> new ArrayList<>())
-          .add(track);
-      usualVersions.putIfAbsent(status.instance().service(), status.instance().version());
-      log(false, "event=upstream_taken " + facts(status), output);
-    } else if (known.condition() != status.condition()
-        || known.instance().sequence() < status.instance().sequence()) {
+    UpstreamInstance instance = status.instance();
+    UpstreamTrack known = byId.get(instance.id());
+    if (known == null || instance.bornMillis() > known.instance().bornMillis()) {
+      takeRun(status, known, output);
+    } else if (instance.bornMillis() == known.instance().bornMillis()
+        && (known.condition() != status.condition() || instance.follows(known.instance()))) {
       known.told(status);
     }
   }
 
+  /**
+   * Takes a start of an upstream that is not known yet; what was learned of the one before goes.
+   *
+   * <p>Kept, its failures would turn work away from a sound process, and prompts would be sent to
+   * where they were kept before.
+   */
+  private void takeRun(UpstreamStatus status, @Nullable UpstreamTrack before, Output output) {
+    UpstreamInstance instance = status.instance();
+    if (before != null) {
+      byService.getOrDefault(before.instance().service(), List.of()).remove(before);
+    }
+    UpstreamTrack track = new UpstreamTrack(status);
+    UpstreamRun left = leaving.get(instance.id());
+    if (left != null && left.covers(instance.run())) {
+      track.leaves();
+    }
+    byId.put(instance.id(), track);
+    byService.computeIfAbsent(instance.service(), service -> new ArrayList<>()).add(track);
+    usualVersions.putIfAbsent(instance.service(), instance.version());
+    log(false, "event=upstream_taken " + facts(status), output);
+  }
+
   private void forgetOthers(List<UpstreamStatus> all) {
     Set<String> ids = new HashSet<>();
     all.forEach(status -> ids.add(status.instance().id()));
@@ -314,6 +329,8 @@
     UpstreamInstance instance = status.instance();
     return "id="
         + instance.id()
+        + " born_ms="
+        + instance.bornMillis()
         + " service="
         + instance.service()
         + " address="
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -2,10 +2,8 @@
 
 import java.time.Instant;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.Command;
 import org.skylarkfork.core.command.CommandResult;
@@ -29,7 +27,7 @@
   private RelayConfiguration configuration = RelayConfiguration.NONE;
   private byte[] document = NO_DOCUMENT;
   private final Map<String, ServiceRollOut> rollOuts = new LinkedHashMap<>();
-  private final Set<String> leaving = new LinkedHashSet<>();
+  private final Map<String, UpstreamRun> leaving = new LinkedHashMap<>();
 
   /** Returns the newest configuration. */
   public RelayConfiguration configuration() {
@@ -41,14 +39,15 @@
     return List.copyOf(rollOuts.values());
   }
 
-  /** Returns the ids of upstreams that leave, oldest first. */
-  public List<String> leaving() {
-    return List.copyOf(leaving);
+  /** Returns the upstreams that leave, oldest first. */
+  public List<UpstreamRun> leaving() {
+    return List.copyOf(leaving.values());
   }
 
-  /** Returns whether an upstream said that it leaves. */
-  public boolean isLeaving(String instance) {
-    return leaving.contains(instance);
+  /** Returns whether a start of an upstream said that it leaves. */
+  public boolean isLeaving(UpstreamRun run) {
+    UpstreamRun left = leaving.get(run.id());
+    return left != null && left.covers(run);
   }
 
   @Override
@@ -64,7 +63,7 @@
     } else if (command instanceof RelayCommand.ReadRollOut read) {
       return new RelayResult.RollOutRead(rollOuts.get(read.service()));
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
-      return leave(leaves.instance());
+      return leave(leaves.run());
     }
     return new CommandResult.Rejected("submit this command to the group of its family");
   }
@@ -102,11 +101,11 @@
     return new CommandResult.Done();
   }
 
-  private CommandResult leave(String instance) {
-    leaving.remove(instance);
-    leaving.add(instance);
+  private CommandResult leave(UpstreamRun run) {
+    UpstreamRun known = leaving.remove(run.id());
+    leaving.put(run.id(), known != null && known.covers(run) ? known : run);
     if (leaving.size() > MAX_LEAVING) {
-      leaving.remove(leaving.iterator().next());
+      leaving.remove(leaving.keySet().iterator().next());
     }
     return new CommandResult.Done();
   }
@@ -126,7 +125,7 @@
       configuration = saved.configuration();
       document = saved.document();
       saved.rollOuts().forEach(rollOut -> rollOuts.put(rollOut.service(), rollOut));
-      leaving.addAll(saved.leaving());
+      saved.leaving().forEach(run -> leaving.put(run.id(), run));
     }
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamInstance.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamInstance.java
@@ -1,15 +1,16 @@
 package org.skylarkfork.core.relay;
 
 /**
- * One run of an upstream's process.
+ * One run of an upstream's process, as its newest heartbeat told it.
  *
- * @param id number of the run, new at each start
+ * @param id id of the upstream; it may start again under the same one
  * @param service service that it belongs to
  * @param address IP number and port
  * @param zone its availability zone
  * @param version version of its software
  * @param slots requests that it runs at once; 0 if it doesn't say
- * @param sequence number of the heartbeat that told this, rising with each
+ * @param sequence number of the heartbeat that told this, rising with each of a start
+ * @param bornMillis when the process started, in milliseconds since 1970; 0 if it doesn't say
  */
 public record UpstreamInstance(
     String id,
@@ -18,4 +19,18 @@
     String zone,
     String version,
     int slots,
-    long sequence) {}
+    long sequence,
+    long bornMillis) {
+
+  /** Returns which start of the upstream this is. */
+  public UpstreamRun run() {
+    return new UpstreamRun(id, bornMillis);
+  }
+
+  /** Returns whether this was told later than another state of the same id. */
+  public boolean follows(UpstreamInstance other) {
+    return bornMillis == other.bornMillis
+        ? sequence > other.sequence
+        : bornMillis > other.bornMillis;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 
@@ -21,7 +19,7 @@
   private final RelayTimes times;
   private final Map<String, Entry> byId = new LinkedHashMap<>();
   private final Map<String, String> idByAddress = new HashMap<>();
-  private final Set<String> superseded = new HashSet<>();
+  private final Map<String, UpstreamRun> superseded = new HashMap<>();
   private long sequence;
 
   UpstreamRegistry(RelayTimes times) {
@@ -33,21 +31,26 @@
    *
    * <p>A heartbeat that was held up can come after its sender has crashed and another upstream has
    * taken the address. Believed, it would send that upstream's address the work of another service,
-   * so an id that lost its address never gets it back.
+   * so a start that lost its address never gets it back. A later start of the same id may: it is
+   * another process, of which nothing that was known of the earlier one holds.
    */
   void heard(UpstreamInstance instance, boolean leaving, Instant now) {
-    if (superseded.contains(instance.id())) {
+    if (isSuperseded(instance.run())) {
       return;
     }
     Entry known = byId.get(instance.id());
-    if (known != null && known.instance().sequence() >= instance.sequence()) {
+    if (known != null && !instance.follows(known.instance())) {
       return;
     }
-    supersede(instance);
-    boolean leaves = leaving || known != null && known.condition == UpstreamCondition.LEAVING;
-    UpstreamCondition condition = leaves ? UpstreamCondition.LEAVING : UpstreamCondition.READY;
+    if (!takeAddress(instance, known)) {
+      return;
+    }
+    boolean sameRun = known != null && known.instance().run().equals(instance.run());
+    boolean left = sameRun && known.condition == UpstreamCondition.LEAVING;
+    UpstreamCondition condition =
+        leaving || left ? UpstreamCondition.LEAVING : UpstreamCondition.READY;
     Entry entry = known == null ? new Entry() : known;
-    if (known == null || known.condition != condition) {
+    if (!sameRun || known.condition != condition) {
       entry.changedAt = ++sequence;
     }
     entry.instance = instance;
@@ -56,21 +59,41 @@
     byId.put(instance.id(), entry);
   }
 
-  private void supersede(UpstreamInstance instance) {
-    String older = idByAddress.put(instance.address(), instance.id());
-    if (older == null || older.equals(instance.id())) {
-      return;
+  private boolean isSuperseded(UpstreamRun run) {
+    UpstreamRun gone = superseded.get(run.id());
+    return gone != null && gone.covers(run);
+  }
+
+  /** Gives an address to its newest holder; returns whether that is the one that was heard. */
+  private boolean takeAddress(UpstreamInstance instance, @Nullable Entry known) {
+    String holder = idByAddress.get(instance.address());
+    Entry held = holder == null || holder.equals(instance.id()) ? null : byId.get(holder);
+    if (held != null && held.isYoungerThan(instance)) {
+      supersede(instance.run());
+      return false;
+    }
+    if (held != null) {
+      supersede(held.instance().run());
+      leaves(held.instance().run());
     }
+    if (known != null) {
+      idByAddress.remove(known.instance().address(), instance.id());
+    }
+    idByAddress.put(instance.address(), instance.id());
+    return true;
+  }
+
+  private void supersede(UpstreamRun run) {
     if (superseded.size() < MAX_SUPERSEDED) {
-      superseded.add(older);
+      superseded.put(run.id(), run);
     }
-    leaves(older);
   }
 
-  /** Takes note that an upstream gets no new work any more. */
-  void leaves(String id) {
-    Entry entry = byId.get(id);
-    if (entry != null && entry.condition != UpstreamCondition.LEAVING) {
+  /** Takes note that a start of an upstream, and each one before it, gets no new work any more. */
+  void leaves(UpstreamRun run) {
+    Entry entry = byId.get(run.id());
+    boolean meant = entry != null && run.covers(entry.instance().run());
+    if (meant && entry.condition != UpstreamCondition.LEAVING) {
       entry.condition = UpstreamCondition.LEAVING;
       entry.changedAt = ++sequence;
     }
@@ -126,6 +149,10 @@
     private UpstreamCondition condition = UpstreamCondition.READY;
     private long changedAt;
 
+    private boolean isYoungerThan(UpstreamInstance other) {
+      return instance().bornMillis() > other.bornMillis();
+    }
+
     private UpstreamInstance instance() {
       if (instance == null) {
         throw new IllegalStateException("an entry is kept only once it was heard");
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -132,7 +132,7 @@
   }
 
   static UpstreamInstance instance(String id, String version) {
-    return new UpstreamInstance(id, "service", "10.0.0.1:80", "a", version, 6, 1);
+    return new UpstreamInstance(id, "service", "10.0.0.1:80", "a", version, 6, 1, 0);
   }
 
   /** What the entry believes, set by hand. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -74,15 +75,29 @@
     assertEquals(machine.rollOuts().get(0).target(), "v3");
   }
 
+  /**
+   * A server that started again under its id would get no work, although it serves: its earlier
+   * start had said that it leaves.
+   */
+  @Test
+  public void laterStartIsNotLeaving() {
+    apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 1000)));
+    assertTrue(machine.isLeaving(new UpstreamRun("up-1", 999)));
+    assertFalse(machine.isLeaving(new UpstreamRun("up-1", 1001)));
+    apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 2000)));
+    apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 1000)));
+    assertTrue(machine.isLeaving(new UpstreamRun("up-1", 2000)), "said first, heard again late");
+  }
+
   @Test
   public void snapshotHoldsEverything() {
     apply(put(3, "three"));
     apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
-    apply(new RelayCommand.UpstreamLeaves("up-1"));
+    apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 0)));
     RelayMachine other = new RelayMachine();
     other.restore(machine.snapshot());
     assertEquals(other.configuration(), machine.configuration());
     assertEquals(other.rollOuts(), machine.rollOuts());
-    assertTrue(other.isLeaving("up-1"));
+    assertTrue(other.isLeaving(new UpstreamRun("up-1", 0)));
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
@@ -20,7 +20,12 @@
   }
 
   private static UpstreamInstance beat(String id, String service, long sequence) {
-    return new UpstreamInstance(id, service, "10.0.0.1:80", "a", "v1", 1, sequence);
+    return new UpstreamInstance(id, service, "10.0.0.1:80", "a", "v1", 1, sequence, 0);
+  }
+
+  private static UpstreamInstance started(
+      String id, String address, long sequence, long bornMillis) {
+    return new UpstreamInstance(id, "one", address, "a", "v1", 1, sequence, bornMillis);
   }
 
   private String conditions() {
@@ -43,10 +48,61 @@
     assertEquals(conditions(), "old=LEAVING new=READY");
   }
 
+  /**
+   * Callers would get nothing from an upstream that has come back. It crashed, started again under
+   * its id and counts its heartbeats anew, so that their numbers are below the last one known.
+   */
+  @Test
+  public void laterStartUnderTheSameIdIsHeardAndLeavesAnew() {
+    registry.heard(started("up", "10.0.0.1:80", 40, 1000), false, RelayFixture.START);
+    registry.leaves(new UpstreamRun("up", 1000));
+    registry.heard(started("up", "10.0.0.1:80", 1, 2000), false, RelayFixture.START);
+    assertEquals(conditions(), "up=READY");
+    registry.leaves(new UpstreamRun("up", 1000));
+    assertEquals(conditions(), "up=READY", "it was said of the earlier start");
+    registry.leaves(new UpstreamRun("up", 2000));
+    assertEquals(conditions(), "up=LEAVING");
+  }
+
+  /**
+   * A late heartbeat of the start before must not take the place of the one that serves: it has the
+   * higher number, and the address that the upstream had then may be another's by now.
+   */
+  @Test
+  public void lateHeartbeatOfAnEarlierStartChangesNothing() {
+    registry.heard(started("up", "10.0.0.2:80", 1, 2000), false, RelayFixture.START);
+    long before = registry.sequence();
+    registry.heard(started("up", "10.0.0.1:80", 41, 1000), true, RelayFixture.START);
+    assertEquals(registry.sequence(), before);
+    assertEquals(registry.all().get(0).instance().address(), "10.0.0.2:80");
+  }
+
+  /**
+   * A new leader hears the present holder of an address first and the dead one's held-up heartbeat
+   * after it. Callers of the present one must still reach it; only the starts tell the two apart.
+   */
+  @Test
+  public void addressStaysWithItsYoungestHolder() {
+    registry.heard(started("new", "10.0.0.1:80", 1, 2000), false, RelayFixture.START);
+    registry.heard(started("old", "10.0.0.1:80", 9, 1000), false, RelayFixture.START);
+    assertEquals(conditions(), "new=READY");
+    registry.heard(started("old", "10.0.0.3:80", 1, 3000), false, RelayFixture.START);
+    assertEquals(conditions(), "new=READY old=READY", "started again elsewhere");
+  }
+
+  @Test
+  public void heartbeatWithoutStartDoesNotReplaceOneThatSaysIt() {
+    registry.heard(started("up", "10.0.0.1:80", 1, 2000), false, RelayFixture.START);
+    registry.heard(started("up", "10.0.0.9:80", 50, 0), false, RelayFixture.START);
+    registry.heard(started("other", "10.0.0.1:80", 50, 0), false, RelayFixture.START);
+    assertEquals(registry.all().size(), 1);
+    assertEquals(registry.all().get(0).instance().address(), "10.0.0.1:80");
+  }
+
   @Test
   public void lateHeartbeatDoesNotUndoLeaving() {
     registry.heard(beat("up", "one", 4), false, RelayFixture.START);
-    registry.leaves("up");
+    registry.leaves(new UpstreamRun("up", 0));
     registry.heard(beat("up", "one", 5), false, RelayFixture.START);
     assertEquals(conditions(), "up=LEAVING");
   }
@@ -67,7 +123,7 @@
     registry.heard(beat("up", "one", 1), false, RelayFixture.START);
     long known = registry.sequence();
     assertEquals(registry.changes(7, true, 7, known).upstreams(), List.of());
-    registry.leaves("up");
+    registry.leaves(new UpstreamRun("up", 0));
     assertEquals(registry.changes(7, true, 7, known).upstreams().size(), 1);
     assertEquals(registry.changes(8, true, 7, known).whole(), true);
   }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
@@ -114,7 +114,7 @@
             List.of(new RelayTeam("quickstart", List.of(ExampleConfiguration.TEAM_KEY), null)),
             RelayLimits.DEFAULT);
     UpstreamInstance instance =
-        new UpstreamInstance("service-1", "register", upstream, ZONE, "1", 4, 1);
+        new UpstreamInstance("service-1", "register", upstream, ZONE, "1", 4, 1, 0);
     Instant until = Instant.now().plus(limit);
     return put("configuration", codec.toJson(configuration), until)
         && put("upstreams/service-1", codec.toJson(instance), until)
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
@@ -104,7 +104,7 @@
   /** Announces an upstream at the first control VM that takes it. */
   void announce(String id, int port, long sequence) throws InterruptedException {
     UpstreamInstance instance =
-        new UpstreamInstance(id, SERVICE, "127.0.0.1:" + port, "a", "1", 50, sequence);
+        new UpstreamInstance(id, SERVICE, "127.0.0.1:" + port, "a", "1", 50, sequence, 0);
     for (int control = 0; control < ports.size(); control++) {
       int turn = (int) ((control + sequence) % ports.size());
       if (call("PUT", turn, "upstreams/" + id, codec.toJson(instance)) != null) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -7,6 +7,7 @@
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
 /** The commands of the relay's group and what they give. */
@@ -96,7 +97,7 @@
     } else if (command instanceof RelayCommand.ReadRollOut read) {
       out.tagged(READ_ROLL_OUT, 1).text(read.service());
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
-      out.tagged(UPSTREAM_LEAVES, 1).text(leaves.instance());
+      out.tagged(UPSTREAM_LEAVES, 2).text(leaves.run().id()).number(leaves.run().bornMillis());
     }
   }
 
@@ -144,7 +145,9 @@
         return new RelayCommand.ReadRollOut(in.text());
       case UPSTREAM_LEAVES:
         components.take(1);
-        return new RelayCommand.UpstreamLeaves(in.text());
+        String id = in.text();
+        return new RelayCommand.UpstreamLeaves(
+            components.next() ? new UpstreamRun(id, in.number()) : UpstreamRun.everyStartOf(id));
       default:
         throw PackedReader.unknown("command", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/PackedReader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/PackedReader.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
@@ -67,6 +68,23 @@
     return value;
   }
 
+  /**
+   * Reads a record that has got components over time.
+   *
+   * @param first components that each version of it has
+   * @param body reads these in order, then what {@link Components#next} says is there
+   */
+  public <T> T grownRecord(int first, BiFunction<PackedReader, Components, T> body) {
+    int present = read(unpacker::unpackArrayHeader);
+    if (present < first) {
+      throw malformed(present + " components in place of " + first, null);
+    }
+    Components components = new Components(present - first);
+    T value = body.apply(this, components);
+    skip(components.left);
+    return value;
+  }
+
   /** Reads a record of a sealed family; the body gets its tag. */
   public <T> T tagged(TaggedBody<T> body) {
     int present = read(unpacker::unpackArrayHeader) - 1;
@@ -103,6 +121,13 @@
       this.left = left;
     }
 
+    /** Returns whether one more component is there, which is to be read next then. */
+    public boolean next() {
+      boolean there = left > 0;
+      left -= there ? 1 : 0;
+      return there;
+    }
+
     /** Takes note that some components are read next. */
     public void take(int count) {
       left -= count;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -103,16 +103,15 @@
   }
 
   private static void writeShared(SharedState shared, PackedWriter out) {
-    out.record(2)
-        .list(shared.rollOuts(), RelayValues::writeRollOut)
-        .list(shared.leaving(), (id, to) -> to.text(id));
+    out.record(3).list(shared.rollOuts(), RelayValues::writeRollOut);
+    RelayValues.writeRuns(shared.leaving(), out);
   }
 
   private static SharedState readShared(PackedReader in) {
-    return in.record(
+    return in.grownRecord(
         2,
-        from ->
-            new SharedState(from.list(RelayValues::readRollOut), from.list(PackedReader::text)));
+        (from, more) ->
+            new SharedState(from.list(RelayValues::readRollOut), RelayValues.readRuns(from, more)));
   }
 
   private static void writeDirectory(DirectoryChanges changes, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -1,5 +1,7 @@
 package org.skylarkfork.runtime.packed;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.EngineProfile;
 import org.skylarkfork.core.relay.ModelPrice;
@@ -13,6 +15,7 @@
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamCondition;
 import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.VersionCounts;
 import org.skylarkfork.core.relay.WeightedService;
@@ -23,6 +26,9 @@
 
   private static final int ROUTE_COMPONENTS = 14;
 
+  /** Components of an instance in each version; its start came later. */
+  private static final int INSTANCE_COMPONENTS = 7;
+
   /**
    * The configuration that was written or read last.
    *
@@ -230,20 +236,21 @@
   }
 
   static void writeInstance(UpstreamInstance instance, PackedWriter out) {
-    out.record(7)
+    out.record(INSTANCE_COMPONENTS + 1)
         .text(instance.id())
         .text(instance.service())
         .text(instance.address())
         .text(instance.zone())
         .text(instance.version())
         .number(instance.slots())
-        .number(instance.sequence());
+        .number(instance.sequence())
+        .number(instance.bornMillis());
   }
 
   static UpstreamInstance readInstance(PackedReader in) {
-    return in.record(
-        7,
-        from ->
+    return in.grownRecord(
+        INSTANCE_COMPONENTS,
+        (from, more) ->
             new UpstreamInstance(
                 from.text(),
                 from.text(),
@@ -251,7 +258,28 @@
                 from.text(),
                 from.text(),
                 from.smallNumber(),
-                from.number()));
+                from.number(),
+                more.next() ? from.number() : 0));
+  }
+
+  /** Writes the ids, as versions without starts read them, and then the starts. */
+  static void writeRuns(List<UpstreamRun> runs, PackedWriter out) {
+    out.list(runs, (run, to) -> to.text(run.id()));
+    out.list(runs, (run, to) -> to.number(run.bornMillis()));
+  }
+
+  static List<UpstreamRun> readRuns(PackedReader in, PackedReader.Components more) {
+    List<String> ids = in.list(PackedReader::text);
+    List<Long> starts = more.next() ? in.list(PackedReader::number) : List.of();
+    List<UpstreamRun> runs = new ArrayList<>();
+    for (int place = 0; place < ids.size(); place++) {
+      String id = ids.get(place);
+      runs.add(
+          place < starts.size()
+              ? new UpstreamRun(id, starts.get(place))
+              : UpstreamRun.everyStartOf(id));
+    }
+    return runs;
   }
 
   static void writeStatus(UpstreamStatus status, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
@@ -41,10 +41,9 @@
     if (state instanceof GroupState.Empty) {
       out.tagged(EMPTY, 0);
     } else if (state instanceof RelayState relay) {
-      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 4));
-      out.bytes(relay.document())
-          .list(relay.rollOuts(), RelayValues::writeRollOut)
-          .list(relay.leaving(), (id, to) -> to.text(id));
+      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 5));
+      out.bytes(relay.document()).list(relay.rollOuts(), RelayValues::writeRollOut);
+      RelayValues.writeRuns(relay.leaving(), out);
     } else {
       throw new CodecException(
           CodecException.Kind.UNSUPPORTED, state.getClass() + " is none of the relay's", null);
@@ -66,7 +65,7 @@
             RelayValues.readConfiguration(in),
             in.bytes(),
             in.list(RelayValues::readRollOut),
-            in.list(PackedReader::text));
+            RelayValues.readRuns(in, components));
       default:
         throw PackedReader.unknown("state", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -5,6 +5,7 @@
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 
 /** What a control VM does for operators, upstreams and callers; called on its one thread. */
 public interface ControlCalls {
@@ -17,6 +18,13 @@
    */
   CompletableFuture<CommandResult> ask(RelayCommand command);
 
+  /**
+   * Returns what stands for all starts of an upstream until now.
+   *
+   * <p>For an upstream that says that it leaves without saying which start of it does.
+   */
+  UpstreamRun startsUntilNow(String id);
+
   /** Takes note of an upstream's heartbeat. */
   void heartbeat(UpstreamInstance instance);
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.RelayControlPart;
 import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 
 /** Calls to a control VM that wait for an answer of the reducer; one thread only. */
@@ -50,6 +51,11 @@
     }
   }
 
+  @Override
+  public UpstreamRun startsUntilNow(String id) {
+    return new UpstreamRun(id, loop.now().toEpochMilli());
+  }
+
   @Override
   public void heartbeat(UpstreamInstance instance) {
     loop.submit(new RelayEvent.HeartbeatReceived(instance));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -62,7 +62,8 @@
         case "PUT configuration" -> put(call, control);
         case "GET configuration" -> read(control);
         case "PUT upstreams" -> heartbeat(last, call, control);
-        case "DELETE upstreams" -> ask(control, new RelayCommand.UpstreamLeaves(last));
+        case "DELETE upstreams" ->
+            ask(control, new RelayCommand.UpstreamLeaves(control.startsUntilNow(last)));
         case "GET entries" ->
             done(json(new Entries(control.callerAddresses(call.parameter("zone")))));
         case "PUT roll-outs" -> begin(last, call, control);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/PackedCodecTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/PackedCodecTest.java
@@ -13,10 +13,13 @@
 import org.skylarkfork.core.command.Command;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.command.LedgerCommand;
+import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.Snapshot;
 import org.skylarkfork.core.message.PeerMessage;
 import org.skylarkfork.core.message.RaftMessage;
 import org.skylarkfork.core.message.RelayMessage;
+import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 import org.testng.annotations.Test;
 
@@ -115,6 +118,26 @@
         new RaftMessage.JoinRequest(GroupId.RELAY, 7));
   }
 
+  /**
+   * A control VM of this version starts on the disk of one that kept no starts of upstreams. What
+   * it stored of an upstream that leaves holds for each start, as it was meant.
+   */
+  @Test
+  public void recordsWithoutStartsAreRead() {
+    PackedWriter command = new PackedWriter();
+    command.tagged(21, 1).text("up-1");
+    assertEquals(
+        codec.fromBytes(command.toBytes(), Command.class),
+        new RelayCommand.UpstreamLeaves(UpstreamRun.everyStartOf("up-1")));
+    PackedWriter heard = new PackedWriter();
+    heard.tagged(34, 1).record(7).text("up-1").text("s").text("10.0.0.1:80").text("a").text("v1");
+    heard.number(6).number(4);
+    assertEquals(
+        codec.fromBytes(heard.toBytes(), PeerMessage.class),
+        new RelayMessage.UpstreamHeard(
+            new UpstreamInstance("up-1", "s", "10.0.0.1:80", "a", "v1", 6, 4, 0)));
+  }
+
   @Test
   public void foreignRecordsAreUnsupported() {
     CodecException unsupported =
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
@@ -145,7 +145,8 @@
       String id = "up-" + upstreams.size();
       awaitControl(
           "upstreams/" + id,
-          codec.toJson(new UpstreamInstance(id, "service", upstream.address(), "a", "v1", 4, 1)));
+          codec.toJson(
+              new UpstreamInstance(id, "service", upstream.address(), "a", "v1", 4, 1, 0)));
     }
   }
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
@@ -81,7 +81,7 @@
     for (int engine = 0; engine < engines; engine++) {
       String zone = List.of("a", "b", "c").get(engine % 3);
       UpstreamInstance instance =
-          new UpstreamInstance("i-" + engine, "s", "127.0.1.1:" + engine, zone, "v1", 64, 1);
+          new UpstreamInstance("i-" + engine, "s", "127.0.1.1:" + engine, zone, "v1", 64, 1, 0);
       known.add(new UpstreamStatus(instance, UpstreamCondition.READY));
     }
     return new RelayMessage.EntryUpdate(
