--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
@@ -85,8 +85,7 @@
           case "UNKNOWN_KEY" -> "no team held its key in the configuration named in the line";
           case "NO_ROUTE" -> "no route matched in the configuration named in the line";
           case "NOT_SERVING" ->
-              "the entry had no proof that its configuration was the newest (see proof_age_ms), or"
-                  + " knew no upstream yet after its start";
+              "the entry had no proof that its configuration was the newest (see proof_age_ms)";
           case "STOPPING" -> "the entry was stopping and could not have ended it in time";
           case "NO_UPSTREAM" -> "no upstream took it: " + told(trouble);
           case "OVERLOADED" -> "what was ahead of it would have taken longer than its caller waits";
