--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -90,19 +90,111 @@
    * @param version changes with the content
    * @param callerAddresses where callers may connect, entries of its zone first
    * @param peers peer names of the entries that it tells of its load
+   * @param schedulers peer names of the entries that place prompts, each for the group of engines
+   *     whose number is its place here; empty if each entry places its own
    */
-  record Neighbourhood(long version, List<String> callerAddresses, List<String> peers) {
+  record Neighbourhood(
+      long version, List<String> callerAddresses, List<String> peers, List<String> schedulers) {
 
     /** Before anything was told. */
-    public static final Neighbourhood NONE = new Neighbourhood(0, List.of(), List.of());
+    public static final Neighbourhood NONE = new Neighbourhood(0, List.of(), List.of(), List.of());
 
     /** Copies the lists. */
     public Neighbourhood {
       callerAddresses = List.copyOf(callerAddresses);
       peers = List.copyOf(peers);
+      schedulers = List.copyOf(schedulers);
     }
   }
 
+  /**
+   * An entry asks a scheduler for an engine.
+   *
+   * @param number number of this question, which the asking entry uses once
+   * @param group group of engines to choose from
+   * @param groups how many groups there are
+   * @param service service that the request goes to
+   * @param model model that is to answer
+   * @param zone availability zone of the asking entry
+   * @param beginnings beginnings of the prompt, the whole prompt last
+   * @param promptTokens tokens of the whole prompt
+   * @param versions versions that may get the request
+   * @param excluded ids of engines that may not
+   * @param lastsMillis time after which the request is over in any case, in milliseconds
+   */
+  record PlacementAsk(
+      long number,
+      int group,
+      int groups,
+      String service,
+      String model,
+      String zone,
+      List<PromptBeginning> beginnings,
+      int promptTokens,
+      List<String> versions,
+      List<String> excluded,
+      int lastsMillis)
+      implements RelayMessage {
+
+    /** Copies the lists. */
+    public PlacementAsk {
+      beginnings = List.copyOf(beginnings);
+      versions = List.copyOf(versions);
+      excluded = List.copyOf(excluded);
+    }
+  }
+
+  /**
+   * A beginning of a prompt.
+   *
+   * @param key key of the beginning, which names the model too
+   * @param tokens its length in tokens
+   */
+  record PromptBeginning(long key, int tokens) {}
+
+  /**
+   * A scheduler's answer. An engine that it names counts as taken until the asking entry tells of
+   * the attempt's end.
+   *
+   * @param number number of the question
+   * @param upstream id of the engine, or null if none of the group can take the request
+   * @param waitMillis time until the engine turns to it, in milliseconds
+   * @param workMillis time of the engine that its reading takes, in milliseconds
+   * @param firstByteMillis time until its first byte, in milliseconds
+   * @param newTokens tokens of its prompt that the engine has to read
+   */
+  record PlacementAnswer(
+      long number,
+      @Nullable String upstream,
+      int waitMillis,
+      int workMillis,
+      int firstByteMillis,
+      int newTokens)
+      implements RelayMessage {}
+
+  /**
+   * An entry tells a scheduler how an attempt goes on that it placed.
+   *
+   * @param number number of the question
+   * @param progress what has happened
+   * @param millis time since the sending, in milliseconds
+   */
+  record PlacementNews(long number, AttemptProgress progress, int millis) implements RelayMessage {}
+
+  /** What becomes of an attempt. */
+  enum AttemptProgress {
+    /** Its answer has begun. */
+    BEGUN,
+    /** It is over, without a fault of the engine. */
+    ENDED,
+    /** The engine failed it. */
+    FAILED,
+    /** The engine could not be reached. */
+    UNREACHABLE,
+    /** The engine was left because it kept silent. */
+    SILENT
+  }
+
   /**
    * An entry tells another one what it has under way.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/placement/PromptChain.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/placement/PromptChain.java
@@ -42,6 +42,20 @@
     return new PromptChain(keys, tokens, Math.max(sum, promptTokens));
   }
 
+  /**
+   * Makes a chain anew from its keys.
+   *
+   * @param keys keys of the beginnings in order
+   * @param tokens tokens of each
+   * @param total tokens of the whole prompt
+   */
+  public static PromptChain ofKeys(long[] keys, int[] tokens, int total) {
+    if (keys.length != tokens.length) {
+      throw new IllegalArgumentException(keys.length + " keys with " + tokens.length + " lengths");
+    }
+    return new PromptChain(keys.clone(), tokens.clone(), total);
+  }
+
   /** Returns how many beginnings there are, the whole prompt among them. */
   public int size() {
     return keys.length;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -45,6 +45,12 @@
   /** Where the newest attempt is under way, or null. */
   @Nullable Placement placement;
 
+  /** The scheduler that placed the newest attempt, or null if this entry did. */
+  @Nullable SchedulerGrant grant;
+
+  /** Number of the question to a scheduler that is open, or 0. */
+  long question;
+
   /** Reading that the newest attempt still waits for, in milliseconds of its upstream. */
   double waitingMillis;
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 
 /** Goes on after attempts that failed, were not run, or keep their callers waiting. */
 final class AttemptFailures {
@@ -51,7 +52,7 @@
     if (began.status() == WRONG_RUN) {
       track.answeredByOther();
     } else {
-      track.failed(false, now);
+      sender.failed(relay, AttemptProgress.FAILED, now, output);
     }
     relay.refusedBy.add(track.instance().id());
     trace.attemptEnded("not_run", relay, "status=" + began.status(), now, output);
@@ -70,7 +71,7 @@
       RelayEvent.AnswerBegan began,
       Instant now,
       Output output) {
-    track.failed(false, now);
+    sender.failed(relay, AttemptProgress.FAILED, now, output);
     counts.failed(track.instance());
     trace.attemptEnded("upstream_failed", relay, "status=" + began.status(), now, output);
     boolean again =
@@ -94,7 +95,8 @@
     }
     boolean unsent = failed.failure() == AttemptFailure.NOT_SENT;
     if (failed.failure() != AttemptFailure.STALE_CONNECTION) {
-      track.failed(unsent, now);
+      AttemptProgress how = unsent ? AttemptProgress.UNREACHABLE : AttemptProgress.FAILED;
+      sender.failed(relay, how, now, output);
     }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
@@ -105,7 +107,7 @@
     noteLastEvent(relay, failed.lastEventId());
     String facts = "how=" + failed.failure() + " after_event=" + relay.lastEventId;
     trace.attemptEnded("attempt_failed", relay, facts, now, output);
-    sender.release(relay);
+    sender.release(relay, output);
     if (unsent) {
       relay.refusedBy.add(track.instance().id());
       tryElsewhere(relay, now, output);
@@ -161,7 +163,8 @@
   /** Looks whether an upstream keeps a request waiting for longer than is usual. */
   void lookAtWait(ActiveRelay relay, Instant now, Output output) {
     double waited = Duration.between(relay.sentAt, now).toMillis();
-    if (!relay.passing && patience.exhausted(relay.route, relay.model, waited)) {
+    boolean waits = !relay.passing && relay.question == 0;
+    if (waits && patience.exhausted(relay.route, relay.model, waited)) {
       moveOn(relay, Double.MAX_VALUE, "silent", now, output);
     }
   }
@@ -185,7 +188,7 @@
       return;
     }
     relay.movedOn = true;
-    silent.failed(silent.silentSince(relay.sentAt), now);
+    sender.failed(relay, AttemptProgress.SILENT, now, output);
     noteWait(relay, silent, now);
     trace.attemptEnded(why, relay, "after_event=" + relay.lastEventId, now, output);
     sender.drop(relay, output);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 import org.skylarkfork.core.placement.PromptChain;
 
 /** Sends attempts to upstreams, and keeps account of what is under way there. */
@@ -22,19 +23,25 @@
   private static final double CONNECTION_SHARE = 0.8;
 
   private final RelayView view;
+  private final String zone;
   private final UpstreamPicker picker;
+  private final SchedulerClient schedulers;
   private final VersionRule versions;
   private final SentPrompts prompts;
   private final RequestTrace trace;
 
   AttemptSender(
       RelayView view,
+      String zone,
       UpstreamPicker picker,
+      SchedulerClient schedulers,
       VersionRule versions,
       SentPrompts prompts,
       RequestTrace trace) {
     this.view = view;
+    this.zone = zone;
     this.picker = picker;
+    this.schedulers = schedulers;
     this.versions = versions;
     this.prompts = prompts;
     this.trace = trace;
@@ -55,32 +62,90 @@
 
   /** Returns where an attempt with another of the route's models would go, or null. */
   @Nullable Placement placeLarger(ActiveRelay relay, int model, Instant now) {
-    return pick(relay, relay.route.models().get(model), relay.tried, now);
+    return pick(relay, relay.route.models().get(model), triedAndPresent(relay), now);
   }
 
   /** Returns where an attempt would go in place of the one that is under way, or null. */
   @Nullable Placement placeElsewhere(ActiveRelay relay, Instant now) {
+    return pick(relay, relay.modelName(), triedAndPresent(relay), now);
+  }
+
+  private static Set<String> triedAndPresent(ActiveRelay relay) {
     Set<String> excluded = new HashSet<>(relay.tried);
     UpstreamTrack present = relay.upstream();
     if (present != null) {
       excluded.add(present.instance().id());
     }
-    return pick(relay, relay.modelName(), excluded, now);
+    return excluded;
   }
 
   private @Nullable Placement pick(
       ActiveRelay relay, @Nullable String model, Set<String> excluded, Instant now) {
+    return picker.pick(query(relay, model, excluded), now);
+  }
+
+  private PlacementQuery query(ActiveRelay relay, @Nullable String model, Set<String> excluded) {
     String version = relay.version;
     VersionRule.Allowed allowed =
         version == null ? versions.allowed(relay.service.name(), relay.request) : version::equals;
-    return picker.pick(relay.service, relay.request, model, allowed, excluded, now);
+    return new PlacementQuery(
+        relay.service,
+        model,
+        chain(relay, model),
+        zone,
+        upstream -> allowed.allows(upstream.version()) && !excluded.contains(upstream.id()));
   }
 
-  /** Sends an attempt. */
+  private static @Nullable PromptChain chain(ActiveRelay relay, @Nullable String model) {
+    if (relay.service.engine() == null || model == null) {
+      return null;
+    }
+    return PromptChain.of(model, relay.request.prompt(), relay.request.promptTokens());
+  }
+
+  /** Asks a scheduler where the next attempt goes; returns whether there was one to ask. */
+  boolean askScheduler(ActiveRelay relay, Instant now, Output output) {
+    PlacementQuery query = query(relay, relay.modelName(), relay.tried);
+    return schedulers.ask(relay, query, false, now, output);
+  }
+
+  /** Asks a scheduler where a larger model would answer; returns whether there was one to ask. */
+  boolean askSchedulerForLarger(ActiveRelay relay, int model, Instant now, Output output) {
+    PlacementQuery query = query(relay, relay.route.models().get(model), triedAndPresent(relay));
+    return schedulers.ask(relay, query, true, now, output);
+  }
+
+  /** Gives a place back that a scheduler has given and that isn't used. */
+  void giveBack(@Nullable SchedulerGrant grant, Output output) {
+    if (grant != null) {
+      schedulers.tell(grant, AttemptProgress.ENDED, 0, output);
+    }
+  }
+
+  /** Sends an attempt that this entry has placed itself. */
   void send(ActiveRelay relay, Placement placement, Instant now, Output output) {
+    send(relay, placement, null, now, output);
+  }
+
+  /**
+   * Sends an attempt.
+   *
+   * @param relay the request
+   * @param placement where it goes
+   * @param grant the scheduler that has chosen that, or null
+   * @param now the present time
+   * @param output takes what is to be done
+   */
+  void send(
+      ActiveRelay relay,
+      Placement placement,
+      @Nullable SchedulerGrant grant,
+      Instant now,
+      Output output) {
     relay.attempt++;
     relay.sent++;
     relay.placement = placement;
+    relay.grant = grant;
     relay.sentAt = now;
     relay.waitingMillis = placement.workMillis();
     UpstreamTrack track = placement.track();
@@ -115,7 +180,7 @@
   }
 
   /** Takes note of the first byte of the answer to the attempt that is under way. */
-  void answered(ActiveRelay relay, Instant now) {
+  void answered(ActiveRelay relay, Instant now, Output output) {
     Placement placement = relay.placement;
     if (placement == null) {
       return;
@@ -124,18 +189,47 @@
     relay.waitingMillis = 0;
     double millis = Duration.between(relay.sentAt, now).toMillis();
     picker.answered(relay.service, relay.modelName(), placement, millis, now);
+    if (relay.grant != null) {
+      schedulers.tell(relay.grant, AttemptProgress.BEGUN, (long) millis, output);
+    }
+  }
+
+  /**
+   * Takes note that the upstream of the attempt that is under way failed it.
+   *
+   * @param relay the request
+   * @param how what the upstream did
+   * @param now the present time
+   * @param output takes what is to be done
+   */
+  void failed(ActiveRelay relay, AttemptProgress how, Instant now, Output output) {
+    UpstreamTrack track = relay.upstream();
+    if (track == null) {
+      return;
+    }
+    boolean gone =
+        how == AttemptProgress.UNREACHABLE
+            || how == AttemptProgress.SILENT && track.silentSince(relay.sentAt);
+    track.failed(gone, now);
+    if (relay.grant != null) {
+      schedulers.tell(relay.grant, how, 0, output);
+      relay.grant = null;
+    }
   }
 
   /** Ends the attempt that is under way, if there is one, so that its upstream stops. */
   void drop(ActiveRelay relay, Output output) {
     if (relay.placement != null) {
       output.effect(new RelayEffect.DropAttempt(relay.request.number(), relay.attempt));
-      release(relay);
     }
+    release(relay, output);
   }
 
-  /** Takes note that the attempt that was under way is over. */
-  void release(ActiveRelay relay) {
+  /** Takes note that the attempt that was under way is over, and any question with it. */
+  void release(ActiveRelay relay, Output output) {
+    schedulers.forget(relay);
+    giveBack(relay.grant, output);
+    relay.grant = null;
     UpstreamTrack track = relay.upstream();
     if (track != null) {
       track.ended(relay.waitingMillis);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 
 /** Starts the next attempt of a request, or ends the request if there can be none. */
@@ -20,28 +21,59 @@
   /** Starts the first attempt of a request. */
   void first(ActiveRelay relay, Instant now, Output output) {
     budget.requested(relay.service.name(), now);
-    Placement placement = sender.place(relay, now);
-    long left = leftMillis(relay, now);
-    if (placement != null && left > 0 && placement.waitMillis() > left) {
-      // Sent nevertheless, it would take the upstream's time from requests that can be answered,
-      // and its caller would learn nothing until its deadline.
+    next(relay, now, output);
+  }
+
+  /** Goes on with a request whose scheduler has answered, or kept silent. */
+  void placed(SchedulerClient.Placed placed, Instant now, Output output) {
+    ActiveRelay relay = placed.relay();
+    Placement chosen = placed.placement();
+    Placement placement = chosen == null ? sender.place(relay, now) : chosen;
+    send(relay, placement, placed.grant(), now, output);
+  }
+
+  /** Starts an attempt that is allowed. */
+  void next(ActiveRelay relay, Instant now, Output output) {
+    boolean inTime = leftMillis(relay, now) > 0;
+    if (inTime && sender.askScheduler(relay, now, output)) {
+      return;
+    }
+    send(relay, inTime ? sender.place(relay, now) : null, null, now, output);
+  }
+
+  /** Sends an attempt if that is not in vain; else ends the request and gives the place back. */
+  private void send(
+      ActiveRelay relay,
+      @Nullable Placement placement,
+      @Nullable SchedulerGrant grant,
+      Instant now,
+      Output output) {
+    if (placement == null || leftMillis(relay, now) <= 0) {
+      sender.giveBack(grant, output);
+      untakenOrLate(relay, now, output);
+    } else if (isInVain(relay, placement, now)) {
+      sender.giveBack(grant, output);
       long drained = (long) placement.waitMillis();
       endings.giveUp(relay, Refusal.OVERLOADED, drained, now, output);
     } else {
-      next(relay, now, output);
+      sender.send(relay, placement, grant, now, output);
     }
   }
 
-  /** Starts an attempt that is allowed. */
-  void next(ActiveRelay relay, Instant now, Output output) {
+  /**
+   * Returns whether a request would wait at its upstream until its caller is gone.
+   *
+   * <p>Sent nevertheless, it would take the upstream's time from requests that can be answered, and
+   * its caller would learn nothing until its deadline.
+   */
+  private static boolean isInVain(ActiveRelay relay, Placement placement, Instant now) {
+    return relay.attempt == 0 && placement.waitMillis() > leftMillis(relay, now);
+  }
+
+  private void untakenOrLate(ActiveRelay relay, Instant now, Output output) {
     if (leftMillis(relay, now) <= 0) {
       Refusal late = relay.mayHaveRun ? Refusal.TIME_OUT : Refusal.TOO_LATE;
       endings.giveUp(relay, late, now, output);
-      return;
-    }
-    Placement placement = sender.place(relay, now);
-    if (placement != null) {
-      sender.send(relay, placement, now, output);
     } else if (relay.passing) {
       endings.breakOff(relay, now, output);
     } else {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ConfidenceCascade.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ConfidenceCascade.java
@@ -32,6 +32,11 @@
     return model < largest ? largest : -1;
   }
 
+  @Override
+  public boolean doubts(ActiveRelay relay) {
+    return relay.confidence != null && relay.confidence < KEPT;
+  }
+
   @Override
   public boolean asks(ActiveRelay relay, Placement placement, Instant now) {
     Integer confidence = relay.confidence;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EngineEstimates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EngineEstimates.java
@@ -46,22 +46,21 @@
   /** The same for the shortest prompts, in milliseconds; a step of an engine. */
   private static final double NO_WAIT_MILLIS = 20;
 
-  private final RelayView view;
+  private final UpstreamSource upstreams;
   private final Map<String, ReadingTimes> byService = new HashMap<>();
 
-  EngineEstimates(RelayView view) {
-    this.view = view;
+  EngineEstimates(UpstreamSource upstreams) {
+    this.upstreams = upstreams;
   }
 
   /** Returns what is expected of a request at each of some engines. */
   TimeEstimate of(
       RelayService service,
       EngineProfile engine,
-      RelayRequest request,
+      PromptChain chain,
       String model,
       List<UpstreamTrack> engines,
       Instant now) {
-    PromptChain chain = PromptChain.of(model, request.prompt(), request.promptTokens());
     boolean kept =
         chain.sharedSize() == 0
             || engines.stream()
@@ -116,7 +115,7 @@
     public Placement at(UpstreamTrack track) {
       int tokens = chain.total() - track.kept().keptTokens(chain, engine.memoryTokens());
       double slow = track.slowness().factor(now);
-      double unheard = Math.min(MOST_UNHEARD, 1 / view.loadShare());
+      double unheard = Math.min(MOST_UNHEARD, 1 / upstreams.loadShare());
       double wait = slow * unheard * track.waitingMillis(now);
       double work = slow * times.workMillis(model, tokens);
       double firstByte = wait + slow * times.firstByteMillis(model, tokens);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,14 +18,24 @@
   private static final int MOST_ADDRESSES = 64;
 
   /**
-   * Entries that one entry tells of its load. With 8 times 100 bytes ten times a second it stays
-   * within the 5 KB a second of a daemon's control, whatever the size; up to nine all hear all.
+   * Other entries that one entry tells of its load. With 8 times 100 bytes ten times a second it
+   * stays within the 5 KB a second of a daemon's control. Where there are more, telling some would
+   * leave each entry with a tenth of the truth: in virtual time with 75 entries, engines read 20
+   * million tokens of shared parts again in place of 6.5 million if all hear all. Schedulers place
+   * prompts then.
    */
   private static final int MOST_PEERS = 8;
 
+  /**
+   * Engines that one scheduler places prompts on at the least. Fewer engines would be loaded too
+   * unevenly, since prompts are spread over groups by their names.
+   */
+  private static final int LEAST_GROUP = 16;
+
   private final RelayTimes times;
   private boolean changed;
   private final Map<String, Known> entries = new LinkedHashMap<>();
+  private int lookUps;
 
   EntryRegistry(RelayTimes times) {
     this.times = times;
@@ -51,40 +62,89 @@
     return since;
   }
 
-  /** Returns what an entry, which must be one of {@link #nodes}, is to know of the others. */
-  Neighbourhood neighbourhood(String node) {
-    List<String> all = callerAddresses(poll(node).zone());
-    List<String> addresses = all.subList(0, Math.min(MOST_ADDRESSES, all.size()));
-    List<String> peers = peers(node);
-    long version = StableHash.of(String.join(",", addresses), String.join(",", peers)) | 1;
-    return new Neighbourhood(version, addresses, peers);
+  /**
+   * Returns what an entry is to know of the others.
+   *
+   * @param node the entry, one of {@link #nodes}
+   * @param engines how many engines prompts are placed on
+   */
+  Neighbourhood neighbourhood(String node, int engines) {
+    List<String> sorted = new ArrayList<>(new TreeSet<>(entries.keySet()));
+    int own = sorted.indexOf(node);
+    List<String> addresses = addresses(poll(node).zone(), sorted, own);
+    boolean few = sorted.size() <= MOST_PEERS + 1;
+    List<String> peers = few ? others(sorted, own) : List.of();
+    List<String> schedulers = few ? List.of() : schedulers(sorted, engines);
+    long version =
+        StableHash.of(
+                String.join(",", addresses), String.join(",", peers), String.join(",", schedulers))
+            | 1;
+    return new Neighbourhood(version, addresses, peers, schedulers);
   }
 
   /** Returns the entries that come next in the order of names, around its end. */
-  private List<String> peers(String node) {
-    List<String> sorted = new ArrayList<>(new TreeSet<>(entries.keySet()));
-    int own = sorted.indexOf(node);
+  private static List<String> others(List<String> sorted, int own) {
     List<String> next = new ArrayList<>();
-    for (int step = 1; step < sorted.size() && next.size() < MOST_PEERS; step++) {
+    for (int step = 1; step < sorted.size(); step++) {
       next.add(sorted.get((own + step) % sorted.size()));
     }
     return next;
   }
 
   /**
-   * Returns where callers may connect; entries of the zone first.
+   * Returns the entries that place prompts, one for each group of engines.
+   *
+   * <p>The number of groups is a power of two, so that it changes seldom, and each change moves
+   * half of the prompts at least. Each group has its own order of entries, of which the first
+   * serves it that has time and serves no other: if one is lost, only its group changes hands.
+   */
+  private List<String> schedulers(List<String> sorted, int engines) {
+    int most = Math.min(engines / LEAST_GROUP, sorted.size() / 2);
+    int groups = Math.max(1, Integer.highestOneBit(Math.max(1, most)));
+    List<String> free = new ArrayList<>();
+    for (String node : sorted) {
+      if (poll(node).serving() && !poll(node).busy()) {
+        free.add(node);
+      }
+    }
+    List<String> schedulers = new ArrayList<>();
+    for (int group = 0; group < groups && schedulers.size() < free.size(); group++) {
+      String number = Integer.toString(group);
+      free.stream()
+          .filter(node -> !schedulers.contains(node))
+          .max(Comparator.comparingLong(node -> StableHash.of(node, number)))
+          .ifPresent(schedulers::add);
+    }
+    return schedulers.size() == groups ? schedulers : List.of();
+  }
+
+  /**
+   * Returns where a caller may connect; entries of its zone first.
+   *
+   * <p>Where there are more entries than a caller takes, each look-up is told of others. Told of
+   * the same ones, callers would leave a third of 91 entries with a fifth of the others' load.
+   */
+  List<String> callerAddresses(String zone) {
+    List<String> sorted = new ArrayList<>(new TreeSet<>(entries.keySet()));
+    lookUps++;
+    return addresses(zone, sorted, lookUps);
+  }
+
+  /**
+   * Returns callers' addresses of the entries from a place on in the order of names.
    *
    * <p>Busy entries are left out while most are not: a few slow ones can be spared, but if all are
    * busy, leaving some out would only make the others slower.
    */
-  List<String> callerAddresses(String zone) {
-    List<EntryPoll> serving =
-        entries.values().stream().map(Known::poll).filter(EntryPoll::serving).toList();
+  private List<String> addresses(String zone, List<String> sorted, int from) {
+    List<EntryPoll> serving = sorted.stream().map(this::poll).filter(EntryPoll::serving).toList();
     List<EntryPoll> free = serving.stream().filter(poll -> !poll.busy()).toList();
-    boolean spared = free.size() * 2 >= serving.size();
+    List<EntryPoll> named = free.size() * 2 >= serving.size() ? free : serving;
+    int first = named.size() > MOST_ADDRESSES ? from : 0;
     List<String> near = new ArrayList<>();
     List<String> far = new ArrayList<>();
-    for (EntryPoll poll : spared ? free : serving) {
+    for (int step = 0; step < Math.min(MOST_ADDRESSES, named.size()); step++) {
+      EntryPoll poll = named.get((first + step) % named.size());
       (poll.zone().equals(zone) ? near : far).add(poll.callerAddress());
     }
     near.addAll(far);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
@@ -163,7 +163,7 @@
     if (early && known.neighbourhoodVersion() != 0) {
       return null;
     }
-    Neighbourhood newest = entries.neighbourhood(entry);
+    Neighbourhood newest = entries.neighbourhood(entry, upstreams.largestPool());
     return newest.version() == known.neighbourhoodVersion() ? null : newest;
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
@@ -3,10 +3,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.placement.PromptChain;
 
 /**
  * Picks the upstream with the least expected time, failures and distance weighed in.
@@ -31,68 +31,54 @@
   /** Milliseconds of wait that a certain failure is worth. */
   private static final double FAILURE_MILLIS = 500.0;
 
-  private final RelayView view;
-  private final String zone;
+  private final UpstreamSource upstreams;
   private final UniformRandomProvider random;
   private final EngineEstimates engines;
   private final CallEstimates calls;
 
-  LeastTimePicker(RelayView view, String zone, long seed) {
-    this.view = view;
-    this.zone = zone;
+  LeastTimePicker(UpstreamSource upstreams, long seed) {
+    this.upstreams = upstreams;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
-    this.engines = new EngineEstimates(view);
+    this.engines = new EngineEstimates(upstreams);
     this.calls = new CallEstimates();
   }
 
   @Override
-  public @Nullable Placement pick(
-      RelayService service,
-      RelayRequest request,
-      @Nullable String model,
-      VersionRule.Allowed allowed,
-      Set<String> excluded,
-      Instant now) {
-    List<UpstreamTrack> usable = usable(service, allowed, excluded, now);
+  public @Nullable Placement pick(PlacementQuery query, Instant now) {
+    RelayService service = query.service();
+    List<UpstreamTrack> usable = usable(query, now);
     EngineProfile engine = service.engine();
-    if (engine != null && model != null) {
-      return best(engines.of(service, engine, request, model, usable, now), usable, now);
+    PromptChain chain = query.chain();
+    if (engine != null && chain != null) {
+      String model = String.valueOf(query.model());
+      return best(engines.of(service, engine, chain, model, usable, now), query, usable, now);
     }
-    return best(track -> calls.of(service, track, now), usable, now);
+    return best(track -> calls.of(service, track, now), query, usable, now);
   }
 
-  private List<UpstreamTrack> usable(
-      RelayService service, VersionRule.Allowed allowed, Set<String> excluded, Instant now) {
-    List<UpstreamTrack> ready = candidates(service, allowed, excluded, UpstreamCondition.READY);
+  private List<UpstreamTrack> usable(PlacementQuery query, Instant now) {
+    List<UpstreamTrack> ready = candidates(query, UpstreamCondition.READY);
     List<UpstreamTrack> sound = ready.stream().filter(track -> !track.avoided(now)).toList();
     if (!sound.isEmpty()) {
       return sound;
     }
-    return ready.isEmpty()
-        ? candidates(service, allowed, excluded, UpstreamCondition.SILENT)
-        : ready;
+    return ready.isEmpty() ? candidates(query, UpstreamCondition.SILENT) : ready;
   }
 
-  private List<UpstreamTrack> candidates(
-      RelayService service,
-      VersionRule.Allowed allowed,
-      Set<String> excluded,
-      UpstreamCondition condition) {
+  private List<UpstreamTrack> candidates(PlacementQuery query, UpstreamCondition condition) {
     List<UpstreamTrack> found = new ArrayList<>();
-    for (UpstreamTrack track : view.upstreams(service.name())) {
-      boolean fits =
-          track.condition() == condition
-              && allowed.allows(track.instance().version())
-              && !excluded.contains(track.instance().id());
-      if (fits) {
+    for (UpstreamTrack track : upstreams.upstreams(query.service().name())) {
+      if (track.condition() == condition && query.fits().test(track.instance())) {
         found.add(track);
       }
     }
     return found;
   }
 
-  private @Nullable Placement best(TimeEstimate estimate, List<UpstreamTrack> usable, Instant now) {
-    double distance = distance(usable);
+  private @Nullable Placement best(
+      TimeEstimate estimate, PlacementQuery query, List<UpstreamTrack> usable, Instant now) {
+    String zone = query.zone();
+    double distance = distance(zone, usable);
     Placement best = null;
     double least = Double.MAX_VALUE;
     for (UpstreamTrack track : usable) {
@@ -108,7 +94,7 @@
     return best;
   }
 
-  private double distance(List<UpstreamTrack> usable) {
+  private static double distance(String zone, List<UpstreamTrack> usable) {
     long near = usable.stream().filter(track -> zone.equals(track.instance().zone())).count();
     return near >= LEAST_KEEPERS ? OTHER_KEEPERS_MILLIS : OTHER_ZONE_MILLIS;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ModelPolicy.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ModelPolicy.java
@@ -21,6 +21,13 @@
    */
   int larger(RelayRoute route, int model);
 
+  /**
+   * Returns whether that model would be asked if it could answer at once.
+   *
+   * @param relay the request, with the confidence of the answer that has begun
+   */
+  boolean doubts(ActiveRelay relay);
+
   /**
    * Returns whether that model is asked.
    *
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/PlacementQuery.java
@@ -0,0 +1,21 @@
+package org.skylarkfork.core.relay;
+
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.placement.PromptChain;
+
+/**
+ * A request for an upstream.
+ *
+ * @param service service that the request goes to
+ * @param model model that is to answer, or null if there is none
+ * @param chain the prompt as that model reads it, or null without a model
+ * @param zone availability zone of the entry that sends it
+ * @param fits tells the upstreams that may get it
+ */
+record PlacementQuery(
+    RelayService service,
+    @Nullable String model,
+    @Nullable PromptChain chain,
+    String zone,
+    Predicate<UpstreamInstance> fits) {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -151,6 +151,11 @@
     return neighbourhood.peers();
   }
 
+  @Override
+  public List<String> schedulers() {
+    return neighbourhood.schedulers();
+  }
+
   Collection<UpstreamTrack> tracks() {
     return byId.values();
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -8,7 +8,9 @@
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
 
 /**
  * An entry's decisions on callers' requests, from the arrival to the end.
@@ -37,6 +39,7 @@
   private final SentPrompts prompts = new SentPrompts();
   private final ActiveRelays active = new ActiveRelays();
   private final RequestIntake intake;
+  private final SchedulerClient schedulers;
   private final AttemptSender sender;
   private final AttemptStarter starter;
   private final AttemptFailures failures;
@@ -54,7 +57,8 @@
       RelayEntryPart entry, RelayRequestSettings settings, VersionLedger counts, long seed) {
     this(
         entry,
-        new LeastTimePicker(entry, settings.zone(), seed),
+        settings.zone(),
+        new LeastTimePicker(entry, seed),
         new ConfidenceCascade(),
         new VersionRule(entry, settings.canaryShare()),
         new RetryBudget(settings.retryRatio()),
@@ -65,6 +69,7 @@
 
   RelayRequestPart(
       RelayView view,
+      String zone,
       UpstreamPicker picker,
       ModelPolicy models,
       VersionRule versions,
@@ -76,7 +81,8 @@
     this.counts = counts;
     this.stopPlan = stopPlan;
     this.trace = new RequestTrace(view);
-    this.sender = new AttemptSender(view, picker, versions, prompts, trace);
+    this.schedulers = new SchedulerClient(view);
+    this.sender = new AttemptSender(view, zone, picker, schedulers, versions, prompts, trace);
     this.endings = new RequestEndings(active, sender, trace);
     this.starter = new AttemptStarter(sender, endings, budget);
     this.failures = new AttemptFailures(sender, starter, endings, counts, patience, trace);
@@ -100,6 +106,12 @@
       tick(now, output);
     } else if (event instanceof LifecycleEvent.StopRequested) {
       stopPlan.stop(now);
+    } else if (event instanceof PeerEvent.MessageReceived received
+        && received.message() instanceof PlacementAnswer answer) {
+      SchedulerClient.Placed placed = schedulers.answered(received.node(), answer, output);
+      if (placed != null) {
+        placed(placed, now, output);
+      }
     } else if (event instanceof RelayEvent.RequestArrived arrived) {
       begin(intake.arrived(arrived.request(), now, output), now, output);
     } else if (event instanceof RelayEvent.CallerLeft left) {
@@ -148,7 +160,7 @@
     relay.confidence = began.confidence();
     long millis = Duration.between(relay.sentAt, now).toMillis();
     track.answered(now);
-    sender.answered(relay, now);
+    sender.answered(relay, now, output);
     patience.waited(relay.route, relay.model, millis);
     boolean failed = began.status() >= FIRST_SERVER_ERROR;
     if (failed && failures.serverFailed(relay, track, began, now, output)) {
@@ -167,21 +179,53 @@
   /** Asks a larger model in place of the answer that has begun; returns whether it does. */
   private boolean askLarger(ActiveRelay relay, Instant now, Output output) {
     int larger = models.larger(relay.route, relay.model);
-    if (larger < 0) {
+    if (larger < 0 || !models.doubts(relay)) {
       return false;
     }
+    if (sender.askSchedulerForLarger(relay, larger, now, output)) {
+      return true;
+    }
     Placement placement = sender.placeLarger(relay, larger, now);
-    boolean wanted = placement != null && models.asks(relay, placement, now);
-    if (!wanted || !starter.mayRepeat(relay, now)) {
+    return placement != null && askLarger(relay, larger, placement, null, now, output);
+  }
+
+  /** Asks a larger model where it is placed, if that is still wanted; returns whether it is. */
+  private boolean askLarger(
+      ActiveRelay relay,
+      int larger,
+      Placement placement,
+      @Nullable SchedulerGrant grant,
+      Instant now,
+      Output output) {
+    if (!models.asks(relay, placement, now) || !starter.mayRepeat(relay, now)) {
+      sender.giveBack(grant, output);
       return false;
     }
     trace.larger(relay, larger, placement, now, output);
     sender.drop(relay, output);
     relay.model = larger;
-    starter.next(relay, now, output);
+    sender.send(relay, placement, grant, now, output);
     return true;
   }
 
+  /** Goes on with a request whose scheduler has answered, or kept silent. */
+  private void placed(SchedulerClient.Placed placed, Instant now, Output output) {
+    if (!placed.larger()) {
+      starter.placed(placed, now, output);
+      return;
+    }
+    ActiveRelay relay = placed.relay();
+    int larger = models.larger(relay.route, relay.model);
+    Placement chosen = placed.placement();
+    Placement placement = chosen == null ? sender.placeLarger(relay, larger, now) : chosen;
+    UpstreamTrack track = relay.upstream();
+    boolean asked =
+        placement != null && askLarger(relay, larger, placement, placed.grant(), now, output);
+    if (!asked && track != null) {
+      pass(relay, track, output);
+    }
+  }
+
   private static void pass(ActiveRelay relay, UpstreamTrack track, Output output) {
     if (!relay.passing) {
       relay.passing = true;
@@ -192,6 +236,7 @@
 
   private void tick(Instant now, Output output) {
     intake.released(now, output).forEach(relay -> begin(relay, now, output));
+    schedulers.overdue(now, output).forEach(placed -> placed(placed, now, output));
     for (ActiveRelay relay : active.all()) {
       if (now.isBefore(relay.deadline)) {
         failures.lookAtWait(relay, now, output);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -6,7 +6,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** What an entry believes of configuration and upstreams. */
-interface RelayView {
+interface RelayView extends UpstreamSource {
 
   /** Returns the configuration in force here. */
   RouteTable table();
@@ -23,9 +23,6 @@
   /** Returns whether all upstreams that live are known. */
   boolean settled();
 
-  /** Returns the known upstreams of a service. */
-  List<UpstreamTrack> upstreams(String service);
-
   /** Returns the newest roll-out of each service. */
   List<ServiceRollOut> rollOuts();
 
@@ -35,6 +32,6 @@
   /** Returns how many entries serve, at least 1. */
   int entries();
 
-  /** Returns the share of all entries, this one among them, of whose work this one hears. */
-  double loadShare();
+  /** Returns the entries that place prompts, by group of engines; empty if each places its own. */
+  List<String> schedulers();
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestEndings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestEndings.java
@@ -77,7 +77,7 @@
 
   /** Ends a request whose answer was passed on whole. */
   void done(ActiveRelay relay, Instant now, Output output) {
-    sender.release(relay);
+    sender.release(relay, output);
     active.remove(relay);
     output.effect(new RelayEffect.Forget(relay.request.number()));
     String facts =
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -45,12 +45,16 @@
             + placement.newTokens()
             + " failure_share="
             + Math.round(track.failureShare() * 100)
+            + " scheduler="
+            + (relay.grant == null ? "-" : relay.grant.scheduler())
             + " model="
             + relay.model
             + " team="
             + (relay.team == null ? "-" : relay.team.name())
             + " after_event="
             + relay.lastEventId;
+    String placedBy = relay.grant == null ? "entry" : "scheduler";
+    output.effect(new TraceEffect.Count("relay_placements", placedBy, 1));
     line(false, "sent", relay, facts, now, output);
   }
 
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
@@ -0,0 +1,53 @@
+package org.skylarkfork.core.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The engines as a scheduler knows them: their state from the directory, their load from what it
+ * placed itself.
+ *
+ * <p>Kept apart from what the entry knows of its own attempts: a scheduler is an entry as well, and
+ * its own requests would count twice.
+ */
+final class ScheduledEngines implements UpstreamSource {
+
+  private final RelayView view;
+  private final Map<UpstreamRun, UpstreamTrack> tracks = new HashMap<>();
+
+  ScheduledEngines(RelayView view) {
+    this.view = view;
+  }
+
+  @Override
+  public List<UpstreamTrack> upstreams(String service) {
+    List<UpstreamTrack> found = new ArrayList<>();
+    for (UpstreamTrack known : view.upstreams(service)) {
+      UpstreamStatus status = new UpstreamStatus(known.instance(), known.condition());
+      UpstreamTrack own =
+          tracks.computeIfAbsent(known.instance().run(), run -> new UpstreamTrack(status));
+      own.told(status);
+      found.add(own);
+    }
+    return found;
+  }
+
+  /** All work at a scheduler's engines goes through it, but for moments when it was silent. */
+  @Override
+  public double loadShare() {
+    return 1;
+  }
+
+  /** Forgets engines that the directory doesn't name any more. */
+  void forgetGone(Iterable<String> services) {
+    Set<UpstreamRun> present = new HashSet<>();
+    for (String service : services) {
+      view.upstreams(service).forEach(track -> present.add(track.instance().run()));
+    }
+    tracks.keySet().retainAll(present);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamPicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamPicker.java
@@ -1,7 +1,6 @@
 package org.skylarkfork.core.relay;
 
 import java.time.Instant;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Picks an upstream for an attempt, and learns from answers how long upstreams take. */
@@ -10,21 +9,11 @@
   /**
    * Picks an upstream.
    *
-   * @param service service that the request goes to
-   * @param request the request
-   * @param model model that is to answer, or null if there is none
-   * @param allowed versions that may get it
-   * @param excluded ids of upstreams that had it already
+   * @param query what is to be placed
    * @param now the present time
    * @return the upstream and what is expected, or null if none can take it
    */
-  @Nullable Placement pick(
-      RelayService service,
-      RelayRequest request,
-      @Nullable String model,
-      VersionRule.Allowed allowed,
-      Set<String> excluded,
-      Instant now);
+  @Nullable Placement pick(PlacementQuery query, Instant now);
 
   /**
    * Takes note of an answer's first byte.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -119,6 +119,23 @@
     return sequence;
   }
 
+  /**
+   * Returns how many upstreams the largest version of a service has that can be used.
+   *
+   * <p>While a roll-out is on there are twice as many upstreams; each version counts alone, so that
+   * their number doesn't seem to have doubled.
+   */
+  int largestPool() {
+    Map<String, Integer> pools = new HashMap<>();
+    for (Entry entry : byId.values()) {
+      if (entry.condition == UpstreamCondition.READY) {
+        UpstreamInstance instance = entry.instance();
+        pools.merge(instance.service() + '/' + instance.version(), 1, Integer::sum);
+      }
+    }
+    return pools.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+  }
+
   List<UpstreamStatus> all() {
     return statuses(0);
   }
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
@@ -0,0 +1,281 @@
+package org.skylarkfork.core.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.effect.RelayEffect.SendAttempt;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.message.RelayMessage;
+import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
+import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
+import org.skylarkfork.core.message.RelayMessage.PlacementAsk;
+import org.skylarkfork.core.message.RelayMessage.PlacementNews;
+import org.skylarkfork.core.placement.PromptPart;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link SchedulerClient} and {@link SchedulerPart}. */
+public final class SchedulerTest {
+
+  private static final String ENTRY = "entry-7";
+  private static final String SCHEDULER = "scheduler";
+
+  private RelayFixture.FakeView view = new RelayFixture.FakeView();
+  private Reducer entry = new Reducer(List.of());
+  private Reducer scheduler = new Reducer(List.of());
+  private Instant now = RelayFixture.START;
+
+  /** An entry that knows three engines and one scheduler, which knows the same engines. */
+  @BeforeMethod
+  public void setUp() {
+    now = RelayFixture.START;
+    view = view();
+    view.schedulers = List.of(SCHEDULER);
+    entry =
+        new Reducer(
+            List.of(
+                new RelayRequestPart(
+                    view,
+                    "a",
+                    new LeastTimePicker(view, 1),
+                    new ConfidenceCascade(),
+                    new VersionRule(view, 0.05),
+                    new RetryBudget(0.9),
+                    new VersionLedger(),
+                    new StopPlan(Duration.ofSeconds(8)),
+                    1)));
+    scheduler = new Reducer(List.of(new SchedulerPart(view(), 1)));
+  }
+
+  private static RelayFixture.FakeView view() {
+    RelayFixture.FakeView view = new RelayFixture.FakeView();
+    RelayConfiguration usual = RelayFixture.configuration(1, "key");
+    view.table =
+        new RouteTable(
+            new RelayConfiguration(
+                1,
+                usual.routes(),
+                List.of(
+                    new RelayService(
+                        "service", "/health", 100, new EngineProfile(6, 100_000, List.of()))),
+                usual.teams(),
+                usual.limits()));
+    return view;
+  }
+
+  private List<Effect> apply(Event event) {
+    return entry.apply(event, now);
+  }
+
+  private static <E> E only(List<Effect> effects, Class<E> type) {
+    List<E> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+    assertEquals(found.size(), 1, type.getSimpleName() + " in " + effects);
+    return found.get(0);
+  }
+
+  private static boolean sends(List<Effect> effects) {
+    return effects.stream().anyMatch(SendAttempt.class::isInstance);
+  }
+
+  private List<Effect> arrives(long number) {
+    RelayRequest request =
+        new RelayRequest(
+            number,
+            "id-" + number,
+            "host.example",
+            "/sized/x",
+            2000,
+            "key",
+            "*",
+            1000,
+            10,
+            List.of(new PromptPart("subject", 900), new PromptPart("own-" + number, 100)),
+            null,
+            null);
+    return apply(new RelayEvent.RequestArrived(request));
+  }
+
+  private PlacementAsk asks(long number) {
+    List<Effect> effects = arrives(number);
+    assertTrue(!sends(effects), "the scheduler is asked first");
+    SendToPeer sent = only(effects, SendToPeer.class);
+    assertEquals(sent.node(), SCHEDULER);
+    return (PlacementAsk) sent.message();
+  }
+
+  private PlacementAnswer schedules(String from, RelayMessage message) {
+    List<Effect> effects = scheduler.apply(new PeerEvent.MessageReceived(from, message), now);
+    return (PlacementAnswer) only(effects, SendToPeer.class).message();
+  }
+
+  private List<Effect> answered(PlacementAnswer answer) {
+    return apply(new PeerEvent.MessageReceived(SCHEDULER, answer));
+  }
+
+  private void tells(String from, long number, AttemptProgress progress) {
+    PlacementNews news = new PlacementNews(number, progress, 100);
+    scheduler.apply(new PeerEvent.MessageReceived(from, news), now);
+  }
+
+  private List<Effect> tick(long millis) {
+    now = now.plusMillis(millis);
+    return apply(new LifecycleEvent.Tick());
+  }
+
+  @Test
+  public void attemptGoesWhereTheSchedulerSays() {
+    PlacementAsk ask = asks(1);
+    assertEquals(ask.versions(), List.of("v1"));
+    assertEquals(ask.excluded(), List.of());
+    List<Effect> effects = answered(new PlacementAnswer(ask.number(), "up-2", 10, 20, 40, 1000));
+    assertEquals(only(effects, SendAttempt.class).target().upstream().id(), "up-2");
+    List<Effect> begun = apply(new RelayEvent.AnswerBegan(1, 1, 200, false, 90));
+    PlacementNews news = (PlacementNews) only(begun, SendToPeer.class).message();
+    assertEquals(news, new PlacementNews(ask.number(), AttemptProgress.BEGUN, 0));
+    List<Effect> ended = apply(new RelayEvent.AnswerEnded(1, 1));
+    news = (PlacementNews) only(ended, SendToPeer.class).message();
+    assertEquals(news, new PlacementNews(ask.number(), AttemptProgress.ENDED, 0));
+  }
+
+  /**
+   * The caller gets an answer though the scheduler has died. The entry waits for it for a moment,
+   * then places the prompt itself, and the next ones at once. An answer that comes too late is
+   * given back, or the scheduler would count the engine as taken until the request's deadline.
+   */
+  @Test
+  public void silentSchedulerIsDoneWithout() {
+    final PlacementAsk ask = asks(1);
+    assertTrue(!sends(tick(50)));
+    assertTrue(sends(tick(50)));
+    assertTrue(sends(arrives(2)), "it is not asked for a while");
+    List<Effect> late = answered(new PlacementAnswer(ask.number(), "up-2", 0, 20, 40, 1000));
+    SendToPeer back = only(late, SendToPeer.class);
+    assertEquals(
+        back.message(), new PlacementNews(ask.number(), AttemptProgress.ENDED, 0), "given back");
+    tick(1500);
+    asks(3);
+  }
+
+  /**
+   * An upstream that leaves gets no new work, whoever names it: the entry has heard that it leaves,
+   * the scheduler has not yet.
+   */
+  @Test
+  public void leavingEngineIsNotUsedThoughTheSchedulerNamesIt() {
+    PlacementAsk ask = asks(1);
+    view.tracks.get(1).leaves();
+    List<Effect> effects = answered(new PlacementAnswer(ask.number(), "up-2", 0, 20, 40, 1000));
+    assertNotEquals(only(effects, SendAttempt.class).target().upstream().id(), "up-2");
+    SendToPeer back = only(effects, SendToPeer.class);
+    assertEquals(back.message(), new PlacementNews(ask.number(), AttemptProgress.ENDED, 0));
+  }
+
+  /**
+   * The caller leaves while the scheduler is asked; nothing is sent and the place is given back.
+   */
+  @Test
+  public void placeOfCallerThatLeftIsGivenBack() {
+    PlacementAsk ask = asks(1);
+    apply(new RelayEvent.CallerLeft(1));
+    List<Effect> effects = answered(new PlacementAnswer(ask.number(), "up-2", 0, 20, 40, 1000));
+    assertTrue(!sends(effects));
+    only(effects, SendToPeer.class);
+    assertTrue(!sends(tick(200)));
+  }
+
+  /**
+   * A doubted answer is kept where the larger model would be late. The entry knows nothing of other
+   * entries' work; the scheduler tells the wait, and the answer that has begun is passed on.
+   */
+  @Test
+  public void schedulersWaitDecidesOnLargerModel() {
+    PlacementAsk ask = asks(1);
+    answered(new PlacementAnswer(ask.number(), "up-2", 0, 20, 40, 1000));
+    List<Effect> effects = apply(new RelayEvent.AnswerBegan(1, 1, 200, false, 10));
+    assertTrue(effects.stream().noneMatch(RelayEffect.PassAnswer.class::isInstance));
+    PlacementAsk larger =
+        effects.stream()
+            .filter(SendToPeer.class::isInstance)
+            .map(effect -> ((SendToPeer) effect).message())
+            .filter(PlacementAsk.class::isInstance)
+            .map(PlacementAsk.class::cast)
+            .findFirst()
+            .orElseThrow();
+    assertEquals(larger.model(), "large");
+    assertEquals(larger.excluded(), List.of("up-2"));
+    List<Effect> busy = answered(new PlacementAnswer(larger.number(), "up-1", 1400, 20, 1440, 10));
+    only(busy, RelayEffect.PassAnswer.class);
+    assertTrue(!sends(busy));
+    SendToPeer back = only(busy, SendToPeer.class);
+    assertEquals(back.message(), new PlacementNews(larger.number(), AttemptProgress.ENDED, 0));
+  }
+
+  /** Prompts of one subject go to one engine, whichever entries ask, until it has much to do. */
+  @Test
+  public void schedulerSendsSharedPromptsWhereTheyAreKept() {
+    PlacementAsk first = asks(1);
+    String engine = schedules(ENTRY, first).upstream();
+    tells(ENTRY, first.number(), AttemptProgress.BEGUN);
+    PlacementAnswer second = schedules("entry-8", asks(2));
+    assertEquals(second.upstream(), engine);
+    assertEquals(second.newTokens(), 100, "the shared part is kept");
+  }
+
+  /**
+   * Entries don't each run into the same dead engine. One of them finds that it can't be reached
+   * and tells the scheduler, which sends nothing more there for a while.
+   */
+  @Test
+  public void oneEntrysFailureSparesTheOthers() {
+    PlacementAsk first = asks(1);
+    String dead = schedules(ENTRY, first).upstream();
+    tells(ENTRY, first.number(), AttemptProgress.UNREACHABLE);
+    for (long number = 2; number < 20; number++) {
+      assertNotEquals(schedules("entry-" + number, asks(number)).upstream(), dead);
+    }
+  }
+
+  /**
+   * Engines don't count as taken for ever by an entry that died: its places are free once its
+   * requests must be over.
+   */
+  @Test
+  public void placesOfDeadEntryExpire() {
+    List<PlacementAnswer> taken = new ArrayList<>();
+    for (long number = 1; number <= 9; number++) {
+      taken.add(schedules(ENTRY, asks(number)));
+    }
+    assertTrue(taken.get(8).waitMillis() > 0, "they queue up: " + taken);
+    now = now.plusSeconds(5);
+    scheduler.apply(new LifecycleEvent.Tick(), now);
+    assertEquals(schedules(ENTRY, asks(20)).waitMillis(), 0);
+  }
+
+  @Test
+  public void schedulerWithoutFittingEngineSaysSo() {
+    PlacementAsk ask = asks(1);
+    PlacementAsk other =
+        new PlacementAsk(
+            9, 0, 1, "service", "small", "a", ask.beginnings(), 1000, List.of("v9"), List.of(), 99);
+    assertEquals(schedules(ENTRY, other), new PlacementAnswer(9, null, 0, 0, 0, 0));
+    PlacementAsk unknown =
+        new PlacementAsk(
+            9, 0, 1, "none", "small", "a", ask.beginnings(), 1000, List.of("v1"), List.of(), 99);
+    assertEquals(schedules(ENTRY, unknown), new PlacementAnswer(9, null, 0, 0, 0, 0));
+    assertTrue(
+        sends(answered(new PlacementAnswer(ask.number(), null, 0, 0, 0, 0))),
+        "the entry looks for one itself");
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -3,12 +3,17 @@
 import java.time.Instant;
 import java.util.List;
 import org.skylarkfork.core.message.RelayMessage;
+import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 import org.skylarkfork.core.message.RelayMessage.EntryLoads;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
 import org.skylarkfork.core.message.RelayMessage.KeptPrompt;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
+import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
+import org.skylarkfork.core.message.RelayMessage.PlacementAsk;
+import org.skylarkfork.core.message.RelayMessage.PlacementNews;
+import org.skylarkfork.core.message.RelayMessage.PromptBeginning;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
 import org.skylarkfork.core.message.RelayMessage.UpstreamHeard;
 import org.skylarkfork.core.message.RelayMessage.UpstreamLoad;
@@ -25,9 +30,15 @@
   private static final int ENTRY_UPDATE = 33;
   private static final int UPSTREAM_HEARD = 34;
   private static final int ENTRY_LOADS = 35;
+  private static final int PLACEMENT_ASK = 36;
+  private static final int PLACEMENT_ANSWER = 37;
+  private static final int PLACEMENT_NEWS = 38;
 
   private static final int POLL_COMPONENTS = 12;
   private static final int UPDATE_COMPONENTS = 7;
+  private static final int ASK_COMPONENTS = 11;
+  private static final int ANSWER_COMPONENTS = 6;
+  private static final int NEWS_COMPONENTS = 3;
 
   private RelayMessages() {}
 
@@ -42,6 +53,15 @@
       out.tagged(ENTRY_LOADS, 2)
           .list(loads.loads(), RelayMessages::writeLoad)
           .list(loads.prompts(), RelayMessages::writePrompt);
+    } else if (message instanceof PlacementAsk ask) {
+      writeAsk(ask, out);
+    } else if (message instanceof PlacementAnswer answer) {
+      writeAnswer(answer, out);
+    } else if (message instanceof PlacementNews news) {
+      out.tagged(PLACEMENT_NEWS, NEWS_COMPONENTS)
+          .number(news.number())
+          .text(news.progress().name())
+          .number(news.millis());
     }
   }
 
@@ -59,11 +79,70 @@
       case ENTRY_LOADS:
         components.take(2);
         return new EntryLoads(in.list(RelayMessages::readLoad), in.list(RelayMessages::readPrompt));
+      case PLACEMENT_ASK:
+        components.take(ASK_COMPONENTS);
+        return readAsk(in);
+      case PLACEMENT_ANSWER:
+        components.take(ANSWER_COMPONENTS);
+        return new PlacementAnswer(
+            in.number(),
+            in.optionalText(),
+            in.smallNumber(),
+            in.smallNumber(),
+            in.smallNumber(),
+            in.smallNumber());
+      case PLACEMENT_NEWS:
+        components.take(NEWS_COMPONENTS);
+        return new PlacementNews(
+            in.number(), RelayValues.constant(AttemptProgress.class, in.text()), in.smallNumber());
       default:
         throw PackedReader.unknown("message", tag);
     }
   }
 
+  private static void writeAsk(PlacementAsk ask, PackedWriter out) {
+    out.tagged(PLACEMENT_ASK, ASK_COMPONENTS)
+        .number(ask.number())
+        .number(ask.group())
+        .number(ask.groups())
+        .text(ask.service())
+        .text(ask.model())
+        .text(ask.zone())
+        .list(
+            ask.beginnings(),
+            (beginning, to) -> to.record(2).number(beginning.key()).number(beginning.tokens()))
+        .number(ask.promptTokens())
+        .list(ask.versions(), (version, to) -> to.text(version))
+        .list(ask.excluded(), (engine, to) -> to.text(engine))
+        .number(ask.lastsMillis());
+  }
+
+  private static PlacementAsk readAsk(PackedReader in) {
+    return new PlacementAsk(
+        in.number(),
+        in.smallNumber(),
+        in.smallNumber(),
+        in.text(),
+        in.text(),
+        in.text(),
+        in.list(
+            one -> one.record(2, from -> new PromptBeginning(from.number(), from.smallNumber()))),
+        in.smallNumber(),
+        in.list(PackedReader::text),
+        in.list(PackedReader::text),
+        in.smallNumber());
+  }
+
+  private static void writeAnswer(PlacementAnswer answer, PackedWriter out) {
+    out.tagged(PLACEMENT_ANSWER, ANSWER_COMPONENTS)
+        .number(answer.number())
+        .optionalText(answer.upstream())
+        .number(answer.waitMillis())
+        .number(answer.workMillis())
+        .number(answer.firstByteMillis())
+        .number(answer.newTokens());
+  }
+
   private static void writePoll(EntryPoll poll, PackedWriter out) {
     out.tagged(ENTRY_POLL, POLL_COMPONENTS + 1)
         .text(poll.callerAddress())
@@ -128,18 +207,22 @@
   }
 
   private static void writeNeighbourhood(Neighbourhood neighbourhood, PackedWriter out) {
-    out.record(3)
+    out.record(4)
         .number(neighbourhood.version())
         .list(neighbourhood.callerAddresses(), (address, to) -> to.text(address))
-        .list(neighbourhood.peers(), (peer, to) -> to.text(peer));
+        .list(neighbourhood.peers(), (peer, to) -> to.text(peer))
+        .list(neighbourhood.schedulers(), (peer, to) -> to.text(peer));
   }
 
   private static Neighbourhood readNeighbourhood(PackedReader in) {
-    return in.record(
+    return in.grownRecord(
         3,
-        from ->
+        (from, more) ->
             new Neighbourhood(
-                from.number(), from.list(PackedReader::text), from.list(PackedReader::text)));
+                from.number(),
+                from.list(PackedReader::text),
+                from.list(PackedReader::text),
+                more.next() ? from.list(PackedReader::text) : List.of()));
   }
 
   private static void writeUpdate(EntryUpdate update, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -43,6 +43,7 @@
 import org.skylarkfork.core.relay.RelayRequestSettings;
 import org.skylarkfork.core.relay.RelayTimes;
 import org.skylarkfork.core.relay.RollOutSettings;
+import org.skylarkfork.core.relay.SchedulerPart;
 import org.skylarkfork.core.relay.VersionLedger;
 import org.skylarkfork.core.routing.StableHash;
 import org.skylarkfork.runtime.codec.BinaryCodec;
@@ -269,6 +270,7 @@
             seed);
     parts.add(requests);
     parts.add(new LoadSharePart(made, requests));
+    parts.add(new SchedulerPart(made, seed));
     RelayFront opened =
         new RelayFront(eventLoop, dialect, loop, () -> made.table().configuration().limits());
     front = opened;
