Control VMs tell who votes; the soak tells it at each wipe and keeps its logs

GET /relay/v1/group names voters with the numbers of their disks; the soak asks all control VMs at each wipe, and keeps its folder where it found something. Test: RelayNodeTest.controlVmTellsWhoVotes.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -12,6 +12,7 @@
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
@@ -89,6 +90,11 @@
     return upstreams.all();
   }
 
+  /** Returns what this control VM's replica knows of its group, or null before it has one. */
+  public @Nullable GroupStatus group() {
+    return consensus.status(GroupId.RELAY);
+  }
+
   /** Returns the leader that this control VM knows, or null. */
   public @Nullable String leader() {
     return leader;
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
@@ -78,10 +78,10 @@
         keep == null
             ? Files.createTempDirectory("skylarkfork-proof")
             : Files.createDirectories(Path.of(keep));
+    if (processes) {
+      return soak(folder);
+    }
     try {
-      if (processes) {
-        return soak(folder);
-      }
       ProofSettings settings =
           new ProofSettings(folder, seed, Units.duration(duration), entries, rate, names(), 0);
       ProofEvidence evidence = new ProofRun(settings).run();
@@ -113,8 +113,14 @@
     result.findings().forEach(System.out::println);
     if (!result.findings().isEmpty()) {
       result.faults().forEach(System.out::println);
+      // A finding may not come again with its seed, since faults follow the processes' own times.
+      System.out.println("logs are kept in " + folder);
+      return ExitCode.FAILURE;
+    }
+    if (keep == null) {
+      DeletedFolders.delete(folder);
     }
-    return result.findings().isEmpty() ? ExitCode.SUCCESS : ExitCode.FAILURE;
+    return ExitCode.SUCCESS;
   }
 
   private static Map<LoadOutcome, Integer> outcomes(ProofEvidence evidence) {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
@@ -24,11 +24,17 @@
   private final List<Thread> restarts = new CopyOnWriteArrayList<>();
   private final List<String> told = new CopyOnWriteArrayList<>();
   private final List<String> findings;
+  private final SoakOperator operator;
   private Instant wipedAt = Instant.EPOCH;
 
-  SoakFaults(SoakSystem system, UniformRandomProvider random, List<String> findings) {
+  SoakFaults(
+      SoakSystem system,
+      UniformRandomProvider random,
+      SoakOperator operator,
+      List<String> findings) {
     this.system = system;
     this.random = random;
+    this.operator = operator;
     this.findings = findings;
   }
 
@@ -128,7 +134,7 @@
       return;
     }
     wipedAt = Instant.now();
-    tell("wipe " + process.name() + " for " + millis + " ms");
+    tell("wipe " + process.name() + " for " + millis + " ms;" + operator.groups());
     process.kill();
     process.wipe();
     later(millis, () -> system.startAll(List.of(process)));
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
@@ -101,6 +101,17 @@
     return found;
   }
 
+  /** Returns what each control VM says of the group, for whoever reads a finding. */
+  String groups() throws InterruptedException {
+    StringBuilder told = new StringBuilder();
+    for (int control = 0; control < ports.size(); control++) {
+      String group = call("GET", control, "group", "");
+      told.append(" control-").append(control + 1).append(' ');
+      told.append(group == null ? "silent" : group);
+    }
+    return told.toString();
+  }
+
   /** Announces an upstream at the first control VM that takes it. */
   void announce(String id, int port, long sequence) throws InterruptedException {
     UpstreamInstance instance =
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
@@ -51,7 +51,7 @@
       SoakOperator operator = new SoakOperator(system.controlPorts(), findings);
       final Thread beats = SoakThreads.start("heartbeats", () -> announce(system, operator));
       await(FOUNDED, "no configuration was accepted", () -> founded(operator));
-      SoakFaults faults = new SoakFaults(system, random, findings);
+      SoakFaults faults = new SoakFaults(system, random, operator, findings);
       List<SoakCaller> callers = new ArrayList<>();
       final List<Thread> threads = call(system, operator, callers);
       disturb(operator, faults);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -1,8 +1,10 @@
 package org.skylarkfork.runtime.relay;
 
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamRun;
 
@@ -24,6 +26,9 @@
    */
   UpstreamRun startsUntilNow(String id);
 
+  /** Returns what this control VM's replica knows of its group, or null before it has one. */
+  @Nullable GroupStatus group();
+
   /** Takes note of an upstream's heartbeat. */
   void heartbeat(UpstreamInstance instance);
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.RelayControlPart;
@@ -56,6 +58,11 @@
     return new UpstreamRun(id, loop.now().toEpochMilli());
   }
 
+  @Override
+  public @Nullable GroupStatus group() {
+    return control.group();
+  }
+
   @Override
   public void heartbeat(UpstreamInstance instance) {
     loop.submit(new RelayEvent.HeartbeatReceived(instance));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -5,9 +5,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.CommandResult;
+import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.RelayResult;
+import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.consensus.Role;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayConfigurationValidator;
 import org.skylarkfork.core.relay.UpstreamInstance;
@@ -46,6 +50,24 @@
 
   private record Entries(List<String> entries) {}
 
+  /**
+   * A replicated group as one of its replicas knows it.
+   *
+   * @param role what this replica does
+   * @param leader peer name of the leader, or null if it knows none
+   * @param term newest term that it has seen
+   * @param commitIndex last index that it knows to be agreed on
+   * @param voters replicas that count for the quorum, each with the number of its disk
+   * @param learners replicas that copy the log
+   */
+  public record Group(
+      Role role,
+      @Nullable String leader,
+      long term,
+      long commitIndex,
+      List<Member> voters,
+      List<Member> learners) {}
+
   private record Problem(String error) {}
 
   private record Version(long version) {}
@@ -64,6 +86,7 @@
         case "PUT upstreams" -> heartbeat(last, call, control);
         case "DELETE upstreams" ->
             ask(control, new RelayCommand.UpstreamLeaves(control.startsUntilNow(last)));
+        case "GET group" -> done(group(control));
         case "GET entries" -> done(lookUp(call, control));
         case "PUT roll-outs" -> begin(last, call, control);
         case "GET roll-outs" -> ask(control, new RelayCommand.ReadRollOut(last));
@@ -103,6 +126,22 @@
                 : error(NOT_FOUND, "there is no configuration yet; put one"));
   }
 
+  /** Tells who votes: before a control VM is replaced, all wanted voters should be named. */
+  private HttpReply group(ControlCalls control) {
+    GroupStatus status = control.group();
+    if (status == null) {
+      return error(UNAVAILABLE, "this control VM knows of no group yet; ask another one");
+    }
+    return json(
+        new Group(
+            status.role(),
+            status.leader(),
+            status.term(),
+            status.commitIndex(),
+            status.members().voters(),
+            status.members().learners()));
+  }
+
   private CompletableFuture<HttpReply> heartbeat(String id, HttpCall call, ControlCalls control) {
     UpstreamInstance instance = body(call, UpstreamInstance.class);
     if (!id.equals(instance.id())) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
@@ -28,6 +28,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.consensus.Role;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRoute;
@@ -204,6 +205,22 @@
     throw new AssertionError("never served: " + answer);
   }
 
+  /** An operator sees who votes before a control VM is replaced. */
+  @Test
+  public void controlVmTellsWhoVotes() throws Exception {
+    serveWith();
+    int port = node().controlAddress().join().getPort();
+    URI uri = URI.create("http://127.0.0.1:" + port + "/relay/v1/group");
+    HttpResponse<String> answer =
+        client.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString());
+    assertEquals(answer.statusCode(), 200, answer.body());
+    RelayAdmin.Group group = codec.fromJson(answer.body(), RelayAdmin.Group.class);
+    assertEquals(group.role(), Role.LEADER);
+    assertEquals(group.voters().size(), 1);
+    assertEquals(group.voters().get(0).node(), group.leader());
+    assertTrue(group.commitIndex() > 0, answer.body());
+  }
+
   @Test
   public void answerComesBackByteForByteAndTheTeamIsNamed() throws Exception {
     serveWith(
