Soak: ports of daemons lie below those of outgoing connections

Trace: control-2 found its peer port taken and ended, as it must; the port lay among those that the kernel gives to outgoing connections, and had been found free some moments before. The fault is the soak's. Test: SoakRunTest.portsOfDaemonsAreNotThoseOfOutgoingConnections fails before.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
@@ -11,12 +11,21 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.tinylog.Logger;
 
 /** The processes, upstreams and proxies of one soak. */
 final class SoakSystem implements AutoCloseable {
 
   private static final String HOST = "127.0.0.1";
 
+  /** Ports from here to the last are no outgoing connection's by the kernel's defaults. */
+  private static final int FIRST_PORT = 20_000;
+
+  private static final int LAST_PORT = 32_000;
+  private static final int MOST_TRIES = 1000;
+
   private final List<RelayProcess> controls = new ArrayList<>();
   private final List<RelayProcess> entries = new ArrayList<>();
   private final List<Integer> controlPorts = new ArrayList<>();
@@ -52,23 +61,40 @@
     }
   }
 
-  /** Finds ports that a process can have again after a restart. */
+  /**
+   * Finds ports that a process can have again after a restart.
+   *
+   * <p>They lie below those that the kernel gives to outgoing connections. One of these was taken
+   * by somebody's connection before its daemon had started, which then ended, as it must.
+   */
   private static List<Integer> freePorts(int count) {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
     List<ServerSocket> sockets = new ArrayList<>();
     try {
-      for (int place = 0; place < count; place++) {
-        sockets.add(new ServerSocket(0, 1, InetAddress.getByName(HOST)));
+      for (int tries = 0; sockets.size() < count && tries < MOST_TRIES; tries++) {
+        hold(FIRST_PORT + random.nextInt(LAST_PORT - FIRST_PORT), sockets);
       }
       List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
       for (ServerSocket socket : sockets) {
         socket.close();
       }
+      if (ports.size() < count) {
+        throw new IOException("none of " + MOST_TRIES + " ports could be had");
+      }
       return ports;
     } catch (IOException failure) {
       throw new UncheckedIOException("There is no free port.", failure);
     }
   }
 
+  private static void hold(int port, List<ServerSocket> sockets) {
+    try {
+      sockets.add(new ServerSocket(port, 1, InetAddress.getByName(HOST)));
+    } catch (IOException taken) {
+      Logger.debug("soak: port {} is taken: {}", port, taken.getMessage());
+    }
+  }
+
   private static RelayProcess control(
       int number, SoakSettings settings, int peer, int port, List<String> seeds)
       throws IOException {
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -27,6 +27,22 @@
     assertTrue(result.whole() > 0, result.toString());
   }
 
+  /**
+   * Daemons of the soak have ports that no outgoing connection is given. One was taken so before
+   * its daemon started; the group wasn't founded for a minute, and the soak reported that as a
+   * finding.
+   */
+  @Test
+  public void portsOfDaemonsAreNotThoseOfOutgoingConnections() throws IOException {
+    SoakSettings settings =
+        new SoakSettings(Files.createTempDirectory("soak"), 1, Duration.ofSeconds(8), 3, 2, 2, 4);
+    try (SoakSystem system = new SoakSystem(settings, Map.of())) {
+      for (int port : system.controlPorts()) {
+        assertTrue(port < 32_768, "ephemeral: " + port);
+      }
+    }
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "");
   }
