Relay: operators evacuate an availability zone and take it back

No attempt goes to an evacuated zone: first, repeat, moved stream, last resort, or named by a scheduler. Upstreams of a zone that is taken back count as cold for their service's start time, since heartbeats tell it up to a second late.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -51,4 +51,22 @@
    * @param run the start that leaves; earlier ones are long gone
    */
   record UpstreamLeaves(UpstreamRun run) implements RelayCommand {}
+
+  /**
+   * Evacuates an availability zone: its upstreams get nothing until it is taken back. A resend
+   * changes nothing.
+   *
+   * @param zone the availability zone
+   */
+  record EvacuateZone(String zone) implements RelayCommand {}
+
+  /**
+   * Takes an evacuated availability zone back; its upstreams count as cold for a while.
+   *
+   * @param zone the availability zone
+   */
+  record TakeZoneBack(String zone) implements RelayCommand {}
+
+  /** Reads which availability zones are evacuated, as of its place in the log. */
+  record ReadEvacuations() implements RelayCommand {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
@@ -1,6 +1,8 @@
 package org.skylarkfork.core.command;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.ServiceRollOut;
 
 /** What a command of the relay gave. */
@@ -27,4 +29,17 @@
    * @param rollOut the newest roll-out of the service, or null if there was none
    */
   record RollOutRead(@Nullable ServiceRollOut rollOut) implements RelayResult {}
+
+  /**
+   * The availability zones that are evacuated.
+   *
+   * @param evacuations each of them, the oldest first
+   */
+  record EvacuationsRead(List<Evacuation> evacuations) implements RelayResult {
+
+    /** Copies the list. */
+    public EvacuationsRead {
+      evacuations = List.copyOf(evacuations);
+    }
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -234,13 +234,16 @@
    *
    * @param rollOuts newest roll-out of each service
    * @param leaving upstreams that leave
+   * @param evacuated availability zones whose upstreams get nothing
    */
-  record SharedState(List<ServiceRollOut> rollOuts, List<UpstreamRun> leaving) {
+  record SharedState(
+      List<ServiceRollOut> rollOuts, List<UpstreamRun> leaving, List<String> evacuated) {
 
     /** Copies the lists. */
     public SharedState {
       rollOuts = List.copyOf(rollOuts);
       leaving = List.copyOf(leaving);
+      evacuated = List.copyOf(evacuated);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
@@ -60,6 +61,13 @@
     return mayReturn ? pick(relay, relay.modelName(), relay.refusedBy, now) : fresh;
   }
 
+  /** Returns whether upstreams of a request's service are kept from it by an evacuation alone. */
+  boolean isEvacuated(ActiveRelay relay) {
+    List<UpstreamTrack> all = view.upstreams(relay.service.name());
+    return all.stream().anyMatch(track -> track.condition() == UpstreamCondition.EVACUATED)
+        && all.stream().allMatch(track -> track.condition().barsNewWork());
+  }
+
   /** Returns where an attempt with another of the route's models would go, or null. */
   @Nullable Placement placeLarger(ActiveRelay relay, int model, Instant now) {
     return pick(relay, relay.route.models().get(model), triedAndPresent(relay), now);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -8,6 +8,12 @@
 /** Starts the next attempt of a request, or ends the request if there can be none. */
 final class AttemptStarter {
 
+  /**
+   * When to come back where every upstream of a service is in an evacuated zone, in milliseconds.
+   * Nobody knows when operators take a zone back; entries hear of it within half a second.
+   */
+  private static final long EVACUATED_RETRY_MILLIS = 1000;
+
   private final AttemptSender sender;
   private final RequestEndings endings;
   private final RetryBudget budget;
@@ -76,6 +82,8 @@
       endings.giveUp(relay, late, now, output);
     } else if (relay.passing) {
       endings.breakOff(relay, now, output);
+    } else if (sender.isEvacuated(relay)) {
+      endings.giveUp(relay, untaken(relay), EVACUATED_RETRY_MILLIS, now, output);
     } else {
       endings.giveUp(relay, untaken(relay), now, output);
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
@@ -145,7 +145,7 @@
                 provenAt,
                 stateIndex,
                 newest.version() > known.version() ? newest : null,
-                sharedKnown ? null : new SharedState(machine.rollOuts(), machine.leaving()),
+                sharedKnown ? null : shared(),
                 upstreams.changes(
                     term, settled, known.directoryEpoch(), known.directorySequence(), now),
                 controlNodes(),
@@ -153,6 +153,11 @@
                 neighbourhood(entry, known, now))));
   }
 
+  private SharedState shared() {
+    List<String> evacuated = machine.evacuations().stream().map(Evacuation::zone).toList();
+    return new SharedState(machine.rollOuts(), machine.leaving(), evacuated);
+  }
+
   /**
    * Returns what an entry lacks of the other entries, or null.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -174,6 +174,8 @@
     stateIndex = committed.index();
     if (command instanceof RelayCommand.UpstreamLeaves leaves) {
       upstreams.leaves(leaves.run());
+    } else if (command instanceof RelayCommand.TakeZoneBack back) {
+      upstreams.zoneTakenBack(back.zone(), longestColdMillis(), now);
     }
     // A restart replays the log, as fast as it can; only what is new is told.
     if (Duration.between(committed.stampedAt(), now).compareTo(REPLAYED) < 0) {
@@ -182,6 +184,13 @@
     news = true;
   }
 
+  private long longestColdMillis() {
+    return machine.configuration().services().stream()
+        .mapToLong(service -> service.cold().millis())
+        .max()
+        .orElse(0);
+  }
+
   private static void logState(
       ConsensusEvent.CommandCommitted committed, RelayCommand command, Output output) {
     log(output, "state_changed", "index=" + committed.index() + " command=" + describe(command));
@@ -189,7 +198,8 @@
 
   private static boolean isRead(RelayCommand command) {
     return command instanceof RelayCommand.ReadConfiguration
-        || command instanceof RelayCommand.ReadRollOut;
+        || command instanceof RelayCommand.ReadRollOut
+        || command instanceof RelayCommand.ReadEvacuations;
   }
 
   private static String describe(RelayCommand command) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
@@ -53,6 +54,7 @@
   private long stateIndex;
   private List<ServiceRollOut> rollOuts = List.of();
   private final Map<String, UpstreamRun> leaving = new HashMap<>();
+  private Set<String> evacuated = Set.of();
   private long directoryEpoch;
   private long directorySequence;
   private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
@@ -156,6 +158,11 @@
     return List.of(self.callerAddress());
   }
 
+  /** Returns the availability zones whose upstreams get nothing. */
+  Set<String> evacuated() {
+    return evacuated;
+  }
+
   /** Returns the peer names of entries that are told of this one's load. */
   List<String> peers() {
     return neighbourhood.peers();
@@ -258,7 +265,7 @@
       leaderHeard = now;
     }
     take(update.configuration(), output);
-    takeShared(update, output);
+    takeShared(update, now, output);
     takeDirectory(update.directory(), now, output);
     if (!update.controlNodes().isEmpty()) {
       controlNodes = proof == null ? joined(update.controlNodes()) : update.controlNodes();
@@ -299,7 +306,7 @@
     }
   }
 
-  private void takeShared(EntryUpdate update, Output output) {
+  private void takeShared(EntryUpdate update, Instant now, Output output) {
     SharedState shared = update.shared();
     if (shared == null || update.stateIndex() <= stateIndex) {
       return;
@@ -313,6 +320,7 @@
         usualVersions.put(rollOut.service(), rollOut.target());
       }
     }
+    takeEvacuated(Set.copyOf(shared.evacuated()), now, output);
     for (UpstreamRun run : leaving.values()) {
       UpstreamTrack track = byId.get(run.id());
       boolean meant = track != null && run.covers(track.instance().run());
@@ -323,6 +331,29 @@
     }
   }
 
+  private void takeEvacuated(Set<String> zones, Instant now, Output output) {
+    if (zones.equals(evacuated)) {
+      return;
+    }
+    log(
+        false,
+        "event=zones_evacuated zones="
+            + new TreeSet<>(zones)
+            + " before="
+            + new TreeSet<>(evacuated)
+            + " index="
+            + stateIndex
+            + " proof_age_ms="
+            + proofAge(now).toMillis(),
+        output);
+    evacuated = zones;
+    byId.values().forEach(this::markEvacuated);
+  }
+
+  private void markEvacuated(UpstreamTrack track) {
+    track.evacuated(evacuated.contains(track.instance().zone()));
+  }
+
   private void takeDirectory(DirectoryChanges changes, Instant now, Output output) {
     if (changes.epoch() < directoryEpoch) {
       return;
@@ -390,6 +421,7 @@
     if (left != null && left.covers(instance.run())) {
       track.leaves();
     }
+    markEvacuated(track);
     byId.put(instance.id(), track);
     byService.computeIfAbsent(instance.service(), service -> new ArrayList<>()).add(track);
     usualVersions.putIfAbsent(instance.service(), instance.version());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -13,7 +13,7 @@
 import org.skylarkfork.core.command.RelayState;
 import org.skylarkfork.core.command.StateMachine;
 
-/** Applies the relay's commands: configuration, roll-outs and leaving upstreams. */
+/** Applies the relay's commands: configuration, roll-outs, leaving upstreams, evacuated zones. */
 public final class RelayMachine implements StateMachine {
 
   /**
@@ -28,6 +28,7 @@
   private byte[] document = NO_DOCUMENT;
   private final Map<String, ServiceRollOut> rollOuts = new LinkedHashMap<>();
   private final Map<String, UpstreamRun> leaving = new LinkedHashMap<>();
+  private final Map<String, Evacuation> evacuations = new LinkedHashMap<>();
 
   /** Returns the newest configuration. */
   public RelayConfiguration configuration() {
@@ -44,6 +45,11 @@
     return List.copyOf(leaving.values());
   }
 
+  /** Returns the evacuated availability zones, oldest first. */
+  public List<Evacuation> evacuations() {
+    return List.copyOf(evacuations.values());
+  }
+
   /** Returns whether a start of an upstream said that it leaves. */
   public boolean isLeaving(UpstreamRun run) {
     UpstreamRun left = leaving.get(run.id());
@@ -64,6 +70,14 @@
       return new RelayResult.RollOutRead(rollOuts.get(read.service()));
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
       return leave(leaves.run());
+    } else if (command instanceof RelayCommand.EvacuateZone evacuate) {
+      evacuations.putIfAbsent(evacuate.zone(), new Evacuation(evacuate.zone(), stampedAt));
+      return new CommandResult.Done();
+    } else if (command instanceof RelayCommand.TakeZoneBack back) {
+      evacuations.remove(back.zone());
+      return new CommandResult.Done();
+    } else if (command instanceof RelayCommand.ReadEvacuations) {
+      return new RelayResult.EvacuationsRead(evacuations());
     }
     return new CommandResult.Rejected("submit this command to the group of its family");
   }
@@ -112,7 +126,7 @@
 
   @Override
   public GroupState snapshot() {
-    return new RelayState(configuration, document, rollOuts(), leaving());
+    return new RelayState(configuration, document, rollOuts(), leaving(), evacuations());
   }
 
   @Override
@@ -121,11 +135,13 @@
     document = NO_DOCUMENT;
     rollOuts.clear();
     leaving.clear();
+    evacuations.clear();
     if (state instanceof RelayState saved) {
       configuration = saved.configuration();
       document = saved.document();
       saved.rollOuts().forEach(rollOut -> rollOuts.put(rollOut.service(), rollOut));
       saved.leaving().forEach(run -> leaving.put(run.id(), run));
+      saved.evacuations().forEach(one -> evacuations.put(one.zone(), one));
     }
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerClient.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerClient.java
@@ -156,7 +156,7 @@
     List<String> excluded = new ArrayList<>();
     for (UpstreamTrack track : view.upstreams(query.service().name())) {
       UpstreamInstance engine = track.instance();
-      boolean barred = !query.fits().test(engine) || track.condition() == UpstreamCondition.LEAVING;
+      boolean barred = !query.fits().test(engine) || track.condition().barsNewWork();
       if (barred && versions.contains(engine.version())) {
         excluded.add(engine.id());
       }
@@ -169,7 +169,7 @@
    *
    * <p>An answer that nobody waits for any more has taken an engine's place for nothing, so the
    * scheduler is told that it is free. The directory here may be newer than the scheduler's: an
-   * engine that leaves gets nothing, whoever names it.
+   * engine that leaves, or whose zone is evacuated, gets nothing, whoever names it.
    *
    * @return the request that goes on, or null if none waits for this answer
    */
@@ -203,7 +203,7 @@
   private @Nullable UpstreamTrack find(ActiveRelay relay, String upstream) {
     for (UpstreamTrack track : view.upstreams(relay.service.name())) {
       if (track.instance().id().equals(upstream)) {
-        return track.condition() == UpstreamCondition.LEAVING ? null : track;
+        return track.condition().barsNewWork() ? null : track;
       }
     }
     return null;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -27,6 +27,7 @@
   private final Map<String, Entry> byId = new LinkedHashMap<>();
   private final Map<String, String> idByAddress = new HashMap<>();
   private final Map<String, UpstreamRun> superseded = new HashMap<>();
+  private final Map<String, Instant> zoneColdUntil = new HashMap<>();
   private long sequence;
 
   UpstreamRegistry(RelayTimes times) {
@@ -115,6 +116,25 @@
     }
   }
 
+  /**
+   * Takes note that an availability zone gets work again after an evacuation.
+   *
+   * <p>Its upstreams may have turned cold shortly before, which their heartbeats tell up to a
+   * second too late. Sent their share of the work until then, they would fall over.
+   *
+   * @param zone the availability zone
+   * @param coldMillis how long they count as cold, in milliseconds
+   * @param now the present time
+   */
+  void zoneTakenBack(String zone, long coldMillis, Instant now) {
+    zoneColdUntil.put(zone, now.plusMillis(coldMillis));
+    for (Entry entry : byId.values()) {
+      if (entry.instance().zone().equals(zone)) {
+        entry.changedAt = ++sequence;
+      }
+    }
+  }
+
   /** Marks upstreams that fell silent and forgets those that are long gone. */
   void tick(Instant now) {
     Iterator<Entry> entries = byId.values().iterator();
@@ -165,10 +185,18 @@
     }
     changed.sort(Comparator.comparingLong(entry -> entry.changedAt));
     return changed.stream()
-        .map(entry -> new UpstreamStatus(entry.toldAt(now), entry.condition))
+        .map(entry -> new UpstreamStatus(toldAt(entry, now), entry.condition))
         .toList();
   }
 
+  /** Returns an upstream with what is left of its cold time, or of its zone's. */
+  private UpstreamInstance toldAt(Entry entry, Instant now) {
+    UpstreamInstance instance = entry.instance();
+    Instant zoneCold = zoneColdUntil.getOrDefault(instance.zone(), Instant.EPOCH);
+    Instant until = entry.coldUntil.isAfter(zoneCold) ? entry.coldUntil : zoneCold;
+    return instance.coldFor(Math.max(0, Duration.between(now, until).toMillis()));
+  }
+
   /** Returns what an entry lacks that has this much of the directory of the epoch. */
   DirectoryChanges changes(
       long epoch, boolean settled, long knownEpoch, long knownSequence, Instant now) {
@@ -184,11 +212,6 @@
     private Instant coldUntil = Instant.EPOCH;
     private long changedAt;
 
-    /** Returns the instance with what is left of its cold time. */
-    private UpstreamInstance toldAt(Instant now) {
-      return instance().coldFor(Math.max(0, Duration.between(now, coldUntil).toMillis()));
-    }
-
     private boolean isYoungerThan(UpstreamInstance other) {
       return instance().bornMillis() > other.bornMillis();
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
@@ -26,6 +26,7 @@
   private final SendWindow sends = new SendWindow(ColdStartLimiter.WINDOW);
   private Instant coldUntil = Instant.EPOCH;
   private boolean wrongRun;
+  private boolean evacuated;
 
   UpstreamTrack(UpstreamStatus status) {
     this.status = status;
@@ -36,7 +37,15 @@
   }
 
   UpstreamCondition condition() {
-    return wrongRun ? UpstreamCondition.LEAVING : status.condition();
+    if (wrongRun || status.condition() == UpstreamCondition.LEAVING) {
+      return UpstreamCondition.LEAVING;
+    }
+    return evacuated ? UpstreamCondition.EVACUATED : status.condition();
+  }
+
+  /** Takes note of whether its availability zone is evacuated. */
+  void evacuated(boolean now) {
+    evacuated = now;
   }
 
   /** Returns until when it is believed to be cold. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
@@ -1,8 +1,10 @@
 package org.skylarkfork.core.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
@@ -20,6 +22,7 @@
   private RelayEntryPart entry = part();
   private Reducer reducer = new Reducer(List.of(entry));
   private long sequence;
+  private List<String> evacuated = List.of();
 
   private static RelayEntryPart part() {
     return new RelayEntryPart(
@@ -35,6 +38,7 @@
     entry = part();
     reducer = new Reducer(List.of(entry));
     sequence = 0;
+    evacuated = List.of();
   }
 
   private void told(List<UpstreamRun> leaving, UpstreamInstance... instances) {
@@ -48,7 +52,7 @@
             RelayFixture.START,
             sequence,
             null,
-            new RelayMessage.SharedState(List.of(), leaving),
+            new RelayMessage.SharedState(List.of(), leaving, evacuated),
             new RelayMessage.DirectoryChanges(1, sequence, sequence == 1, true, statuses),
             List.of(CONTROL),
             1,
@@ -97,4 +101,21 @@
     told(List.of(new UpstreamRun("up", 1000)), started(1, 2000));
     assertEquals(only().condition(), UpstreamCondition.READY);
   }
+
+  /** An upstream that is heard of only after its zone was evacuated gets nothing either. */
+  @Test
+  public void upstreamsOfAnEvacuatedZoneGetNothingUntilItIsTakenBack() {
+    told(List.of(), started(1, 1000));
+    evacuated = List.of("a");
+    told(List.of());
+    assertEquals(only().condition(), UpstreamCondition.EVACUATED);
+    told(List.of(), started(1, 2000));
+    assertEquals(only().condition(), UpstreamCondition.EVACUATED);
+    evacuated = List.of();
+    told(List.of(), started(2, 2000).coldFor(3000));
+    assertEquals(only().condition(), UpstreamCondition.READY);
+    assertTrue(only().isCold(RelayFixture.START.plusMillis(2999)));
+    told(List.of(), started(3, 2000));
+    assertFalse(only().isCold(RelayFixture.START), "warm again");
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.RelayResult;
@@ -89,15 +90,39 @@
     assertTrue(machine.isLeaving(new UpstreamRun("up-1", 2000)), "said first, heard again late");
   }
 
+  /**
+   * The operator's answer is lost, and it sends the same order to another control VM. It is taken
+   * again and changes nothing; the evacuation keeps its first time.
+   */
+  @Test
+  public void evacuationIsTakenAgainAndTakenBack() {
+    for (int time = 0; time < 2; time++) {
+      assertEquals(apply(new RelayCommand.EvacuateZone("a")), new CommandResult.Done());
+      index++;
+    }
+    apply(new RelayCommand.EvacuateZone("b"));
+    assertEquals(
+        apply(new RelayCommand.ReadEvacuations()),
+        new RelayResult.EvacuationsRead(
+            List.of(
+                new Evacuation("a", RelayFixture.START), new Evacuation("b", RelayFixture.START))));
+    for (int time = 0; time < 2; time++) {
+      assertEquals(apply(new RelayCommand.TakeZoneBack("a")), new CommandResult.Done());
+    }
+    assertEquals(machine.evacuations(), List.of(new Evacuation("b", RelayFixture.START)));
+  }
+
   @Test
   public void snapshotHoldsEverything() {
     apply(put(3, "three"));
+    apply(new RelayCommand.EvacuateZone("a"));
     apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
     apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 0)));
     RelayMachine other = new RelayMachine();
     other.restore(machine.snapshot());
     assertEquals(other.configuration(), machine.configuration());
     assertEquals(other.rollOuts(), machine.rollOuts());
+    assertEquals(other.evacuations(), machine.evacuations());
     assertTrue(other.isLeaving(new UpstreamRun("up-1", 0)));
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRandomRunTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayRandomRunTest.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.Test;
 
 /**
@@ -24,6 +26,7 @@
   private static final String FIRST_PROPERTY = "skylarkfork.relay.first";
 
   private static final int USUAL_SEEDS = 100;
+  private static final int EVACUATION_SEEDS = 30;
   private static final int STEPS = 10;
   private static final int ENTRIES = 20;
   private static final List<Integer> VOTERS = List.of(3, 3, 5, 5, 7, 9);
@@ -51,7 +54,39 @@
         seeds + " seeds, " + events + " events, " + accepted + " accepted, " + reads + " reads");
   }
 
+  /**
+   * Nothing goes to an evacuated zone later than the bound, and a zone that was taken back gets
+   * work again, at each entry that may serve. Orders come under the same faults as above.
+   */
+  @Test
+  public void evacuationsHoldInRandomRuns() {
+    long first = Long.getLong(FIRST_PROPERTY, 1);
+    int ordersAccepted = 0;
+    int seeds = Integer.getInteger(SEEDS_PROPERTY, EVACUATION_SEEDS);
+    for (long seed = first; seed < first + seeds; seed++) {
+      try {
+        UniformRandomProvider orders = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        ordersAccepted += run(seed, run -> order(run, orders)).ordersAccepted;
+      } catch (AssertionError | RuntimeException failed) {
+        throw new AssertionError("seed " + seed, failed);
+      }
+    }
+    assertTrue(ordersAccepted > seeds, ordersAccepted + " accepted");
+    System.out.println(seeds + " seeds, " + ordersAccepted + " orders on zones accepted");
+  }
+
+  private static void order(RelaySimulation run, UniformRandomProvider random) {
+    List<String> running = run.runningControls();
+    if (!running.isEmpty()) {
+      run.order(running.get(random.nextInt(running.size())), random.nextBoolean() ? "a" : "b");
+    }
+  }
+
   private static RelaySimulation run(long seed) {
+    return run(seed, run -> {});
+  }
+
+  private static RelaySimulation run(long seed, Consumer<RelaySimulation> orders) {
     int voters = VOTERS.get((int) Math.floorMod(seed, (long) VOTERS.size()));
     RelaySimulation run = new RelaySimulation(seed, voters, (int) (seed % 2), ENTRIES);
     run.network.weather(0.01, 0.01, 3);
@@ -59,8 +94,10 @@
     run.put(run.controls.get(0));
     UniformRandomProvider random = run.random();
     for (int step = 0; step < STEPS; step++) {
-      List<String> struck = strike(run, random);
+      final List<String> struck = strike(run, random);
+      orders.accept(run);
       disturb(run, random);
+      orders.accept(run);
       recover(run, struck);
     }
     run.assertServes();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.command.Member;
@@ -66,6 +67,7 @@
   private final Map<Long, String> leaders = new HashMap<>();
   private final Map<Long, Call> calls = new HashMap<>();
   private final Map<Long, String> contents = new HashMap<>();
+  private final Map<String, Order> orders = new HashMap<>();
   private final SnapshotNumbers codec = new SnapshotNumbers();
   private long lastCall;
   private long lastVersion;
@@ -74,6 +76,21 @@
   private int contentsSent;
   int accepted;
   int reads;
+  int ordersAccepted;
+
+  /** An operator's newest order on an availability zone. */
+  private static final class Order {
+    private final long call;
+    private final boolean evacuates;
+    private final Instant sentAt;
+    private Instant acceptedAt = Instant.MAX.minus(KEY_BOUND);
+
+    private Order(long call, boolean evacuates, Instant sentAt) {
+      this.call = call;
+      this.evacuates = evacuates;
+      this.sentAt = sentAt;
+    }
+  }
 
   /** What an operator asked for, and what had been accepted before. */
   private record Call(@Nullable Long version, long acceptedBefore) {}
@@ -212,6 +229,44 @@
     ask(control, version, new RelayCommand.PutConfiguration(configuration, document));
   }
 
+  /**
+   * Lets an operator evacuate an availability zone or take it back, by turns, unless its last order
+   * for that zone may still be on its way.
+   */
+  void order(String control, String zone) {
+    Order before = orders.get(zone);
+    if (before != null && network.now().isBefore(before.sentAt.plusMillis(2 * CALL_MILLIS))) {
+      return;
+    }
+    boolean evacuates = before == null || !before.evacuates;
+    orders.put(zone, new Order(lastCall + 1, evacuates, network.now()));
+    ask(
+        control,
+        null,
+        evacuates ? new RelayCommand.EvacuateZone(zone) : new RelayCommand.TakeZoneBack(zone));
+  }
+
+  private void orderAnswered(long call, CommandResult result) {
+    for (Order order : orders.values()) {
+      if (order.call == call && result instanceof CommandResult.Done) {
+        order.acceptedAt = network.now();
+        ordersAccepted++;
+      }
+    }
+  }
+
+  /** An entry that may serve acts on an accepted order in time, whatever it missed. */
+  private void checkOrders(String name, RelayEntryPart part) {
+    for (Map.Entry<String, Order> zone : orders.entrySet()) {
+      Order order = zone.getValue();
+      boolean due = network.now().isAfter(order.acceptedAt.plus(KEY_BOUND));
+      boolean serves = part.configured() && part.proven(network.timeOf(name));
+      if (due && serves && part.evacuated().contains(zone.getKey()) != order.evacuates) {
+        throw new AssertionError(name + " missed the order on " + zone.getKey());
+      }
+    }
+  }
+
   /** Lets an operator read the configuration. */
   void read(String control) {
     ask(control, null, new RelayCommand.ReadConfiguration());
@@ -226,6 +281,9 @@
   private void onEffect(String node, Effect effect) {
     if (effect instanceof RelayEffect.ReplyToCall reply) {
       Call call = calls.remove(reply.callId());
+      if (call != null && reply.result() != null) {
+        orderAnswered(reply.callId(), reply.result());
+      }
       if (call != null && reply.result() instanceof RelayResult.ConfigurationAccepted taken) {
         accepted(call, taken);
       } else if (call != null && reply.result() instanceof RelayResult.ConfigurationRead read) {
@@ -273,6 +331,7 @@
   }
 
   private void checkEntry(String name, RelayEntryPart part) {
+    checkOrders(name, part);
     RelayConfiguration believed = part.table().configuration();
     Long before = versions.put(name, believed.version());
     if (before != null && believed.version() < before) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
@@ -182,6 +182,16 @@
     assertEquals(back.message(), new PlacementNews(ask.number(), AttemptProgress.ENDED, 0));
   }
 
+  /** The entry has heard that a zone is evacuated, the scheduler has not yet. */
+  @Test
+  public void evacuatedEngineIsNotUsedThoughTheSchedulerNamesIt() {
+    PlacementAsk ask = asks(1);
+    view.tracks.get(1).evacuated(true);
+    List<Effect> effects = answered(new PlacementAnswer(ask.number(), "up-2", 0, 20, 40, 1000));
+    assertNotEquals(only(effects, SendAttempt.class).target().upstream().id(), "up-2");
+    assertEquals(asks(2).excluded(), List.of("up-2"), "nor is it asked for again");
+  }
+
   /**
    * The caller leaves while the scheduler is asked; nothing is sent and the place is given back.
    */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
@@ -149,6 +149,23 @@
     assertEquals(coldMillis(cold, next), 0, "warm earlier than it said");
   }
 
+  /**
+   * Upstreams of a zone that is taken back fall over under their share of the work. They turned
+   * cold while they got nothing, and their heartbeats tell it only later.
+   */
+  @Test
+  public void upstreamsOfZoneThatIsTakenBackCountAsCold() {
+    registry.heard(beat("up", "one", 1), false, RelayFixture.START);
+    long known = registry.sequence();
+    registry.zoneTakenBack("b", 3000, RelayFixture.START);
+    assertEquals(registry.sequence(), known, "another zone");
+    registry.zoneTakenBack("a", 3000, RelayFixture.START);
+    assertEquals(coldMillis(known, RelayFixture.START.plusMillis(500)), 2500);
+    registry.heard(beat("up", "one", 2), false, RelayFixture.START.plusMillis(600));
+    assertEquals(coldMillis(known, RelayFixture.START.plusMillis(1000)), 2000, "a late heartbeat");
+    assertEquals(coldMillis(known, RelayFixture.START.plusMillis(4000)), 0);
+  }
+
   private long coldMillis(long after, Instant now) {
     DirectoryChanges changes = registry.changes(7, true, 7, after, now);
     assertEquals(changes.upstreams().size(), 1);
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartRelay.java
@@ -58,6 +58,7 @@
         new RelaySettings(
             "quickstart-relay",
             ZONE,
+            List.of(ZONE),
             peer,
             List.of(HOST + ":" + peer.getPort()),
             any,
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -25,12 +25,16 @@
   private static final int ADVANCE_ROLL_OUT = 19;
   private static final int READ_ROLL_OUT = 20;
   private static final int UPSTREAM_LEAVES = 21;
+  private static final int EVACUATE_ZONE = 22;
+  private static final int TAKE_ZONE_BACK = 23;
+  private static final int READ_EVACUATIONS = 24;
 
   private static final int DONE = 1;
   private static final int REJECTED = 2;
   private static final int CONFIGURATION_ACCEPTED = 16;
   private static final int CONFIGURATION_READ = 17;
   private static final int ROLL_OUT_READ = 18;
+  private static final int EVACUATIONS_READ = 19;
 
   @Override
   public Class<Command> type() {
@@ -98,6 +102,12 @@
       out.tagged(READ_ROLL_OUT, 1).text(read.service());
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
       out.tagged(UPSTREAM_LEAVES, 2).text(leaves.run().id()).number(leaves.run().bornMillis());
+    } else if (command instanceof RelayCommand.EvacuateZone evacuate) {
+      out.tagged(EVACUATE_ZONE, 1).text(evacuate.zone());
+    } else if (command instanceof RelayCommand.TakeZoneBack back) {
+      out.tagged(TAKE_ZONE_BACK, 1).text(back.zone());
+    } else if (command instanceof RelayCommand.ReadEvacuations) {
+      out.tagged(READ_EVACUATIONS, 0);
     }
   }
 
@@ -148,6 +158,14 @@
         String id = in.text();
         return new RelayCommand.UpstreamLeaves(
             components.next() ? new UpstreamRun(id, in.number()) : UpstreamRun.everyStartOf(id));
+      case EVACUATE_ZONE:
+        components.take(1);
+        return new RelayCommand.EvacuateZone(in.text());
+      case TAKE_ZONE_BACK:
+        components.take(1);
+        return new RelayCommand.TakeZoneBack(in.text());
+      case READ_EVACUATIONS:
+        return new RelayCommand.ReadEvacuations();
       default:
         throw PackedReader.unknown("command", tag);
     }
@@ -164,6 +182,8 @@
       out.tagged(CONFIGURATION_READ, 2).number(read.version()).bytes(read.document());
     } else if (result instanceof RelayResult.RollOutRead read) {
       out.tagged(ROLL_OUT_READ, 1).optional(read.rollOut(), RelayValues::writeRollOut);
+    } else if (result instanceof RelayResult.EvacuationsRead read) {
+      out.tagged(EVACUATIONS_READ, 1).list(read.evacuations(), RelayValues::writeEvacuation);
     } else {
       throw unsupported(result);
     }
@@ -191,6 +211,9 @@
         components.take(1);
         ServiceRollOut rollOut = in.optional(RelayValues::readRollOut);
         return new RelayResult.RollOutRead(rollOut);
+      case EVACUATIONS_READ:
+        components.take(1);
+        return new RelayResult.EvacuationsRead(in.list(RelayValues::readEvacuation));
       default:
         throw PackedReader.unknown("result", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -251,15 +251,19 @@
   }
 
   private static void writeShared(SharedState shared, PackedWriter out) {
-    out.record(3).list(shared.rollOuts(), RelayValues::writeRollOut);
+    out.record(4).list(shared.rollOuts(), RelayValues::writeRollOut);
     RelayValues.writeRuns(shared.leaving(), out);
+    out.list(shared.evacuated(), (zone, to) -> to.text(zone));
   }
 
   private static SharedState readShared(PackedReader in) {
     return in.grownRecord(
         2,
         (from, more) ->
-            new SharedState(from.list(RelayValues::readRollOut), RelayValues.readRuns(from, more)));
+            new SharedState(
+                from.list(RelayValues::readRollOut),
+                RelayValues.readRuns(from, more),
+                more.next() ? from.list(PackedReader::text) : List.of()));
   }
 
   private static void writeDirectory(DirectoryChanges changes, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.ColdStart;
 import org.skylarkfork.core.relay.EngineProfile;
+import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.ModelPrice;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayLimits;
@@ -250,6 +251,14 @@
                 constant(RollOutPhase.class, from.text())));
   }
 
+  static void writeEvacuation(Evacuation evacuation, PackedWriter out) {
+    out.record(2).text(evacuation.zone()).moment(evacuation.since());
+  }
+
+  static Evacuation readEvacuation(PackedReader in) {
+    return in.record(2, from -> new Evacuation(from.text(), from.moment()));
+  }
+
   static void writeInstance(UpstreamInstance instance, PackedWriter out) {
     out.record(INSTANCE_COMPONENTS + 2)
         .text(instance.id())
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.runtime.packed;
 
+import java.util.List;
 import org.skylarkfork.core.command.GroupState;
 import org.skylarkfork.core.command.RelayState;
 import org.skylarkfork.core.command.Snapshot;
@@ -41,9 +42,10 @@
     if (state instanceof GroupState.Empty) {
       out.tagged(EMPTY, 0);
     } else if (state instanceof RelayState relay) {
-      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 5));
+      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 6));
       out.bytes(relay.document()).list(relay.rollOuts(), RelayValues::writeRollOut);
       RelayValues.writeRuns(relay.leaving(), out);
+      out.list(relay.evacuations(), RelayValues::writeEvacuation);
     } else {
       throw new CodecException(
           CodecException.Kind.UNSUPPORTED, state.getClass() + " is none of the relay's", null);
@@ -65,7 +67,8 @@
             RelayValues.readConfiguration(in),
             in.bytes(),
             in.list(RelayValues::readRollOut),
-            RelayValues.readRuns(in, components));
+            RelayValues.readRuns(in, components),
+            components.next() ? in.list(RelayValues::readEvacuation) : List.of());
       default:
         throw PackedReader.unknown("state", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -29,6 +29,9 @@
   /** Returns what this control VM's replica knows of its group, or null before it has one. */
   @Nullable GroupStatus group();
 
+  /** Returns whether there is such an availability zone, as far as this control VM knows. */
+  boolean isZone(String zone);
+
   /** Takes note of an upstream's heartbeat. */
   void heartbeat(UpstreamInstance instance);
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -23,12 +23,21 @@
 
   private final EventLoopReducer loop;
   private final RelayControlPart control;
+  private final List<String> zones;
   private final Map<Long, CompletableFuture<CommandResult>> open = new HashMap<>();
   private long lastCall;
 
-  OpenCalls(EventLoopReducer loop, RelayControlPart control) {
+  /**
+   * Makes the calls.
+   *
+   * @param loop takes the events
+   * @param control the control VM's part
+   * @param zones the deployment's availability zones; empty if they aren't known
+   */
+  OpenCalls(EventLoopReducer loop, RelayControlPart control, List<String> zones) {
     this.loop = loop;
     this.control = control;
+    this.zones = zones;
   }
 
   @Override
@@ -63,6 +72,11 @@
     return control.group();
   }
 
+  @Override
+  public boolean isZone(String zone) {
+    return !zone.isEmpty() && (zones.isEmpty() || zones.contains(zone));
+  }
+
   @Override
   public void heartbeat(UpstreamInstance instance) {
     loop.submit(new RelayEvent.HeartbeatReceived(instance));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -90,6 +90,9 @@
         case "GET entries" -> done(lookUp(call, control));
         case "PUT roll-outs" -> begin(last, call, control);
         case "GET roll-outs" -> ask(control, new RelayCommand.ReadRollOut(last));
+        case "PUT evacuations" -> evacuate(last, new RelayCommand.EvacuateZone(last), control);
+        case "DELETE evacuations" -> evacuate(last, new RelayCommand.TakeZoneBack(last), control);
+        case "GET evacuations" -> ask(control, new RelayCommand.ReadEvacuations());
         default -> done(error(NOT_FOUND, "there is no such call; see the page for operators"));
       };
     } catch (CodecException unreadable) {
@@ -157,6 +160,13 @@
         control, new RelayCommand.BeginRollOut(service, order.target(), order.deadlineMillis()));
   }
 
+  private CompletableFuture<HttpReply> evacuate(
+      String zone, RelayCommand command, ControlCalls control) {
+    return control.isZone(zone)
+        ? ask(control, command)
+        : done(error(NOT_FOUND, "no availability zone is called " + zone));
+  }
+
   private CompletableFuture<HttpReply> ask(ControlCalls control, RelayCommand command) {
     return answered(control.ask(command), this::reply);
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -206,7 +206,7 @@
     RelayControlPart control =
         new RelayControlPart(
             settings.peerName(), machine, consensus, times(), RollOutSettings.DEFAULT);
-    OpenCalls open = new OpenCalls(loop, control);
+    OpenCalls open = new OpenCalls(loop, control, settings.zones());
     calls = open;
     parts.add(consensus);
     parts.add(control);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelaySettings.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelaySettings.java
@@ -11,6 +11,7 @@
  *
  * @param name name for logs
  * @param zone availability zone
+ * @param zones the deployment's availability zones; empty if they aren't known
  * @param peer address for other daemons; its text is the daemon's peer name
  * @param seeds peer names of control VMs to begin with
  * @param caller where callers connect, or null if this is no entry
@@ -21,7 +22,8 @@
  * @param dataFolder where a control VM keeps its state, or null if this is none
  * @param mayFound whether the control VMs may found their group on empty disks
  * @param voters control VMs that are to agree on changes
- * @param keyBound time from the acceptance of a change until a key that it removes is dead
+ * @param keyBound time from the acceptance of a change until a key that it removes is dead, and
+ *     until nothing is sent to an evacuated zone
  * @param heartbeat time between two heartbeats of an upstream
  * @param retryRatio repeats that are allowed for each request
  * @param grace time that a stop may take
@@ -29,6 +31,7 @@
 public record RelaySettings(
     String name,
     String zone,
+    List<String> zones,
     InetSocketAddress peer,
     List<String> seeds,
     @Nullable InetSocketAddress caller,
@@ -46,6 +49,7 @@
 
   /** Copies the list. */
   public RelaySettings {
+    zones = List.copyOf(zones);
     seeds = List.copyOf(seeds);
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/RelayFileSettings.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/settings/RelayFileSettings.java
@@ -14,6 +14,7 @@
  *
  * @param node name for logs
  * @param zone availability zone
+ * @param zones the deployment's availability zones; by default any name is taken for one
  * @param host IP number on which all listeners open
  * @param peerPort port for other daemons
  * @param callerPort port for callers, or null if this is no entry
@@ -32,6 +33,7 @@
 public record RelayFileSettings(
     String node,
     String zone,
+    List<String> zones,
     String host,
     int peerPort,
     @Nullable Integer callerPort,
@@ -53,8 +55,9 @@
   private static final double DEFAULT_RETRY_RATIO = 0.2;
   private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public RelayFileSettings {
+    zones = zones == null ? List.of() : List.copyOf(zones);
     seeds = seeds == null ? List.of() : List.copyOf(seeds);
   }
 
@@ -90,6 +93,7 @@
     return new RelaySettings(
         node,
         zone,
+        zones,
         new InetSocketAddress(host, peerPort),
         seeds.stream().sorted().toList(),
         address(callerPort),
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
@@ -23,6 +23,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -68,6 +69,7 @@
         new RelaySettings(
             "test",
             "a",
+            List.of("a"),
             peer,
             List.of("127.0.0.1:" + peer.getPort()),
             any,
@@ -221,6 +223,38 @@
     assertTrue(group.commitIndex() > 0, answer.body());
   }
 
+  /**
+   * A caller is told at once that its request has not run while the only zone with upstreams is
+   * evacuated, and is served again once operators have taken it back.
+   */
+  @Test
+  public void evacuatedZoneIsReadableAndServesAgainOnceTakenBack() throws Exception {
+    serveWith(
+        (run, head, out) -> {
+          out.write(ScriptedUpstream.whole(head, 200, "the answer"));
+          return true;
+        });
+    served("/lookup/x", "one");
+    assertEquals(onZone("PUT", "/nowhere").statusCode(), 404);
+    awaitControl("evacuations/a", "");
+    assertTrue(onZone("GET", "").body().contains("\"zone\":\"a\""), onZone("GET", "").body());
+    String refused = "";
+    for (int tries = 0; tries < MAX_TRIES && !refused.startsWith("HTTP/1.1 503"); tries++) {
+      refused = exchange("/lookup/x", "two-" + tries, "body");
+    }
+    assertTrue(refused.toLowerCase(Locale.ROOT).contains("retry-after: 1.0"), refused);
+    assertEquals(onZone("DELETE", "/a").statusCode(), 200);
+    served("/lookup/x", "three");
+  }
+
+  private HttpResponse<String> onZone(String method, String zone) throws Exception {
+    int port = node().controlAddress().join().getPort();
+    URI uri = URI.create("http://127.0.0.1:" + port + "/relay/v1/evacuations" + zone);
+    return client.send(
+        HttpRequest.newBuilder(uri).method(method, HttpRequest.BodyPublishers.noBody()).build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
   @Test
   public void answerComesBackByteForByteAndTheTeamIsNamed() throws Exception {
     serveWith(
