--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -157,7 +157,7 @@
   }
 
   /** Returns the availability zones whose upstreams get nothing. */
-  Set<String> evacuated() {
+  public Set<String> evacuated() {
     return evacuated;
   }
 
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -20,6 +20,7 @@
       CheckCommand.class,
       TimelineCommand.class,
       ExplainCommand.class,
+      EvacuateCommand.class,
       StandinCommand.class,
       LoadCommand.class,
       MeasureCommand.class,
