--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/trace/BoundedLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/trace/BoundedLog.java
@@ -1,7 +1,10 @@
 package org.skylarkfork.runtime.trace;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.tinylog.Logger;
@@ -16,6 +19,13 @@
 
   private static final int MAX_WAITING = 2000;
 
+  /**
+   * Time in which lines gather before they are written, in milliseconds. Written one by one, each
+   * wakes this thread and the library's, which is the most that a decision costs after the request
+   * itself. A crash loses this much of the log.
+   */
+  private static final long GATHERING_MILLIS = 100;
+
   private final String node;
   private final LogBudget budget = new LogBudget();
   private final BlockingQueue<Line> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
@@ -66,15 +76,23 @@
     }
   }
 
+  private static void write(Line line) {
+    if (line.warning()) {
+      Logger.warn(line.text());
+    } else {
+      Logger.info(line.text());
+    }
+  }
+
   private void write() {
     try {
+      List<Line> gathered = new ArrayList<>();
       while (true) {
-        Line line = waiting.take();
-        if (line.warning()) {
-          Logger.warn(line.text());
-        } else {
-          Logger.info(line.text());
-        }
+        gathered.add(waiting.take());
+        TimeUnit.MILLISECONDS.sleep(GATHERING_MILLIS);
+        waiting.drainTo(gathered);
+        gathered.forEach(BoundedLog::write);
+        gathered.clear();
       }
     } catch (InterruptedException stopped) {
       Thread.currentThread().interrupt();
