--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,14 @@
   private final RelayTimes times;
   private boolean changed;
   private final Map<String, Known> entries = new LinkedHashMap<>();
+
+  /**
+   * What each entry is to know of the others, until one of them or the engines change. Made anew at
+   * each poll it takes time with the square of the entries.
+   */
+  private final Map<String, Neighbourhood> neighbourhoods = new HashMap<>();
+
+  private int neighbourhoodEngines;
   private int lookUps;
 
   EntryRegistry(RelayTimes times) {
@@ -45,14 +54,21 @@
   EntryPoll heard(String node, EntryPoll poll, Instant now) {
     Known before = entries.put(node, new Known(poll, now));
     boolean same = before != null && before.poll.incarnation() == poll.incarnation();
-    changed |=
-        !same || before.poll.serving() != poll.serving() || before.poll.busy() != poll.busy();
+    if (!same || before.poll.serving() != poll.serving() || before.poll.busy() != poll.busy()) {
+      noteChange();
+    }
     return same ? before.poll : poll;
   }
 
   void tick(Instant now) {
-    changed |=
-        entries.values().removeIf(known -> now.isAfter(known.heardAt.plus(times.entrySilence())));
+    if (entries.values().removeIf(known -> now.isAfter(known.heardAt.plus(times.entrySilence())))) {
+      noteChange();
+    }
+  }
+
+  private void noteChange() {
+    changed = true;
+    neighbourhoods.clear();
   }
 
   /** Returns whether entries have come, gone or changed since this was last asked. */
@@ -69,6 +85,14 @@
    * @param engines how many engines prompts are placed on
    */
   Neighbourhood neighbourhood(String node, int engines) {
+    if (engines != neighbourhoodEngines) {
+      neighbourhoods.clear();
+      neighbourhoodEngines = engines;
+    }
+    return neighbourhoods.computeIfAbsent(node, missing -> neighbourhoodNow(node, engines));
+  }
+
+  private Neighbourhood neighbourhoodNow(String node, int engines) {
     List<String> sorted = new ArrayList<>(new TreeSet<>(entries.keySet()));
     int own = sorted.indexOf(node);
     List<String> addresses = addresses(poll(node).zone(), sorted, own);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EntryRegistryTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EntryRegistryTest.java
@@ -50,6 +50,22 @@
         registry(false, true, false).neighbourhood("entry-1", 6).version(), told.version());
   }
 
+  /** What an entry was told before it is told anew once another one comes, changes or goes. */
+  @Test
+  public void neighbourhoodChangesWithTheOthers() {
+    EntryRegistry registry = registry(false, false, false);
+    assertEquals(registry.neighbourhood("entry-1", 6).callerAddresses().size(), 3);
+    registry.heard("entry-2", poll(2, "a", false, false), START);
+    assertEquals(
+        registry.neighbourhood("entry-1", 6).callerAddresses(), List.of("10.0.0.1", "10.0.0.0"));
+    registry.heard("entry-3", poll(3, "b", true, false), START.plusSeconds(2));
+    assertEquals(registry.neighbourhood("entry-1", 6).callerAddresses().size(), 3);
+    registry.heard("entry-1", poll(1, "b", true, false), START.plusSeconds(2));
+    registry.tick(START.plusSeconds(4));
+    assertEquals(
+        registry.neighbourhood("entry-1", 6).callerAddresses(), List.of("10.0.0.1", "10.0.0.3"));
+  }
+
   /** Up to nine entries, each is told by all others and tells all others, and none schedules. */
   @Test
   public void fewEntriesHearEachOther() {
