--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -5,11 +5,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
@@ -50,9 +48,6 @@
 
   private static final double POOR = 0.05;
 
-  /** Requests in a second under which a cold engine falls over. */
-  private static final int FALLS_OVER = 32;
-
   /** One kind of request. */
   record Kind(
       String name,
@@ -108,11 +103,7 @@
   private double frozenUntil;
   private final Map<Long, Integer> written = new HashMap<>();
   private @Nullable UniformRandomProvider lengths;
-  private ColdStart coldStart = ColdStart.NONE;
-  private final Set<String> away = new HashSet<>();
-  private double returnAt;
-  private final Set<String> fallen = new HashSet<>();
-  private final Map<String, List<Double>> sentWhileCold = new HashMap<>();
+  private ColdReturn coldReturn = ColdReturn.none();
 
   /**
    * Makes a replay.
@@ -218,38 +209,11 @@
    * @param atMillis when they come back
    * @param cold what they bear then
    */
-  void returnCold(int count, double atMillis, ColdStart cold) {
-    coldStart = cold;
-    returnAt = atMillis;
-    engines.keySet().stream().sorted().limit(count).forEach(away::add);
+  ColdReturn returnCold(int count, double atMillis, ColdStart cold) {
+    coldReturn =
+        new ColdReturn(engines.keySet().stream().sorted().limit(count).toList(), atMillis, cold);
     at(atMillis, () -> entries.keySet().forEach(name -> prove(name, neighbourhoods.get(name))));
-  }
-
-  /** Returns the most requests that one cold engine got within a second. */
-  int mostInOneSecondWhileCold() {
-    int most = 0;
-    for (List<Double> sends : sentWhileCold.values()) {
-      for (double from : sends) {
-        most =
-            Math.max(
-                most, (int) sends.stream().filter(at -> at >= from && at < from + 1000).count());
-      }
-    }
-    return most;
-  }
-
-  /** Counts a request at a cold engine; returns false once it has fallen over under them. */
-  private boolean bears(String engine) {
-    List<Double> sends = sentWhileCold.computeIfAbsent(engine, first -> new ArrayList<>());
-    sends.add(now);
-    if (sends.stream().filter(at -> at > now - 1000).count() > FALLS_OVER) {
-      fallen.add(engine);
-    }
-    return !fallen.contains(engine);
-  }
-
-  private boolean isCold(String engine) {
-    return away.contains(engine) && now >= returnAt && now < returnAt + coldStart.millis();
+    return coldReturn;
   }
 
   private boolean stands(String name) {
@@ -270,15 +234,14 @@
   }
 
   private UpstreamStatus status(EmulatedEngine engine) {
-    boolean cold = isCold(engine.instance.id());
-    long coldMillis = cold ? (long) (returnAt + coldStart.millis() - now) : 0;
+    long coldMillis = coldReturn.coldMillis(engine.instance.id(), now);
     return new UpstreamStatus(engine.instance.coldFor(coldMillis), UpstreamCondition.READY);
   }
 
   private void prove(String name, Neighbourhood neighbourhood) {
     List<UpstreamStatus> statuses =
         engines.values().stream()
-            .filter(engine -> now >= returnAt || !away.contains(engine.instance.id()))
+            .filter(engine -> coldReturn.isThere(engine.instance.id(), now))
             .map(this::status)
             .toList();
     RelayMessage.EntryUpdate update =
@@ -319,7 +282,11 @@
         routes,
         List.of(
             new RelayService(
-                "service", "/health", 360, new EngineProfile(64, 590_000, List.of()), coldStart)),
+                "service",
+                "/health",
+                360,
+                new EngineProfile(64, 590_000, List.of()),
+                coldReturn.cold())),
         List.of(),
         RelayLimits.DEFAULT);
   }
@@ -364,7 +331,7 @@
     RelayRequest request = requests.get(send.request());
     AttemptTarget target = send.target();
     EmulatedEngine engine = engines.get(target.upstream().id());
-    if (isCold(engine.instance.id()) && !bears(engine.instance.id())) {
+    if (!coldReturn.bears(engine.instance.id(), now)) {
       apply(
           name,
           new RelayEvent.AttemptFailed(
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
@@ -211,9 +211,9 @@
             new Kind("mid", 1464, 568, 1800, 21, 1500, 5000, 0, 1.9, 181 * 1.6),
             new Kind("short", 396, 172, 543, 280, 1500, 20_000, 2, 0.95, 42.5 * 1.6));
     EngineLoadReplay replay = new EngineLoadReplay(seed, 55, engines, 0, 2, kinds);
-    replay.returnCold(14, 5000, cold);
+    ColdReturn engineReturn = replay.returnCold(14, 5000, cold);
     Outcome outcome = replay.play(9);
-    int most = replay.mostInOneSecondWhileCold();
+    int most = engineReturn.mostInOneSecond();
     if (mostAllowed > 0) {
       assertTrue(most > 0 && most <= mostAllowed, "in a second: " + most);
     } else {
