Relay: logs tell the content of requests, and which ones were lost as an upstream ended

Cause: nothing told whether a request is the same as one before, nor whether a lost attempt lost its connection or its upstream, so that three hypotheses of the incident could not be told apart.

After a lost attempt it probes the upstream with a connection, which is kept for the next request if it opens; if not, one line names the requests that were lost.

Decisions don't change.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/RelayEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/RelayEffect.java
@@ -4,6 +4,7 @@
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.relay.AttemptTarget;
 import org.skylarkfork.core.relay.Refusal;
+import org.skylarkfork.core.relay.UpstreamInstance;
 
 /** What the relay's runtime is to do. */
 public sealed interface RelayEffect extends Effect {
@@ -62,6 +63,14 @@
    */
   record Forget(long request) implements RelayEffect {}
 
+  /**
+   * Finds out whether an upstream still takes connections; {@link
+   * org.skylarkfork.core.event.RelayEvent.UpstreamProbed} tells.
+   *
+   * @param upstream the upstream
+   */
+  record ProbeUpstream(UpstreamInstance upstream) implements RelayEffect {}
+
   /**
    * Breaks an answer off, so that the caller sees that it is not complete.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -6,6 +6,7 @@
 import org.skylarkfork.core.relay.AttemptFailure;
 import org.skylarkfork.core.relay.RelayRequest;
 import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.UpstreamRun;
 
 /** What happens at the relay. */
 public sealed interface RelayEvent extends Event {
@@ -83,6 +84,14 @@
   record AnswerSilent(long request, int attempt, @Nullable String lastEventId, long silentMillis)
       implements RelayEvent {}
 
+  /**
+   * It is known whether an upstream still takes connections.
+   *
+   * @param upstream the start of it that was meant
+   * @param reachable whether it takes connections
+   */
+  record UpstreamProbed(UpstreamRun upstream, boolean reachable) implements RelayEvent {}
+
   /**
    * The answer of an attempt was read to its end.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -12,6 +12,10 @@
   final RelayRoute route;
   final RelayService service;
   final @Nullable RelayTeam team;
+
+  /** What it has in common with the same request sent again. */
+  final RequestKey key;
+
   final Instant arrivedAt;
   final Instant deadline;
 
@@ -76,6 +80,7 @@
     this.route = route;
     this.service = service;
     this.team = team;
+    this.key = new RequestKey(team == null ? "" : team.name(), request.contentHash());
     this.arrivedAt = arrivedAt;
     this.deadline = deadline;
     this.lastEventId = request.lastEventId();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
@@ -25,6 +25,7 @@
   private final RequestEndings endings;
   private final VersionLedger counts;
   private final Patience patience;
+  private final CrashWatch crashes;
   private final RequestTrace trace;
 
   AttemptFailures(
@@ -33,12 +34,14 @@
       RequestEndings endings,
       VersionLedger counts,
       Patience patience,
+      CrashWatch crashes,
       RequestTrace trace) {
     this.sender = sender;
     this.starter = starter;
     this.endings = endings;
     this.counts = counts;
     this.patience = patience;
+    this.crashes = crashes;
     this.trace = trace;
   }
 
@@ -100,6 +103,7 @@
     }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
+      crashes.lost(track.instance(), relay.key, relay.sentAt, now, output);
     }
     if (failed.failure().blamesVersion()) {
       counts.failed(track.instance());
@@ -192,6 +196,7 @@
     noteWait(relay, silent, now);
     trace.attemptEnded(why, relay, "after_event=" + relay.lastEventId, now, output);
     sender.drop(relay, output);
+    crashes.lost(silent.instance(), relay.key, relay.sentAt, now, output);
     starter.next(relay, now, output);
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequest.java
@@ -19,6 +19,7 @@
  * @param prompt the shared parts of its prompt in order, its own part last
  * @param session session that it belongs to, or null
  * @param lastEventId event after which its stream is to begin, or null
+ * @param contentHash hash of its method, host, path and body, the same on each entry
  */
 public record RelayRequest(
     long number,
@@ -32,7 +33,8 @@
     int outputTokens,
     List<PromptPart> prompt,
     @Nullable String session,
-    @Nullable String lastEventId) {
+    @Nullable String lastEventId,
+    long contentHash) {
 
   /** Copies the list. */
   public RelayRequest {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -38,6 +38,7 @@
   private final Patience patience = new Patience();
   private final SentPrompts prompts = new SentPrompts();
   private final ActiveRelays active = new ActiveRelays();
+  private final CrashWatch crashes = new CrashWatch();
   private final RequestIntake intake;
   private final SchedulerClient schedulers;
   private final AttemptSender sender;
@@ -96,7 +97,7 @@
     this.sender = new AttemptSender(view, zone, picker, schedulers, versions, prompts, trace);
     this.endings = new RequestEndings(active, sender, answerTimes, trace);
     this.starter = new AttemptStarter(sender, endings, budget);
-    this.failures = new AttemptFailures(sender, starter, endings, counts, patience, trace);
+    this.failures = new AttemptFailures(sender, starter, endings, counts, patience, crashes, trace);
     RequestAdmission admission = new RequestAdmission(view, stopPlan);
     this.intake = new RequestIntake(view, admission, models, endings, seed);
   }
@@ -137,6 +138,8 @@
       if (relay != null) {
         failures.failed(relay, failed, now, output);
       }
+    } else if (event instanceof RelayEvent.UpstreamProbed probed) {
+      crashes.probed(probed.upstream(), probed.reachable(), now, output);
     } else if (event instanceof RelayEvent.AnswerSilent silent) {
       ActiveRelay relay = active.find(silent.request(), silent.attempt());
       if (relay != null) {
@@ -247,6 +250,7 @@
   }
 
   private void tick(Instant now, Output output) {
+    crashes.tick(now);
     intake.released(now, output).forEach(relay -> begin(relay, now, output));
     schedulers.overdue(now, output).forEach(placed -> placed(placed, now, output));
     for (ActiveRelay relay : active.all()) {
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
@@ -0,0 +1,22 @@
+package org.skylarkfork.core.relay;
+
+import java.util.Locale;
+
+/**
+ * What makes two requests the same: a caller that sends its request again sends both alike, under a
+ * new id and often to another entry.
+ *
+ * <p>The team is compared as it is, so that no team can make a request that is taken for another
+ * team's.
+ *
+ * @param team name of the caller's team; empty for a request without a key
+ * @param content hash of its method, host, path and body
+ */
+public record RequestKey(String team, long content) {
+
+  /** Returns the key as logs and operators write it: the team, a slash, the hash in hexadecimal. */
+  @Override
+  public String toString() {
+    return team + "/" + String.format(Locale.ROOT, "%016x", content);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -27,6 +27,8 @@
     String facts =
         "attempt="
             + relay.attempt
+            + " content="
+            + relay.key
             + " upstream="
             + track.instance().id()
             + " upstream_version="
@@ -86,7 +88,15 @@
     output.effect(new TraceEffect.Count("relay_attempts_ended", event, 1));
     UpstreamTrack track = relay.upstream();
     String upstream = track == null ? "-" : track.instance().id();
-    String all = "attempt=" + relay.attempt + " upstream=" + upstream + " " + facts;
+    String all =
+        "attempt="
+            + relay.attempt
+            + " content="
+            + relay.key
+            + " upstream="
+            + upstream
+            + " "
+            + facts;
     line(true, event, relay, all, now, output);
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -435,7 +435,8 @@
             expectedTokens,
             prompt,
             "session-" + number,
-            null);
+            null,
+            number);
     asked.put(number, one);
     requests.put(number, request);
     apply(name, new RelayEvent.RequestArrived(request));
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -78,7 +78,8 @@
         10,
         List.of(),
         null,
-        null);
+        null,
+        number);
   }
 
   List<RelayEffect> answers(long number, int attempt, int status, boolean notRun) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
@@ -105,7 +105,8 @@
             10,
             List.of(new PromptPart("subject", 900), new PromptPart("own-" + number, 100)),
             null,
-            null);
+            null,
+            number);
     return apply(new RelayEvent.RequestArrived(request));
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayFront.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayFront.java
@@ -26,6 +26,7 @@
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRequest;
+import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 
 /** The callers' side of an entry: listener, connections and requests; one thread only. */
@@ -168,7 +169,7 @@
     long number = ++lastNumber;
     RelayRequest request;
     try {
-      request = dialect.read(number, head);
+      request = dialect.read(number, head, ContentHash.of(head, body));
     } catch (BadHeadException unreadable) {
       body.release();
       caller.reject(HttpResponseStatus.BAD_REQUEST);
@@ -188,6 +189,8 @@
       with(pass.request(), RelayExchange::pass);
     } else if (effect instanceof RelayEffect.DropAttempt drop) {
       with(drop.request(), RelayExchange::drop);
+    } else if (effect instanceof RelayEffect.ProbeUpstream probe) {
+      probe(probe.upstream());
     } else if (effect instanceof RelayEffect.Refuse refuse) {
       with(
           refuse.request(),
@@ -201,6 +204,12 @@
     }
   }
 
+  private void probe(UpstreamInstance upstream) {
+    pools
+        .pool(upstream)
+        .probe(reachable -> loop.submit(new RelayEvent.UpstreamProbed(upstream.run(), reachable)));
+  }
+
   private void with(long number, Consumer<RelayExchange> action) {
     RelayExchange exchange = exchanges.get(number);
     if (exchange != null) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayHeaders.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayHeaders.java
@@ -15,7 +15,8 @@
   private static final String LAST_EVENT = "Last-Event-Id";
 
   @Override
-  public RelayRequest read(long number, HttpRequest head) throws BadHeadException {
+  public RelayRequest read(long number, HttpRequest head, long contentHash)
+      throws BadHeadException {
     HttpHeaders headers = head.headers();
     int[] tokens = HeadValues.tokens(HttpNames.TOKENS, headers.get(HttpNames.TOKENS));
     return new RelayRequest(
@@ -30,7 +31,8 @@
         tokens[1],
         HeadValues.prompt(HttpNames.PROMPT_PARTS, headers.get(HttpNames.PROMPT_PARTS)),
         headers.get(HttpNames.SESSION),
-        headers.get(LAST_EVENT));
+        headers.get(LAST_EVENT),
+        contentHash);
   }
 
   @Override
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** The connections to one run of an upstream; used by one thread only. */
@@ -70,6 +71,19 @@
     }
   }
 
+  /**
+   * Tells whether the upstream takes a connection; one that was made is kept for the next request.
+   */
+  void probe(Consumer<Boolean> result) {
+    connect(
+        made -> {
+          if (made != null) {
+            release(made);
+          }
+          result.accept(made != null);
+        });
+  }
+
   private @Nullable UpstreamConnection newestUsable(long now) {
     while (!idle.isEmpty()) {
       UpstreamConnection kept = idle.removeLast();
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeTest.java
@@ -207,6 +207,25 @@
     throw new AssertionError("never served: " + answer);
   }
 
+  /**
+   * Operators see that an upstream ended while it ran a request. The upstream closes its listener
+   * and the request's connection, as a process that crashes does; the entry's probe is refused.
+   */
+  @Test
+  public void upstreamThatEndsUnderItsRequestIsCounted() throws Exception {
+    serveWith(
+        (run, head, out) -> {
+          upstreams.get(0).close();
+          return false;
+        });
+    served("/book/x", "one");
+    String served = "";
+    for (int tries = 0; tries < MAX_TRIES && !served.contains("upstreams_ended"); tries++) {
+      served = metrics();
+    }
+    assertTrue(served.contains("relay_upstreams_ended_total{kind=\"service\"} 1"), served);
+  }
+
   /** An operator sees who votes before a control VM is replaced. */
   @Test
   public void controlVmTellsWhoVotes() throws Exception {
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
@@ -140,7 +140,8 @@
                 new PromptPart("s" + number % SUBJECTS, 3780),
                 new PromptPart("o" + number, 2890)),
             "session",
-            null);
+            null,
+            number);
     reducer.apply(new RelayEvent.RequestArrived(request), NOW);
     reducer.apply(new RelayEvent.AnswerBegan(number, 1, OK, false, GOOD_CONFIDENCE), NOW);
     return reducer.apply(new RelayEvent.AnswerEnded(number, 1), NOW);
