--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestSimulation.java
@@ -0,0 +1,470 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.consensus.Growth;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.testing.MiniNetwork;
+
+/**
+ * Control VMs, entries, upstreams and callers in virtual time, where some contents end each
+ * upstream that runs them.
+ *
+ * <p>An upstream that ends takes all its requests with it, takes no connection for three seconds,
+ * and comes back under a new id at the same address. Such a content comes again for as long as the
+ * run lasts, at any entry, whatever it is answered.
+ */
+final class CrashingRequestSimulation {
+
+  /** Time in which each entry that is in touch can know what the others know. */
+  static final Duration CONTACT = Duration.ofSeconds(3);
+
+  /** Ends after which a content is known to end what runs it. */
+  static final int ENDS_THAT_TELL = 3;
+
+  private static final Duration DOWN = Duration.ofSeconds(3);
+  private static final Duration HEARTBEAT = Duration.ofMillis(1200);
+  private static final int WAIT_MILLIS = 150;
+  private static final int ANSWER_MILLIS = 600;
+  private static final int CRASH_MILLIS = 100;
+  private static final int CONTROLS = 3;
+  private static final long CALL_MILLIS = 4000;
+  private static final List<String> PATHS = List.of("/stream/x", "/lookup/x", "/book/x");
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+  final MiniNetwork network;
+  final List<String> controls = new ArrayList<>();
+  final List<String> entries = new ArrayList<>();
+
+  /** What became of each content that ends upstreams. */
+  final Map<Long, Record> records = new LinkedHashMap<>();
+
+  /** Good requests, and those of them that were refused, by the reason. */
+  final Map<Refusal, Integer> goodRefused = new HashMap<>();
+
+  int goodSent;
+  int goodAnswered;
+  int upstreamsEnded;
+
+  private final UniformRandomProvider random;
+  private final RelaySimulation.SnapshotNumbers codec = new RelaySimulation.SnapshotNumbers();
+  private final Map<String, ConsensusPart> groups = new HashMap<>();
+  private final Map<String, Integer> starts = new HashMap<>();
+  private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+  private final Map<Long, Caller> callers = new HashMap<>();
+  private final Map<String, Instant> disturbedAt = new HashMap<>();
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::order));
+  private Instant coreDisturbedAt = START;
+  private long order;
+  private long lastNumber;
+  private long lastContent = 1_000_000;
+
+  /** What is to happen at a time. */
+  private record Due(Instant at, long order, Runnable action) {}
+
+  /** A request of a caller, as an entry has it. */
+  private record Caller(String entry, long content, String path, boolean repeats) {}
+
+  /** An attempt at an upstream. */
+  private record Run(String entry, long request, int attempt, long content, Instant sentAt) {}
+
+  /** The ends of upstreams under one content, and the sends that came too late. */
+  static final class Record {
+    final Set<String> ended = new LinkedHashSet<>();
+    final Map<Refusal, Integer> refused = new HashMap<>();
+    @Nullable Instant knownAt;
+    int sends;
+    int lateSends;
+  }
+
+  /** One start of an upstream. */
+  private static final class Upstream {
+    private final UpstreamInstance instance;
+    private final Map<Run, Boolean> begunByRun = new LinkedHashMap<>();
+    private long heartbeats;
+    private boolean up = true;
+
+    private Upstream(UpstreamInstance instance) {
+      this.instance = instance;
+    }
+  }
+
+  /**
+   * Makes and starts all, with a configuration in force and every upstream known.
+   *
+   * @param seed seed of all chance
+   * @param entryCount how many entries there are
+   * @param upstreamCount how many upstreams there are
+   */
+  CrashingRequestSimulation(long seed, int entryCount, int upstreamCount) {
+    this.network = new MiniNetwork(seed);
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    network.listen(this::onEffect);
+    for (int number = 1; number <= CONTROLS; number++) {
+      controls.add("control-" + number);
+    }
+    for (String name : controls) {
+      network.add(name, List.of(GroupId.RELAY), start -> bootControl(name, start));
+      network.start(name);
+    }
+    for (int number = 1; number <= entryCount; number++) {
+      String name = "entry-" + number;
+      entries.add(name);
+      network.add(name, List.of(), start -> bootEntry(name, start));
+      network.start(name);
+    }
+    run(Duration.ofSeconds(3));
+    RelayConfiguration configuration = RelayFixture.configuration(1, "key");
+    network.inject(
+        controls.get(0),
+        new RelayEvent.CommandAsked(
+            1, new RelayCommand.PutConfiguration(configuration, new byte[0]), CALL_MILLIS));
+    for (int number = 1; number <= upstreamCount; number++) {
+      startUpstream(number, 1);
+    }
+    run(Duration.ofSeconds(6));
+  }
+
+  private Reducer bootControl(String name, long seed) {
+    boolean first = starts.merge(name, 1, Integer::sum) == 1;
+    RelayMachine machine = new RelayMachine();
+    Growth growth = new Growth(first, CONTROLS, RelaySimulation.VOTER_SILENCE);
+    ConsensusPart consensus =
+        new ConsensusPart(
+            name,
+            List.of(new GroupSetup(GroupId.RELAY, controls, growth, machine)),
+            RelaySimulation.settings(),
+            codec,
+            seed);
+    groups.put(name, consensus);
+    return new Reducer(
+        List.of(
+            consensus,
+            new RelayControlPart(
+                name, machine, consensus, RelaySimulation.times(), RollOutSettings.DEFAULT)));
+  }
+
+  private Reducer bootEntry(String name, long seed) {
+    VersionLedger counts = new VersionLedger();
+    EntryIdentity self = new EntryIdentity(name + ":80", "a", starts.merge(name, 1, Integer::sum));
+    RelayEntryPart entry = new RelayEntryPart(self, controls, RelaySimulation.times(), counts);
+    RelayRequestSettings settings = new RelayRequestSettings("a", 0.9, 0.05, Duration.ofSeconds(8));
+    return new Reducer(List.of(entry, new RelayRequestPart(entry, settings, counts, seed)));
+  }
+
+  /** Lets time pass. */
+  void run(Duration time) {
+    Instant end = network.now().plus(time);
+    while (network.now().isBefore(end)) {
+      network.run(Duration.ofMillis(1));
+      while (!due.isEmpty() && !due.peek().at().isAfter(network.now())) {
+        due.remove().action().run();
+      }
+    }
+  }
+
+  private void after(long millis, Runnable action) {
+    due.add(new Due(network.now().plusMillis(millis), order++, action));
+  }
+
+  private int upTo(int millis) {
+    return 1 + random.nextInt(millis);
+  }
+
+  private void startUpstream(int number, int start) {
+    String id = "up-" + number + "." + start;
+    String address = "10.0.0." + number + ":80";
+    UpstreamInstance instance = new UpstreamInstance(id, "service", address, "a", "v1", 64, 1, 0);
+    Upstream upstream = new Upstream(instance);
+    upstreams.put(id, upstream);
+    heartbeat(upstream);
+  }
+
+  private void heartbeat(Upstream upstream) {
+    if (!upstream.up) {
+      return;
+    }
+    upstream.heartbeats++;
+    UpstreamInstance told = upstream.instance;
+    List<String> running = controls.stream().filter(this::isAwake).toList();
+    if (!running.isEmpty()) {
+      network.inject(
+          running.get(random.nextInt(running.size())),
+          new RelayEvent.HeartbeatReceived(
+              new UpstreamInstance(
+                  told.id(),
+                  told.service(),
+                  told.address(),
+                  told.zone(),
+                  told.version(),
+                  told.slots(),
+                  upstream.heartbeats,
+                  told.bornMillis())));
+    }
+    after(HEARTBEAT.toMillis(), () -> heartbeat(upstream));
+  }
+
+  private boolean isAwake(String name) {
+    return network.isUp(name) && !network.isFrozen(name);
+  }
+
+  /** Sends good requests, each of another content, for as long as the run lasts. */
+  void load(int requestsPerSecond) {
+    after(
+        Math.max(1, upTo(2 * 1000 / requestsPerSecond) - 1),
+        () -> {
+          long content = ++lastContent;
+          goodSent++;
+          send(content, path(content), false);
+          load(requestsPerSecond);
+        });
+  }
+
+  /** Sends a content that ends upstreams, again and again, at most so long after its last end. */
+  void crashing(long content, int pauseMillis) {
+    records.computeIfAbsent(content, unknown -> new Record());
+    send(content, path(content), true);
+    after(upTo(pauseMillis), () -> crashing(content, pauseMillis));
+  }
+
+  private static String path(long content) {
+    return PATHS.get((int) (content % PATHS.size()));
+  }
+
+  private void send(long content, String path, boolean crashes) {
+    List<String> awake = entries.stream().filter(this::isAwake).toList();
+    if (awake.isEmpty()) {
+      return;
+    }
+    String entry = awake.get(random.nextInt(awake.size()));
+    long number = ++lastNumber;
+    callers.put(number, new Caller(entry, content, path, !crashes));
+    inject(entry, new RelayEvent.RequestArrived(request(number, path, content)));
+  }
+
+  private static RelayRequest request(long number, String path, long content) {
+    return new RelayRequest(
+        number,
+        "id-" + number,
+        "host.example",
+        path,
+        2000,
+        "key",
+        null,
+        0,
+        0,
+        List.of(),
+        null,
+        null,
+        content);
+  }
+
+  private void inject(String entry, Event event) {
+    if (isAwake(entry)) {
+      network.inject(entry, event);
+    }
+  }
+
+  private void onEffect(String node, Effect effect) {
+    if (effect instanceof RelayEffect.SendAttempt sent) {
+      after(1, () -> arrives(node, sent));
+    } else if (effect instanceof RelayEffect.DropAttempt drop) {
+      dropped(node, drop);
+    } else if (effect instanceof RelayEffect.Refuse refuse) {
+      refused(refuse);
+    } else if (effect instanceof RelayEffect.BreakOff broken) {
+      callers.remove(broken.request());
+    } else if (effect instanceof RelayEffect.ProbeUpstream probe) {
+      Upstream upstream = upstreams.get(probe.upstream().id());
+      after(
+          1,
+          () -> inject(node, new RelayEvent.UpstreamProbed(probe.upstream().run(), upstream.up)));
+    }
+  }
+
+  private void arrives(String entry, RelayEffect.SendAttempt sent) {
+    Caller caller = callers.get(sent.request());
+    Upstream upstream = upstreams.get(sent.target().upstream().id());
+    if (caller == null) {
+      return;
+    }
+    if (!upstream.up) {
+      fail(entry, sent.request(), sent.attempt(), AttemptFailure.NOT_SENT);
+      return;
+    }
+    Run run = new Run(entry, sent.request(), sent.attempt(), caller.content(), network.now());
+    upstream.begunByRun.put(run, false);
+    Record record = records.get(caller.content());
+    if (record != null) {
+      count(record, entry);
+    }
+    after(upTo(WAIT_MILLIS), () -> begins(upstream, run, caller));
+  }
+
+  private void count(Record record, String entry) {
+    record.sends++;
+    Instant known = record.knownAt;
+    boolean late = known != null && network.now().isAfter(known.plus(CONTACT));
+    if (late && isInTouch(entry)) {
+      record.lateSends++;
+    }
+  }
+
+  private boolean isInTouch(String entry) {
+    Instant since = network.now().minus(CONTACT);
+    return disturbedAt.getOrDefault(entry, START).isBefore(since)
+        && coreDisturbedAt.isBefore(since);
+  }
+
+  private void begins(Upstream upstream, Run run, Caller caller) {
+    if (!upstream.begunByRun.containsKey(run)) {
+      return;
+    }
+    upstream.begunByRun.put(run, true);
+    boolean streams = caller.path().startsWith("/stream/");
+    if (records.containsKey(run.content())) {
+      if (streams && random.nextBoolean()) {
+        answer(run);
+      }
+      after(upTo(CRASH_MILLIS) - 1, () -> crashUnder(upstream, run));
+      return;
+    }
+    if (streams) {
+      answer(run);
+    }
+    after(upTo(ANSWER_MILLIS), () -> ends(upstream, run, streams));
+  }
+
+  private void answer(Run run) {
+    inject(run.entry(), new RelayEvent.AnswerBegan(run.request(), run.attempt(), 200, false, null));
+  }
+
+  private void ends(Upstream upstream, Run run, boolean streams) {
+    if (upstream.begunByRun.remove(run) == null) {
+      return;
+    }
+    if (!streams) {
+      answer(run);
+    }
+    goodAnswered++;
+    callers.remove(run.request());
+    inject(run.entry(), new RelayEvent.AnswerEnded(run.request(), run.attempt()));
+  }
+
+  private void crashUnder(Upstream upstream, Run run) {
+    if (!upstream.begunByRun.containsKey(run)) {
+      return;
+    }
+    Record record = records.get(run.content());
+    record.ended.add(upstream.instance.id());
+    if (record.ended.size() == ENDS_THAT_TELL) {
+      record.knownAt = network.now();
+    }
+    crash(upstream);
+  }
+
+  /** Ends upstreams that run, each by itself; other contents have no part in it. */
+  void crashUpstreams(double share) {
+    List<Upstream> running = upstreams.values().stream().filter(one -> one.up).toList();
+    for (Upstream upstream : running) {
+      if (random.nextDouble() < share) {
+        crash(upstream);
+      }
+    }
+  }
+
+  private void crash(Upstream upstream) {
+    upstreamsEnded++;
+    upstream.up = false;
+    upstream.begunByRun.forEach(
+        (run, begun) ->
+            fail(
+                run.entry(),
+                run.request(),
+                run.attempt(),
+                begun ? AttemptFailure.BROKEN_OFF : AttemptFailure.NO_ANSWER));
+    upstream.begunByRun.clear();
+    String[] words = upstream.instance.id().substring("up-".length()).split("\\.");
+    int number = Integer.parseInt(words[0]);
+    int start = Integer.parseInt(words[1]);
+    after(DOWN.toMillis(), () -> startUpstream(number, start + 1));
+  }
+
+  private void fail(String entry, long request, int attempt, AttemptFailure failure) {
+    after(
+        upTo(3),
+        () -> inject(entry, new RelayEvent.AttemptFailed(request, attempt, failure, null)));
+  }
+
+  private void dropped(String entry, RelayEffect.DropAttempt drop) {
+    for (Upstream upstream : upstreams.values()) {
+      upstream
+          .begunByRun
+          .keySet()
+          .removeIf(
+              run ->
+                  run.entry().equals(entry)
+                      && run.request() == drop.request()
+                      && run.attempt() == drop.attempt());
+    }
+  }
+
+  private void refused(RelayEffect.Refuse refuse) {
+    Caller caller = callers.remove(refuse.request());
+    if (caller == null) {
+      return;
+    }
+    Record record = records.get(caller.content());
+    if (record != null) {
+      record.refused.merge(refuse.refusal(), 1, Integer::sum);
+      return;
+    }
+    goodRefused.merge(refuse.refusal(), 1, Integer::sum);
+  }
+
+  /** Returns the control VM that leads, or null. */
+  @Nullable String leader() {
+    for (String name : controls) {
+      GroupStatus status = isAwake(name) ? groups.get(name).status(GroupId.RELAY) : null;
+      if (status != null && name.equals(status.leader())) {
+        return name;
+      }
+    }
+    return null;
+  }
+
+  /** Takes note that a daemon is disturbed now; the core's disturbances count for all. */
+  void disturbed(String name) {
+    if (controls.contains(name)) {
+      coreDisturbedAt = network.now();
+    } else {
+      disturbedAt.put(name, network.now());
+    }
+  }
+
+  UniformRandomProvider random() {
+    return random;
+  }
+}
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -46,7 +46,7 @@
   static final Duration KEY_BOUND = Duration.ofSeconds(5);
 
   private static final Duration HEARTBEAT = Duration.ofMillis(1200);
-  private static final Duration VOTER_SILENCE = Duration.ofMillis(2500);
+  static final Duration VOTER_SILENCE = Duration.ofMillis(2500);
   private static final int SNAPSHOT_ENTRIES = 8;
   private static final long CALL_MILLIS = 4000;
   private static final int MAX_OFFSET_SECONDS = 3600;
@@ -164,12 +164,13 @@
     return new Reducer(List.of(consensus, control, new Watch(name)));
   }
 
-  private static RelayTimes times() {
+  /** Returns the times of daemons whose keys are dead within {@link #KEY_BOUND}. */
+  static RelayTimes times() {
     return RelayTimes.of(KEY_BOUND, HEARTBEAT);
   }
 
   /** Times of a deployment, with few entries between snapshots, so that every path is taken. */
-  private static RaftSettings settings() {
+  static RaftSettings settings() {
     return new RaftSettings(
         Duration.ofMillis(350),
         Duration.ofMillis(700),
@@ -451,7 +452,7 @@
   }
 
   /** Keeps snapshots in memory under a number. */
-  private static final class SnapshotNumbers implements GroupCodec {
+  static final class SnapshotNumbers implements GroupCodec {
     private final Map<String, Snapshot> snapshots = new LinkedHashMap<>();
 
     @Override
