--- /dev/null
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -0,0 +1,216 @@
+package org.skylarkfork.runtime.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.RelayLimits;
+import org.skylarkfork.core.relay.RelayRoute;
+import org.skylarkfork.core.relay.RelayService;
+import org.skylarkfork.core.relay.RelayTeam;
+import org.skylarkfork.core.relay.RouteKind;
+import org.skylarkfork.core.relay.UpstreamInstance;
+import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.loop.MonotonicClock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** One daemon that is entry and control VM, for each test a new one, and its upstreams. */
+abstract class RelayNodeHarness {
+
+  static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+  static final int MAX_TRIES = 20_000;
+
+  final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  final Codec codec = new Codec();
+  final List<ScriptedUpstream> upstreams = new ArrayList<>();
+  private @Nullable RelayNode node;
+
+  /** Starts a daemon with an empty disk. */
+  @BeforeMethod
+  public void start() throws IOException {
+    Path folder = Files.createTempDirectory("relay");
+    InetSocketAddress peer;
+    try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+      peer = new InetSocketAddress(LOOPBACK, free.getLocalPort());
+    }
+    InetSocketAddress any = new InetSocketAddress(LOOPBACK, 0);
+    RelaySettings settings =
+        new RelaySettings(
+            "test",
+            "a",
+            List.of("a"),
+            peer,
+            List.of("127.0.0.1:" + peer.getPort()),
+            any,
+            null,
+            any,
+            null,
+            any,
+            folder,
+            true,
+            1,
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(1),
+            0.9,
+            Duration.ofSeconds(1));
+    RelayNode made =
+        new RelayNode(
+            settings,
+            new MonotonicClock(InstantSource.system(), System::nanoTime),
+            new RelayHeaders(),
+            new RelayAdmin(codec),
+            failure -> {
+              throw new AssertionError(failure);
+            });
+    made.start();
+    node = made;
+  }
+
+  /** Closes the daemon and the upstreams. */
+  @AfterMethod
+  public void close() throws IOException {
+    node().close();
+    for (ScriptedUpstream upstream : upstreams) {
+      upstream.close();
+    }
+    upstreams.clear();
+  }
+
+  RelayNode node() {
+    assertNotNull(node);
+    return node;
+  }
+
+  private static RelayRoute route(String prefix, RouteKind kind, int timeout) {
+    return new RelayRoute(
+        prefix,
+        "host.example",
+        prefix,
+        kind,
+        List.of(new WeightedService("service", 1)),
+        timeout,
+        1000,
+        800,
+        2,
+        1,
+        false,
+        false,
+        kind == RouteKind.STREAMING,
+        List.of());
+  }
+
+  void serveWith(ScriptedUpstream.Script... scripts) throws Exception {
+    RelayConfiguration configuration =
+        new RelayConfiguration(
+            1,
+            List.of(
+                route("/lookup/", RouteKind.IDEMPOTENT, 5000),
+                route("/book/", RouteKind.NON_IDEMPOTENT, 5000),
+                route("/stream/", RouteKind.STREAMING, 5000)),
+            List.of(new RelayService("service", "/health", 100, null)),
+            List.of(new RelayTeam("team", List.of("key"), null)),
+            RelayLimits.DEFAULT);
+    awaitControl("configuration", codec.toJson(configuration));
+    for (ScriptedUpstream.Script script : scripts) {
+      ScriptedUpstream upstream = new ScriptedUpstream(script);
+      upstreams.add(upstream);
+      String id = "up-" + upstreams.size();
+      awaitControl(
+          "upstreams/" + id,
+          codec.toJson(
+              new UpstreamInstance(id, "service", upstream.address(), "a", "v1", 4, 1, 0)));
+    }
+  }
+
+  void awaitControl(String path, String body) throws Exception {
+    int port = node().controlAddress().join().getPort();
+    URI uri = URI.create("http://127.0.0.1:" + port + "/relay/v1/" + path);
+    HttpRequest request =
+        HttpRequest.newBuilder(uri).PUT(HttpRequest.BodyPublishers.ofString(body)).build();
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+      if (answer.statusCode() == 200) {
+        return;
+      }
+      assertEquals(answer.statusCode(), 503, answer.body());
+    }
+    throw new AssertionError("no answer to " + path);
+  }
+
+  /** Sends a request on a connection of its own and returns all bytes until its end. */
+  String exchange(String path, String id, String body) throws IOException {
+    return exchangeRaw(
+        "POST "
+            + path
+            + " HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: "
+            + id
+            + "\r\nAuthorization: Bearer key\r\nSkylarkfork-Team: forged\r\nConnection: close\r\n"
+            + "Content-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
+  String exchangeRaw(String request) throws IOException {
+    assertNotNull(node().callerAddress());
+    try (Socket socket = new Socket(LOOPBACK, node().callerAddress().getPort())) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      InputStream in = socket.getInputStream();
+      for (int read = in.read(); read >= 0; read = in.read()) {
+        all.write(read);
+      }
+      return all.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  /** Sends a request until an upstream is known; only before upstreams that count nothing. */
+  String served(String path, String id) throws IOException {
+    String answer = "";
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      answer = exchange(path, id, "body");
+      if (!answer.startsWith("HTTP/1.1 503") && !answer.startsWith("HTTP/1.1 404")) {
+        return answer;
+      }
+    }
+    throw new AssertionError("never served: " + answer);
+  }
+
+  /** Sends an operator's call and returns the answer. */
+  HttpResponse<String> operator(String method, String path) throws Exception {
+    int port = node().controlAddress().join().getPort();
+    URI uri = URI.create("http://127.0.0.1:" + port + "/relay/v1/" + path);
+    return client.send(
+        HttpRequest.newBuilder(uri).method(method, HttpRequest.BodyPublishers.noBody()).build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Returns what the daemon serves as its metrics. */
+  String metrics() throws Exception {
+    assertNotNull(node().metricsAddress());
+    URI uri = URI.create("http://127.0.0.1:" + node().metricsAddress().getPort() + "/metrics");
+    HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+}
