--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.command;
 
 import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.UpstreamRun;
 
@@ -69,4 +70,22 @@
 
   /** Reads which availability zones are evacuated, as of its place in the log. */
   record ReadEvacuations() implements RelayCommand {}
+
+  /**
+   * Has a request refused by all entries, since it ends the upstreams that run it. A resend changes
+   * nothing.
+   *
+   * @param key the request
+   */
+  record QuarantineRequest(RequestKey key) implements RelayCommand {}
+
+  /**
+   * Lets a request through again that was refused.
+   *
+   * @param key the request
+   */
+  record LiftQuarantine(RequestKey key) implements RelayCommand {}
+
+  /** Reads which requests are refused, as of its place in the log. */
+  record ReadQuarantine() implements RelayCommand {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.Evacuation;
+import org.skylarkfork.core.relay.QuarantinedRequest;
 import org.skylarkfork.core.relay.ServiceRollOut;
 
 /** What a command of the relay gave. */
@@ -42,4 +43,17 @@
       evacuations = List.copyOf(evacuations);
     }
   }
+
+  /**
+   * The requests that are refused.
+   *
+   * @param requests each of them, the oldest first
+   */
+  record QuarantineRead(List<QuarantinedRequest> requests) implements RelayResult {
+
+    /** Copies the list. */
+    public QuarantineRead {
+      requests = List.copyOf(requests);
+    }
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.skylarkfork.core.relay.Evacuation;
+import org.skylarkfork.core.relay.QuarantinedRequest;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamRun;
@@ -14,13 +15,15 @@
  * @param rollOuts newest roll-out of each service
  * @param leaving upstreams that leave, oldest first
  * @param evacuations availability zones whose upstreams get nothing, oldest first
+ * @param quarantined requests that are refused, oldest first
  */
 public record RelayState(
     RelayConfiguration configuration,
     byte[] document,
     List<ServiceRollOut> rollOuts,
     List<UpstreamRun> leaving,
-    List<Evacuation> evacuations)
+    List<Evacuation> evacuations,
+    List<QuarantinedRequest> quarantined)
     implements GroupState {
 
   /** Copies the lists. */
@@ -28,5 +31,6 @@
     rollOuts = List.copyOf(rollOuts);
     leaving = List.copyOf(leaving);
     evacuations = List.copyOf(evacuations);
+    quarantined = List.copyOf(quarantined);
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.RelayConfiguration;
+import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamRun;
@@ -235,15 +236,20 @@
    * @param rollOuts newest roll-out of each service
    * @param leaving upstreams that leave
    * @param evacuated availability zones whose upstreams get nothing
+   * @param quarantined requests that are refused
    */
   record SharedState(
-      List<ServiceRollOut> rollOuts, List<UpstreamRun> leaving, List<String> evacuated) {
+      List<ServiceRollOut> rollOuts,
+      List<UpstreamRun> leaving,
+      List<String> evacuated,
+      List<RequestKey> quarantined) {
 
     /** Copies the lists. */
     public SharedState {
       rollOuts = List.copyOf(rollOuts);
       leaving = List.copyOf(leaving);
       evacuated = List.copyOf(evacuated);
+      quarantined = List.copyOf(quarantined);
     }
   }
 
@@ -265,6 +271,36 @@
     }
   }
 
+  /**
+   * An entry tells the leader that an upstream ended while it ran requests.
+   *
+   * @param upstream the start of the upstream that ended
+   * @param lost the requests that were lost there
+   */
+  record UpstreamEnded(UpstreamRun upstream, List<LostRequest> lost) implements RelayMessage {
+
+    /** Copies the list. */
+    public UpstreamEnded {
+      lost = List.copyOf(lost);
+    }
+  }
+
+  /**
+   * A request that was lost as its upstream ended.
+   *
+   * @param key what it has in common with the same request sent again
+   * @param sentMillis time since its attempt was sent, in milliseconds
+   * @param lostMillis time since it was lost, in milliseconds
+   */
+  record LostRequest(RequestKey key, int sentMillis, int lostMillis) {}
+
+  /**
+   * An entry tells the leader that a request was answered whole which it had told as lost.
+   *
+   * @param key what it has in common with the same request sent again
+   */
+  record RequestServed(RequestKey key) implements RelayMessage {}
+
   /**
    * A control VM passes an upstream's heartbeat on to the leader.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -80,7 +80,7 @@
     this.route = route;
     this.service = service;
     this.team = team;
-    this.key = new RequestKey(team == null ? "" : team.name(), request.contentHash());
+    this.key = RequestKey.of(team, request);
     this.arrivedAt = arrivedAt;
     this.deadline = deadline;
     this.lastEventId = request.lastEventId();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -61,6 +61,11 @@
     return mayReturn ? pick(relay, relay.modelName(), relay.refusedBy, now) : fresh;
   }
 
+  /** Returns whether a request ends the upstreams that run it, as all entries know. */
+  boolean isQuarantined(ActiveRelay relay) {
+    return view.isQuarantined(relay.key);
+  }
+
   /** Returns whether upstreams of a request's service are kept from it by an evacuation alone. */
   boolean isEvacuated(ActiveRelay relay) {
     List<UpstreamTrack> all = view.upstreams(relay.service.name());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -40,6 +40,10 @@
 
   /** Starts an attempt that is allowed. */
   void next(ActiveRelay relay, Instant now, Output output) {
+    if (sender.isQuarantined(relay)) {
+      quarantined(relay, now, output);
+      return;
+    }
     boolean inTime = leftMillis(relay, now) > 0;
     if (inTime && sender.askScheduler(relay, now, output)) {
       return;
@@ -54,7 +58,10 @@
       @Nullable SchedulerGrant grant,
       Instant now,
       Output output) {
-    if (placement == null || leftMillis(relay, now) <= 0) {
+    if (sender.isQuarantined(relay)) {
+      sender.giveBack(grant, output);
+      quarantined(relay, now, output);
+    } else if (placement == null || leftMillis(relay, now) <= 0) {
       sender.giveBack(grant, output);
       untakenOrLate(relay, now, output);
     } else if (isInVain(relay, placement, now)) {
@@ -76,6 +83,20 @@
     return relay.attempt == 0 && placement.waitMillis() > leftMillis(relay, now);
   }
 
+  /**
+   * Ends a request that became known to end upstreams while it was worked on.
+   *
+   * <p>Looked at on arrival only, a request that was let in a moment before would still end an
+   * upstream with each attempt that is left to it, and those that its answer's model asks for.
+   */
+  private void quarantined(ActiveRelay relay, Instant now, Output output) {
+    if (relay.passing) {
+      endings.breakOff(relay, now, output);
+    } else {
+      endings.giveUp(relay, Refusal.QUARANTINED, now, output);
+    }
+  }
+
   private void untakenOrLate(ActiveRelay relay, Instant now, Output output) {
     if (leftMillis(relay, now) <= 0) {
       Refusal late = relay.mayHaveRun ? Refusal.TIME_OUT : Refusal.TOO_LATE;
@@ -92,7 +113,9 @@
   /** Starts one more attempt if the route and the budget allow it, else ends the request. */
   void again(ActiveRelay relay, Instant now, Output output) {
     boolean safe = !relay.mayHaveRun || relay.route.repeatable();
-    if (safe && mayRepeat(relay, now)) {
+    if (sender.isQuarantined(relay)) {
+      quarantined(relay, now, output);
+    } else if (safe && mayRepeat(relay, now)) {
       next(relay, now, output);
     } else if (relay.passing) {
       endings.breakOff(relay, now, output);
@@ -103,7 +126,8 @@
 
   /** Decides whether one more attempt is allowed, and counts it if so. */
   boolean mayRepeat(ActiveRelay relay, Instant now) {
-    return relay.sent < relay.route.maxAttempts()
+    return !sender.isQuarantined(relay)
+        && relay.sent < relay.route.maxAttempts()
         && now.isBefore(relay.deadline)
         && budget.repeat(relay.service.name(), now);
   }
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
@@ -0,0 +1,207 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides which requests end the upstreams that run them, from what all entries lost.
+ *
+ * <p>An upstream that ends takes dozens of requests with it, of which one at most has ended it. So
+ * a request is found only if
+ *
+ * <ul>
+ *   <li>{@link #ENDS} upstreams have ended under it, each under an attempt that was sent after the
+ *       end before: what was under way at many upstreams of a zone that is lost counts once;
+ *   <li>one of these ends at least isn't explained by a request that was found before;
+ *   <li>no other one that was lost in the last of these was lost as often; such two are told apart
+ *       by the next end, or both found after {@link #CERTAIN_ENDS};
+ *   <li>it was not answered since. One whole answer clears a request.
+ * </ul>
+ */
+final class CrashLedger {
+
+  /** Upstreams that end under a request until it is found. */
+  static final int ENDS = 3;
+
+  /**
+   * Ends after which a request is found though others were lost as often. Where few upstreams are
+   * left, each end takes the same requests, and a good one has no attempt left after so many.
+   */
+  private static final int CERTAIN_ENDS = 4;
+
+  /** Time until all entries have told what they lost; a probe takes a few milliseconds. */
+  private static final Duration SETTLING = Duration.ofMillis(150);
+
+  /** Differences of messages' ways, by which a time of one entry may be wrong against another's. */
+  private static final Duration SKEW = Duration.ofMillis(50);
+
+  /** Time for which an end is remembered. */
+  private static final Duration KEPT = Duration.ofMinutes(10);
+
+  private static final int MAX_UPSTREAMS = 64;
+  private static final int MAX_LOST = 512;
+  private static final int MAX_SERVED = 4096;
+  private static final int MAX_ON_PROBATION = 256;
+
+  private final Map<UpstreamRun, End> ends = new LinkedHashMap<>();
+  private final Map<RequestKey, Instant> servedAt = new LinkedHashMap<>();
+  private final Map<RequestKey, Instant> onProbation = new LinkedHashMap<>();
+
+  /** The end of one start of an upstream, and when each request that was lost with it was sent. */
+  private static final class End {
+    private final Instant toldAt;
+    private Instant at;
+    private final Map<RequestKey, Instant> sentAt = new LinkedHashMap<>();
+    private boolean explained;
+
+    private End(Instant at, Instant toldAt) {
+      this.at = at;
+      this.toldAt = toldAt;
+    }
+  }
+
+  /** How often a request was lost, one end after the other. */
+  private static final class Suspicion {
+    private int ends;
+    private int unexplained;
+    private Instant lastAt = Instant.EPOCH;
+    private Set<RequestKey> lostWith = Set.of();
+  }
+
+  /**
+   * Takes note of a request that was lost as an upstream ended; the same told again changes
+   * nothing.
+   *
+   * @param upstream the start of the upstream that ended
+   * @param key the request
+   * @param sentAt when its attempt was sent
+   * @param lostAt when it was lost
+   * @param now the present time
+   */
+  void lost(UpstreamRun upstream, RequestKey key, Instant sentAt, Instant lostAt, Instant now) {
+    if (!sentAt.isAfter(servedAt.getOrDefault(key, Instant.MIN))) {
+      return;
+    }
+    End end = ends.computeIfAbsent(upstream, unknown -> new End(lostAt, now));
+    if (lostAt.isBefore(end.at)) {
+      end.at = lostAt;
+    }
+    if (end.sentAt.size() < MAX_LOST) {
+      end.sentAt.merge(key, sentAt, CrashLedger::later);
+    }
+    forgetOldestBeyond(MAX_UPSTREAMS, ends);
+  }
+
+  private static Instant later(Instant one, Instant other) {
+    return one.isAfter(other) ? one : other;
+  }
+
+  private static void forgetOldestBeyond(int most, Map<?, ?> map) {
+    if (map.size() > most) {
+      map.remove(map.keySet().iterator().next());
+    }
+  }
+
+  /** Clears a request that was answered whole; attempts that were sent before count no more. */
+  void served(RequestKey key, Instant now) {
+    ends.values().forEach(end -> end.sentAt.remove(key));
+    onProbation.remove(key);
+    servedAt.remove(key);
+    servedAt.put(key, now);
+    forgetOldestBeyond(MAX_SERVED, servedAt);
+  }
+
+  /** Takes note that a request is refused: the ends under it are explained. */
+  void quarantined(RequestKey key) {
+    for (End end : ends.values()) {
+      end.explained |= end.sentAt.containsKey(key);
+    }
+    onProbation.remove(key);
+  }
+
+  /** Takes note that a request is let through again: one more end is enough to find it. */
+  void lifted(RequestKey key, Instant now) {
+    ends.values().forEach(end -> end.sentAt.remove(key));
+    onProbation.put(key, now);
+    forgetOldestBeyond(MAX_ON_PROBATION, onProbation);
+  }
+
+  /** Forgets everything; a control VM that doesn't lead is told nothing. */
+  void clear() {
+    ends.clear();
+    servedAt.clear();
+    onProbation.clear();
+  }
+
+  /** Returns the requests that are known by now to end what runs them. */
+  List<RequestKey> found(Instant now) {
+    forgetOld(now);
+    if (ends.isEmpty()) {
+      return List.of();
+    }
+    Map<RequestKey, Suspicion> suspicions = suspicions(now);
+    List<RequestKey> found = new ArrayList<>();
+    suspicions.forEach(
+        (key, suspicion) -> {
+          if (isFound(key, suspicion, suspicions)) {
+            found.add(key);
+          }
+        });
+    return found;
+  }
+
+  private void forgetOld(Instant now) {
+    Iterator<End> oldest = ends.values().iterator();
+    while (oldest.hasNext() && !now.isBefore(oldest.next().toldAt.plus(KEPT))) {
+      oldest.remove();
+    }
+  }
+
+  private Map<RequestKey, Suspicion> suspicions(Instant now) {
+    Map<RequestKey, Suspicion> suspicions = new HashMap<>();
+    ends.values().stream()
+        .filter(end -> !now.isBefore(end.toldAt.plus(SETTLING)))
+        .sorted(Comparator.comparing(end -> end.at))
+        .forEach(end -> add(end, suspicions));
+    return suspicions;
+  }
+
+  private void add(End end, Map<RequestKey, Suspicion> suspicions) {
+    end.sentAt.forEach(
+        (key, sentAt) -> {
+          Suspicion suspicion = suspicions.computeIfAbsent(key, this::before);
+          if (!sentAt.plus(SKEW).isBefore(suspicion.lastAt)) {
+            suspicion.ends++;
+            suspicion.lastAt = end.at;
+            if (!end.explained) {
+              suspicion.unexplained++;
+              suspicion.lostWith = end.sentAt.keySet();
+            }
+          }
+        });
+  }
+
+  private Suspicion before(RequestKey key) {
+    Suspicion suspicion = new Suspicion();
+    suspicion.ends = onProbation.containsKey(key) ? ENDS - 1 : 0;
+    return suspicion;
+  }
+
+  private static boolean isFound(
+      RequestKey key, Suspicion suspicion, Map<RequestKey, Suspicion> suspicions) {
+    if (suspicion.ends < ENDS || suspicion.unexplained == 0) {
+      return false;
+    }
+    return suspicion.ends >= CERTAIN_ENDS
+        || suspicion.lostWith.stream()
+            .allMatch(other -> other.equals(key) || suspicions.get(other).ends < suspicion.ends);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashWatch.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashWatch.java
@@ -2,40 +2,70 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.message.RelayMessage.LostRequest;
+import org.skylarkfork.core.message.RelayMessage.RequestServed;
+import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
 
 /**
- * Finds out, at an entry, which upstreams have ended while they ran requests, and which these were.
+ * Finds out, at an entry, which upstreams have ended while they ran requests, and tells the leader
+ * which requests these were.
  *
  * <p>An attempt that is lost says nothing of its upstream: a connection is reset, an answer spoilt,
  * by upstreams that go on serving. One that takes no connection any more has ended.
+ *
+ * <p>The leader keeps what it is told in memory. A new one is told again all that is kept here, so
+ * that a content which ends upstreams isn't unknown again after each election.
  */
 final class CrashWatch {
 
   /** Time after the first lost attempt in which others are put down to the same end. */
   private static final Duration SAME_END = Duration.ofSeconds(5);
 
-  /** Lost attempts of one upstream that are kept; an engine runs 64 at once. */
-  private static final int MAX_LOST = 256;
+  /** Time for which ends are kept, to be told to a new leader. */
+  private static final Duration KEPT = Duration.ofSeconds(60);
+
+  /** An end is told again after this pause, for some time: messages may be lost. */
+  private static final Duration AGAIN = Duration.ofMillis(500);
+
+  private static final Duration REPEATED = Duration.ofSeconds(2);
+
+  /** Upstreams whose losses are kept; the oldest are forgotten first. */
+  private static final int MAX_UPSTREAMS = 64;
+
+  /** Lost requests of one upstream that are kept; an engine runs 64 at once. */
+  private static final int MAX_LOST = 128;
 
   /** Requests that are named in a log line. */
   private static final int MAX_NAMED = 12;
 
+  private final RelayView view;
   private final Map<UpstreamRun, Losses> losses = new LinkedHashMap<>();
 
+  CrashWatch(RelayView view) {
+    this.view = view;
+  }
+
+  /** An attempt that reached an upstream and got no whole answer. */
+  private record Lost(Instant sentAt, Instant lostAt) {}
+
   /** What was lost at one start of an upstream. */
   private static final class Losses {
     private final UpstreamInstance upstream;
     private final Instant firstAt;
-    private final List<LostAttempt> attempts = new ArrayList<>();
-    private boolean ended;
+    private final Map<RequestKey, Lost> byKey = new LinkedHashMap<>();
+    private @Nullable Instant endedAt;
+    private Instant toldAt = Instant.EPOCH;
+    private @Nullable String toldTo;
 
     private Losses(UpstreamInstance upstream, Instant firstAt) {
       this.upstream = upstream;
@@ -58,31 +88,40 @@
     if (known == null) {
       known = new Losses(upstream, now);
       losses.put(upstream.run(), known);
+      forgetOldest();
       output.effect(new RelayEffect.ProbeUpstream(upstream));
     }
-    if (known.attempts.size() < MAX_LOST) {
-      known.attempts.add(new LostAttempt(key, sentAt));
+    if (known.byKey.size() < MAX_LOST) {
+      known.byKey.put(key, new Lost(sentAt, now));
+    }
+    if (known.endedAt != null) {
+      tell(known, List.of(key), now, output);
+    }
+  }
+
+  private void forgetOldest() {
+    if (losses.size() > MAX_UPSTREAMS) {
+      losses.remove(losses.keySet().iterator().next());
     }
   }
 
   /** Takes the word of a probe: losses at an upstream that goes on are its connections' only. */
   void probed(UpstreamRun upstream, boolean reachable, Instant now, Output output) {
     Losses known = losses.get(upstream);
-    if (known == null || known.ended) {
+    if (known == null || known.endedAt != null) {
       return;
     }
     if (reachable) {
       losses.remove(upstream);
       return;
     }
-    known.ended = true;
+    known.endedAt = now;
     output.effect(new TraceEffect.Count("relay_upstreams_ended", known.upstream.service(), 1));
     output.effect(new TraceEffect.LogLine(true, "request", describe(known, now)));
+    tellAll(known, now, output);
   }
 
   private static String describe(Losses losses, Instant now) {
-    List<LostAttempt> attempts = losses.attempts;
-    List<LostAttempt> named = attempts.subList(0, Math.min(MAX_NAMED, attempts.size()));
     return "event=upstream_ended id="
         + losses.upstream.id()
         + " service="
@@ -90,18 +129,71 @@
         + " upstream_version="
         + losses.upstream.version()
         + " lost="
-        + attempts.size()
+        + losses.byKey.size()
         + " requests="
-        + named.stream().map(attempt -> attempt.key().toString()).toList()
+        + losses.byKey.keySet().stream().limit(MAX_NAMED).toList()
         + " ms="
         + Duration.between(losses.firstAt, now).toMillis();
   }
 
-  /** Forgets losses that nothing more can be put down to. */
-  void tick(Instant now) {
+  /** Takes note that a request was answered whole: it has ended no upstream. */
+  void served(RequestKey key, Output output) {
+    boolean suspected = false;
+    for (Losses one : losses.values()) {
+      suspected |= one.byKey.remove(key) != null && one.endedAt != null;
+    }
+    String leader = view.leader();
+    if (suspected && leader != null) {
+      output.effect(new SendToPeer(leader, new RequestServed(key)));
+    }
+  }
+
+  /** Tells ends again where that is due, and forgets old ones. */
+  void tick(Instant now, Output output) {
     Iterator<Losses> all = losses.values().iterator();
-    while (all.hasNext() && !now.isBefore(all.next().firstAt.plus(SAME_END))) {
-      all.remove();
+    while (all.hasNext()) {
+      Losses one = all.next();
+      Duration age = Duration.between(one.firstAt, now);
+      if (age.compareTo(one.endedAt == null ? SAME_END : KEPT) >= 0) {
+        all.remove();
+      } else if (isDue(one, now)) {
+        tellAll(one, now, output);
+      }
+    }
+  }
+
+  private boolean isDue(Losses one, Instant now) {
+    Instant endedAt = one.endedAt;
+    String leader = view.leader();
+    if (endedAt == null || leader == null) {
+      return false;
+    }
+    boolean again = now.isBefore(endedAt.plus(REPEATED)) && !now.isBefore(one.toldAt.plus(AGAIN));
+    return again || !leader.equals(one.toldTo);
+  }
+
+  private void tellAll(Losses one, Instant now, Output output) {
+    one.toldAt = now;
+    one.toldTo = view.leader();
+    tell(one, one.byKey.keySet(), now, output);
+  }
+
+  private void tell(Losses one, Collection<RequestKey> keys, Instant now, Output output) {
+    String leader = view.leader();
+    if (leader == null || keys.isEmpty()) {
+      return;
     }
+    List<LostRequest> lost = keys.stream().map(key -> told(key, one.byKey.get(key), now)).toList();
+    output.effect(new SendToPeer(leader, new UpstreamEnded(one.upstream.run(), lost)));
+  }
+
+  private static LostRequest told(RequestKey key, @Nullable Lost lost, Instant now) {
+    Instant sentAt = lost == null ? now : lost.sentAt;
+    Instant lostAt = lost == null ? now : lost.lostAt;
+    return new LostRequest(key, millis(sentAt, now), millis(lostAt, now));
+  }
+
+  private static int millis(Instant from, Instant now) {
+    return (int) Math.max(0, Duration.between(from, now).toMillis());
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
@@ -155,7 +155,9 @@
 
   private SharedState shared() {
     List<String> evacuated = machine.evacuations().stream().map(Evacuation::zone).toList();
-    return new SharedState(machine.rollOuts(), machine.leaving(), evacuated);
+    List<RequestKey> quarantined =
+        machine.quarantined().stream().map(QuarantinedRequest::key).toList();
+    return new SharedState(machine.rollOuts(), machine.leaving(), evacuated, quarantined);
   }
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/Refusal.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/Refusal.java
@@ -10,6 +10,8 @@
   NOT_SERVING,
   /** This entry stops and could not end the request in time; the request has not run. */
   STOPPING,
+  /** Upstreams that ran the same request have ended; it is sent to none, now or later. */
+  QUARANTINED,
   /** No upstream took the request; it has not run. */
   NO_UPSTREAM,
   /** What is ahead of it at the upstreams takes longer than the caller waits; it has not run. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -43,6 +43,7 @@
   private final UpstreamRegistry upstreams;
   private final EntryRegistry entries;
   private final EntryUpdates updates;
+  private final CrashReview crashes;
   private final Map<Long, Long> callBySubmission = new HashMap<>();
   private @Nullable String leader;
   private long stateIndex;
@@ -74,6 +75,7 @@
     this.upstreams = new UpstreamRegistry(times);
     this.entries = new EntryRegistry(times);
     this.updates = new EntryUpdates(machine, consensus, upstreams, entries, times);
+    this.crashes = new CrashReview(machine, consensus);
   }
 
   /**
@@ -177,6 +179,7 @@
     } else if (command instanceof RelayCommand.TakeZoneBack back) {
       upstreams.zoneTakenBack(back.zone(), longestColdMillis(), now);
     }
+    crashes.committed(command, now);
     // A restart replays the log, as fast as it can; only what is new is told.
     if (Duration.between(committed.stampedAt(), now).compareTo(REPLAYED) < 0) {
       logState(committed, command, output);
@@ -199,7 +202,8 @@
   private static boolean isRead(RelayCommand command) {
     return command instanceof RelayCommand.ReadConfiguration
         || command instanceof RelayCommand.ReadRollOut
-        || command instanceof RelayCommand.ReadEvacuations;
+        || command instanceof RelayCommand.ReadEvacuations
+        || command instanceof RelayCommand.ReadQuarantine;
   }
 
   private static String describe(RelayCommand command) {
@@ -212,6 +216,7 @@
   private void leaderChanged(ConsensusEvent.LeaderChanged changed, Instant now, Output output) {
     leader = changed.node();
     updates.forget();
+    crashes.clear();
     if (node.equals(leader)) {
       updates.lead(changed.term(), now);
     } else if (leader != null) {
@@ -273,6 +278,10 @@
       onPoll(received.node(), poll, now, output);
     } else if (received.message() instanceof RelayMessage.UpstreamHeard heard) {
       heard(heard.instance(), now, output);
+    } else if (leads() && received.message() instanceof RelayMessage.UpstreamEnded ended) {
+      crashes.ended(ended, now);
+    } else if (leads() && received.message() instanceof RelayMessage.RequestServed served) {
+      crashes.served(served.key(), now);
     }
   }
 
@@ -313,6 +322,7 @@
     if (!leads()) {
       return;
     }
+    crashes.tick(now, output);
     if (updates.tell(news, stateIndex, now, output)) {
       news = false;
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -52,6 +52,7 @@
   private List<ServiceRollOut> rollOuts = List.of();
   private final Map<String, UpstreamRun> leaving = new HashMap<>();
   private Set<String> evacuated = Set.of();
+  private Set<RequestKey> quarantined = Set.of();
   private long directoryEpoch;
   private long directorySequence;
   private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
@@ -156,6 +157,21 @@
     return List.of(self.callerAddress());
   }
 
+  @Override
+  public boolean isQuarantined(RequestKey key) {
+    return quarantined.contains(key);
+  }
+
+  /** Returns how many requests are refused because they end the upstreams that run them. */
+  public int quarantinedCount() {
+    return quarantined.size();
+  }
+
+  @Override
+  public @Nullable String leader() {
+    return leader;
+  }
+
   /** Returns the availability zones whose upstreams get nothing. */
   public Set<String> evacuated() {
     return evacuated;
@@ -319,6 +335,7 @@
       }
     }
     takeEvacuated(Set.copyOf(shared.evacuated()), now, output);
+    takeQuarantined(Set.copyOf(shared.quarantined()), now, output);
     for (UpstreamRun run : leaving.values()) {
       UpstreamTrack track = byId.get(run.id());
       boolean meant = track != null && run.covers(track.instance().run());
@@ -348,6 +365,30 @@
     byId.values().forEach(this::markEvacuated);
   }
 
+  private void takeQuarantined(Set<RequestKey> requests, Instant now, Output output) {
+    if (requests.equals(quarantined)) {
+      return;
+    }
+    log(
+        true,
+        "event=requests_quarantined count="
+            + requests.size()
+            + " added="
+            + without(requests, quarantined)
+            + " lifted="
+            + without(quarantined, requests)
+            + " index="
+            + stateIndex
+            + " proof_age_ms="
+            + proofAge(now).toMillis(),
+        output);
+    quarantined = requests;
+  }
+
+  private static List<RequestKey> without(Set<RequestKey> requests, Set<RequestKey> others) {
+    return requests.stream().filter(key -> !others.contains(key)).toList();
+  }
+
   private void markEvacuated(UpstreamTrack track) {
     track.evacuated(evacuated.contains(track.instance().zone()));
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -13,7 +13,10 @@
 import org.skylarkfork.core.command.RelayState;
 import org.skylarkfork.core.command.StateMachine;
 
-/** Applies the relay's commands: configuration, roll-outs, leaving upstreams, evacuated zones. */
+/**
+ * Applies the relay's commands: configuration, roll-outs, leaving upstreams, evacuated zones,
+ * requests that are refused.
+ */
 public final class RelayMachine implements StateMachine {
 
   /**
@@ -22,6 +25,9 @@
    */
   private static final int MAX_LEAVING = 512;
 
+  /** Refused requests that are remembered: 6 KB in each message that tells them. */
+  private static final int MAX_QUARANTINED = 256;
+
   private static final byte[] NO_DOCUMENT = new byte[0];
 
   private RelayConfiguration configuration = RelayConfiguration.NONE;
@@ -29,6 +35,7 @@
   private final Map<String, ServiceRollOut> rollOuts = new LinkedHashMap<>();
   private final Map<String, UpstreamRun> leaving = new LinkedHashMap<>();
   private final Map<String, Evacuation> evacuations = new LinkedHashMap<>();
+  private final Map<RequestKey, QuarantinedRequest> quarantined = new LinkedHashMap<>();
 
   /** Returns the newest configuration. */
   public RelayConfiguration configuration() {
@@ -50,6 +57,11 @@
     return List.copyOf(evacuations.values());
   }
 
+  /** Returns the requests that are refused, oldest first. */
+  public List<QuarantinedRequest> quarantined() {
+    return List.copyOf(quarantined.values());
+  }
+
   /** Returns whether a start of an upstream said that it leaves. */
   public boolean isLeaving(UpstreamRun run) {
     UpstreamRun left = leaving.get(run.id());
@@ -78,6 +90,13 @@
       return new CommandResult.Done();
     } else if (command instanceof RelayCommand.ReadEvacuations) {
       return new RelayResult.EvacuationsRead(evacuations());
+    } else if (command instanceof RelayCommand.QuarantineRequest request) {
+      return quarantine(new QuarantinedRequest(request.key(), stampedAt));
+    } else if (command instanceof RelayCommand.LiftQuarantine lift) {
+      quarantined.remove(lift.key());
+      return new CommandResult.Done();
+    } else if (command instanceof RelayCommand.ReadQuarantine) {
+      return new RelayResult.QuarantineRead(quarantined());
     }
     return new CommandResult.Rejected("submit this command to the group of its family");
   }
@@ -124,9 +143,18 @@
     return new CommandResult.Done();
   }
 
+  private CommandResult quarantine(QuarantinedRequest request) {
+    quarantined.putIfAbsent(request.key(), request);
+    if (quarantined.size() > MAX_QUARANTINED) {
+      quarantined.remove(quarantined.keySet().iterator().next());
+    }
+    return new CommandResult.Done();
+  }
+
   @Override
   public GroupState snapshot() {
-    return new RelayState(configuration, document, rollOuts(), leaving(), evacuations());
+    return new RelayState(
+        configuration, document, rollOuts(), leaving(), evacuations(), quarantined());
   }
 
   @Override
@@ -136,12 +164,14 @@
     rollOuts.clear();
     leaving.clear();
     evacuations.clear();
+    quarantined.clear();
     if (state instanceof RelayState saved) {
       configuration = saved.configuration();
       document = saved.document();
       saved.rollOuts().forEach(rollOut -> rollOuts.put(rollOut.service(), rollOut));
       saved.leaving().forEach(run -> leaving.put(run.id(), run));
       saved.evacuations().forEach(one -> evacuations.put(one.zone(), one));
+      saved.quarantined().forEach(one -> quarantined.put(one.key(), one));
     }
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -38,7 +38,7 @@
   private final Patience patience = new Patience();
   private final SentPrompts prompts = new SentPrompts();
   private final ActiveRelays active = new ActiveRelays();
-  private final CrashWatch crashes = new CrashWatch();
+  private final CrashWatch crashes;
   private final RequestIntake intake;
   private final SchedulerClient schedulers;
   private final AttemptSender sender;
@@ -93,6 +93,7 @@
     this.counts = counts;
     this.stopPlan = stopPlan;
     this.trace = new RequestTrace(view);
+    this.crashes = new CrashWatch(view);
     this.schedulers = new SchedulerClient(view);
     this.sender = new AttemptSender(view, zone, picker, schedulers, versions, prompts, trace);
     this.endings = new RequestEndings(active, sender, answerTimes, trace);
@@ -148,6 +149,7 @@
     } else if (event instanceof RelayEvent.AnswerEnded ended) {
       ActiveRelay relay = active.find(ended.request(), ended.attempt());
       if (relay != null) {
+        crashes.served(relay.key, output);
         endings.done(relay, now, output);
       }
     }
@@ -250,7 +252,7 @@
   }
 
   private void tick(Instant now, Output output) {
-    crashes.tick(now);
+    crashes.tick(now, output);
     intake.released(now, output).forEach(relay -> begin(relay, now, output));
     schedulers.overdue(now, output).forEach(placed -> placed(placed, now, output));
     for (ActiveRelay relay : active.all()) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -32,6 +32,12 @@
   /** Returns how many entries serve, at least 1. */
   int entries();
 
+  /** Returns whether a request is refused because it ends the upstreams that run it. */
+  boolean isQuarantined(RequestKey key);
+
+  /** Returns the peer name of the control VM that leads, or null if none is known. */
+  @Nullable String leader();
+
   /** Returns the entries that place prompts, by group of engines; empty if each places its own. */
   List<String> schedulers();
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestAdmission.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestAdmission.java
@@ -37,12 +37,17 @@
       return Refusal.NOT_SERVING;
     }
     if (route.isPublic() || !table.keyed()) {
-      return null;
+      return quarantined(null, request);
     }
     if (!proven) {
       return Refusal.NOT_SERVING;
     }
-    return table.team(request.key()) == null ? Refusal.UNKNOWN_KEY : null;
+    RelayTeam team = table.team(request.key());
+    return team == null ? Refusal.UNKNOWN_KEY : quarantined(team, request);
+  }
+
+  private @Nullable Refusal quarantined(@Nullable RelayTeam team, RelayRequest request) {
+    return view.isQuarantined(RequestKey.of(team, request)) ? Refusal.QUARANTINED : null;
   }
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.relay;
 
 import java.util.Locale;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What makes two requests the same: a caller that sends its request again sends both alike, under a
@@ -14,6 +15,11 @@
  */
 public record RequestKey(String team, long content) {
 
+  /** Returns the key of a team's request; of a request without a key if the team is null. */
+  static RequestKey of(@Nullable RelayTeam team, RelayRequest request) {
+    return new RequestKey(team == null ? "" : team.name(), request.contentHash());
+  }
+
   /** Returns the key as logs and operators write it: the team, a slash, the hash in hexadecimal. */
   @Override
   public String toString() {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
@@ -17,13 +17,13 @@
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final UpstreamInstance UPSTREAM = RelayFixture.instance("up-1", "v1");
 
-  private CrashWatch watch = new CrashWatch();
+  private CrashWatch watch = new CrashWatch(new RelayFixture.FakeView());
   private RecordedOutput output = new RecordedOutput();
 
   /** Each test begins anew. */
   @BeforeMethod
   public void setUp() {
-    watch = new CrashWatch();
+    watch = new CrashWatch(new RelayFixture.FakeView());
     output = new RecordedOutput();
   }
 
@@ -69,7 +69,7 @@
   @Test
   public void oldLossesAreForgotten() {
     lost(1);
-    watch.tick(START.plusSeconds(6));
+    watch.tick(START.plusSeconds(6), output);
     watch.probed(UPSTREAM.run(), false, START.plusSeconds(7), output);
     assertEquals(lines(), List.of());
   }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestSimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestSimulation.java
@@ -48,6 +48,7 @@
   private static final int WAIT_MILLIS = 150;
   private static final int ANSWER_MILLIS = 600;
   private static final int CRASH_MILLIS = 100;
+  private static final int REPEAT_MILLIS = 150;
   private static final int CONTROLS = 3;
   private static final long CALL_MILLIS = 4000;
   private static final List<String> PATHS = List.of("/stream/x", "/lookup/x", "/book/x");
@@ -85,7 +86,7 @@
   private record Due(Instant at, long order, Runnable action) {}
 
   /** A request of a caller, as an entry has it. */
-  private record Caller(String entry, long content, String path, boolean repeats) {}
+  private record Caller(long content, String path, int repeatsLeft) {}
 
   /** An attempt at an upstream. */
   private record Run(String entry, long request, int attempt, long content, Instant sentAt) {}
@@ -237,15 +238,26 @@
         () -> {
           long content = ++lastContent;
           goodSent++;
-          send(content, path(content), false);
+          send(content, path(content), 1);
           load(requestsPerSecond);
         });
   }
 
+  /** Sends one and the same good lookup for as long as the run lasts, as many callers do. */
+  void popular(long content, int requestsPerSecond) {
+    after(
+        upTo(2 * 1000 / requestsPerSecond),
+        () -> {
+          goodSent++;
+          send(content, "/lookup/x", 1);
+          popular(content, requestsPerSecond);
+        });
+  }
+
   /** Sends a content that ends upstreams, again and again, at most so long after its last end. */
   void crashing(long content, int pauseMillis) {
     records.computeIfAbsent(content, unknown -> new Record());
-    send(content, path(content), true);
+    send(content, path(content), 0);
     after(upTo(pauseMillis), () -> crashing(content, pauseMillis));
   }
 
@@ -253,14 +265,14 @@
     return PATHS.get((int) (content % PATHS.size()));
   }
 
-  private void send(long content, String path, boolean crashes) {
+  private void send(long content, String path, int repeatsLeft) {
     List<String> awake = entries.stream().filter(this::isAwake).toList();
     if (awake.isEmpty()) {
       return;
     }
     String entry = awake.get(random.nextInt(awake.size()));
     long number = ++lastNumber;
-    callers.put(number, new Caller(entry, content, path, !crashes));
+    callers.put(number, new Caller(content, path, repeatsLeft));
     inject(entry, new RelayEvent.RequestArrived(request(number, path, content)));
   }
 
@@ -295,12 +307,16 @@
     } else if (effect instanceof RelayEffect.Refuse refuse) {
       refused(refuse);
     } else if (effect instanceof RelayEffect.BreakOff broken) {
-      callers.remove(broken.request());
+      lost(callers.remove(broken.request()));
     } else if (effect instanceof RelayEffect.ProbeUpstream probe) {
       Upstream upstream = upstreams.get(probe.upstream().id());
       after(
           1,
-          () -> inject(node, new RelayEvent.UpstreamProbed(probe.upstream().run(), upstream.up)));
+          () ->
+              inject(
+                  node,
+                  new RelayEvent.UpstreamProbed(
+                      probe.upstream().run(), upstream != null && upstream.up)));
     }
   }
 
@@ -310,7 +326,7 @@
     if (caller == null) {
       return;
     }
-    if (!upstream.up) {
+    if (upstream == null || !upstream.up) {
       fail(entry, sent.request(), sent.attempt(), AttemptFailure.NOT_SENT);
       return;
     }
@@ -442,6 +458,16 @@
       return;
     }
     goodRefused.merge(refuse.refusal(), 1, Integer::sum);
+    if (refuse.refusal() != Refusal.QUARANTINED) {
+      lost(caller);
+    }
+  }
+
+  /** Lets a caller whose request failed send it once more. */
+  private void lost(@Nullable Caller caller) {
+    if (caller != null && caller.repeatsLeft() > 0) {
+      after(REPEAT_MILLIS, () -> send(caller.content(), caller.path(), caller.repeatsLeft() - 1));
+    }
   }
 
   /** Returns the control VM that leads, or null. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -249,7 +249,7 @@
             instant(),
             1,
             configuration(),
-            new RelayMessage.SharedState(List.of(), List.of(), List.of()),
+            new RelayMessage.SharedState(List.of(), List.of(), List.of(), List.of()),
             new RelayMessage.DirectoryChanges(1, 1, true, true, statuses),
             List.of(CONTROL),
             entries.size(),
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/LoadSharePartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/LoadSharePartTest.java
@@ -62,7 +62,7 @@
             now,
             1,
             RelayFixture.configuration(1, "key"),
-            new RelayMessage.SharedState(List.of(), List.of(), List.of()),
+            new RelayMessage.SharedState(List.of(), List.of(), List.of(), List.of()),
             new RelayMessage.DirectoryChanges(1, 1, true, true, List.of(status)),
             List.of(CONTROL),
             3,
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
@@ -52,7 +52,7 @@
             RelayFixture.START,
             sequence,
             null,
-            new RelayMessage.SharedState(List.of(), leaving, evacuated),
+            new RelayMessage.SharedState(List.of(), leaving, evacuated, List.of()),
             new RelayMessage.DirectoryChanges(1, sequence, sequence == 1, true, statuses),
             List.of(CONTROL),
             1,
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.effect.Effect;
@@ -150,6 +152,8 @@
     List<String> schedulers = List.of();
     int entries = 1;
     Duration proofAge = Duration.ZERO;
+    final Set<RequestKey> quarantined = new HashSet<>();
+    @Nullable String leader = "control-1";
 
     FakeView() {
       for (String id : List.of("up-1", "up-2", "up-3")) {
@@ -212,6 +216,16 @@
       return 1;
     }
 
+    @Override
+    public boolean isQuarantined(RequestKey key) {
+      return quarantined.contains(key);
+    }
+
+    @Override
+    public @Nullable String leader() {
+      return leader;
+    }
+
     @Override
     public List<String> schedulers() {
       return schedulers;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -112,10 +112,34 @@
     assertEquals(machine.evacuations(), List.of(new Evacuation("b", RelayFixture.START)));
   }
 
+  /**
+   * A request is refused once and let through once, whoever asks how often; the list is bounded.
+   */
+  @Test
+  public void quarantineIsTakenAgainLiftedAndBounded() {
+    RequestKey first = new RequestKey("team", 0);
+    for (int time = 0; time < 2; time++) {
+      apply(new RelayCommand.QuarantineRequest(first));
+    }
+    assertEquals(
+        apply(new RelayCommand.ReadQuarantine()),
+        new RelayResult.QuarantineRead(List.of(new QuarantinedRequest(first, RelayFixture.START))));
+    for (int time = 0; time < 2; time++) {
+      assertEquals(apply(new RelayCommand.LiftQuarantine(first)), new CommandResult.Done());
+    }
+    assertEquals(machine.quarantined(), List.of());
+    for (long content = 0; content < 300; content++) {
+      apply(new RelayCommand.QuarantineRequest(new RequestKey("team", content)));
+    }
+    assertEquals(machine.quarantined().size(), 256);
+    assertEquals(machine.quarantined().get(255).key().content(), 299);
+  }
+
   @Test
   public void snapshotHoldsEverything() {
     apply(put(3, "three"));
     apply(new RelayCommand.EvacuateZone("a"));
+    apply(new RelayCommand.QuarantineRequest(new RequestKey("team", 7)));
     apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
     apply(new RelayCommand.UpstreamLeaves(new UpstreamRun("up-1", 0)));
     RelayMachine other = new RelayMachine();
@@ -123,6 +147,8 @@
     assertEquals(other.configuration(), machine.configuration());
     assertEquals(other.rollOuts(), machine.rollOuts());
     assertEquals(other.evacuations(), machine.evacuations());
+    assertEquals(other.quarantined(), machine.quarantined());
+    assertEquals(other.quarantined().size(), 1);
     assertTrue(other.isLeaving(new UpstreamRun("up-1", 0)));
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -28,6 +28,9 @@
   private static final int EVACUATE_ZONE = 22;
   private static final int TAKE_ZONE_BACK = 23;
   private static final int READ_EVACUATIONS = 24;
+  private static final int QUARANTINE_REQUEST = 25;
+  private static final int LIFT_QUARANTINE = 26;
+  private static final int READ_QUARANTINE = 27;
 
   private static final int DONE = 1;
   private static final int REJECTED = 2;
@@ -35,6 +38,7 @@
   private static final int CONFIGURATION_READ = 17;
   private static final int ROLL_OUT_READ = 18;
   private static final int EVACUATIONS_READ = 19;
+  private static final int QUARANTINE_READ = 20;
 
   @Override
   public Class<Command> type() {
@@ -108,6 +112,12 @@
       out.tagged(TAKE_ZONE_BACK, 1).text(back.zone());
     } else if (command instanceof RelayCommand.ReadEvacuations) {
       out.tagged(READ_EVACUATIONS, 0);
+    } else if (command instanceof RelayCommand.QuarantineRequest request) {
+      RelayValues.writeKey(request.key(), out.tagged(QUARANTINE_REQUEST, 1));
+    } else if (command instanceof RelayCommand.LiftQuarantine lift) {
+      RelayValues.writeKey(lift.key(), out.tagged(LIFT_QUARANTINE, 1));
+    } else if (command instanceof RelayCommand.ReadQuarantine) {
+      out.tagged(READ_QUARANTINE, 0);
     }
   }
 
@@ -166,6 +176,14 @@
         return new RelayCommand.TakeZoneBack(in.text());
       case READ_EVACUATIONS:
         return new RelayCommand.ReadEvacuations();
+      case QUARANTINE_REQUEST:
+        components.take(1);
+        return new RelayCommand.QuarantineRequest(RelayValues.readKey(in));
+      case LIFT_QUARANTINE:
+        components.take(1);
+        return new RelayCommand.LiftQuarantine(RelayValues.readKey(in));
+      case READ_QUARANTINE:
+        return new RelayCommand.ReadQuarantine();
       default:
         throw PackedReader.unknown("command", tag);
     }
@@ -184,6 +202,8 @@
       out.tagged(ROLL_OUT_READ, 1).optional(read.rollOut(), RelayValues::writeRollOut);
     } else if (result instanceof RelayResult.EvacuationsRead read) {
       out.tagged(EVACUATIONS_READ, 1).list(read.evacuations(), RelayValues::writeEvacuation);
+    } else if (result instanceof RelayResult.QuarantineRead read) {
+      out.tagged(QUARANTINE_READ, 1).list(read.requests(), RelayValues::writeQuarantined);
     } else {
       throw unsupported(result);
     }
@@ -214,6 +234,9 @@
       case EVACUATIONS_READ:
         components.take(1);
         return new RelayResult.EvacuationsRead(in.list(RelayValues::readEvacuation));
+      case QUARANTINE_READ:
+        components.take(1);
+        return new RelayResult.QuarantineRead(in.list(RelayValues::readQuarantined));
       default:
         throw PackedReader.unknown("result", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -9,12 +9,15 @@
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
 import org.skylarkfork.core.message.RelayMessage.KeptPrompt;
+import org.skylarkfork.core.message.RelayMessage.LostRequest;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
 import org.skylarkfork.core.message.RelayMessage.PlacementAsk;
 import org.skylarkfork.core.message.RelayMessage.PlacementNews;
 import org.skylarkfork.core.message.RelayMessage.PromptBeginning;
+import org.skylarkfork.core.message.RelayMessage.RequestServed;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
+import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
 import org.skylarkfork.core.message.RelayMessage.UpstreamHeard;
 import org.skylarkfork.core.message.RelayMessage.UpstreamLoad;
 import org.skylarkfork.core.relay.VersionCounts;
@@ -33,6 +36,8 @@
   private static final int PLACEMENT_ASK = 36;
   private static final int PLACEMENT_ANSWER = 37;
   private static final int PLACEMENT_NEWS = 38;
+  private static final int UPSTREAM_ENDED = 39;
+  private static final int REQUEST_SERVED = 40;
 
   private static final int POLL_COMPONENTS = 12;
   private static final int UPDATE_COMPONENTS = 7;
@@ -62,6 +67,11 @@
           .number(news.number())
           .text(news.progress().name())
           .number(news.millis());
+    } else if (message instanceof UpstreamEnded ended) {
+      RelayValues.writeRun(ended.upstream(), out.tagged(UPSTREAM_ENDED, 2));
+      out.list(ended.lost(), RelayMessages::writeLost);
+    } else if (message instanceof RequestServed served) {
+      RelayValues.writeKey(served.key(), out.tagged(REQUEST_SERVED, 1));
     }
   }
 
@@ -95,6 +105,12 @@
         components.take(NEWS_COMPONENTS);
         return new PlacementNews(
             in.number(), RelayValues.constant(AttemptProgress.class, in.text()), in.smallNumber());
+      case UPSTREAM_ENDED:
+        components.take(2);
+        return new UpstreamEnded(RelayValues.readRun(in), in.list(RelayMessages::readLost));
+      case REQUEST_SERVED:
+        components.take(1);
+        return new RequestServed(RelayValues.readKey(in));
       default:
         throw PackedReader.unknown("message", tag);
     }
@@ -208,6 +224,17 @@
     return in.record(2, from -> new KeptPrompt(from.text(), from.number()));
   }
 
+  private static void writeLost(LostRequest lost, PackedWriter out) {
+    RelayValues.writeKey(lost.key(), out.record(3));
+    out.number(lost.sentMillis()).number(lost.lostMillis());
+  }
+
+  private static LostRequest readLost(PackedReader in) {
+    return in.record(
+        3,
+        from -> new LostRequest(RelayValues.readKey(from), from.smallNumber(), from.smallNumber()));
+  }
+
   private static void writeNeighbourhood(Neighbourhood neighbourhood, PackedWriter out) {
     out.record(4)
         .number(neighbourhood.version())
@@ -251,9 +278,10 @@
   }
 
   private static void writeShared(SharedState shared, PackedWriter out) {
-    out.record(4).list(shared.rollOuts(), RelayValues::writeRollOut);
+    out.record(5).list(shared.rollOuts(), RelayValues::writeRollOut);
     RelayValues.writeRuns(shared.leaving(), out);
-    out.list(shared.evacuated(), (zone, to) -> to.text(zone));
+    out.list(shared.evacuated(), (zone, to) -> to.text(zone))
+        .list(shared.quarantined(), RelayValues::writeKey);
   }
 
   private static SharedState readShared(PackedReader in) {
@@ -263,7 +291,8 @@
             new SharedState(
                 from.list(RelayValues::readRollOut),
                 RelayValues.readRuns(from, more),
-                more.next() ? from.list(PackedReader::text) : List.of()));
+                more.next() ? from.list(PackedReader::text) : List.of(),
+                more.next() ? from.list(RelayValues::readKey) : List.of()));
   }
 
   private static void writeDirectory(DirectoryChanges changes, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -7,11 +7,13 @@
 import org.skylarkfork.core.relay.EngineProfile;
 import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.ModelPrice;
+import org.skylarkfork.core.relay.QuarantinedRequest;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRoute;
 import org.skylarkfork.core.relay.RelayService;
 import org.skylarkfork.core.relay.RelayTeam;
+import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.RouteKind;
 import org.skylarkfork.core.relay.ServiceRollOut;
@@ -259,6 +261,31 @@
     return in.record(2, from -> new Evacuation(from.text(), from.moment()));
   }
 
+  static void writeKey(RequestKey key, PackedWriter out) {
+    out.record(2).text(key.team()).number(key.content());
+  }
+
+  static RequestKey readKey(PackedReader in) {
+    return in.record(2, from -> new RequestKey(from.text(), from.number()));
+  }
+
+  static void writeQuarantined(QuarantinedRequest request, PackedWriter out) {
+    writeKey(request.key(), out.record(2));
+    out.moment(request.since());
+  }
+
+  static QuarantinedRequest readQuarantined(PackedReader in) {
+    return in.record(2, from -> new QuarantinedRequest(readKey(from), from.moment()));
+  }
+
+  static void writeRun(UpstreamRun run, PackedWriter out) {
+    out.record(2).text(run.id()).number(run.bornMillis());
+  }
+
+  static UpstreamRun readRun(PackedReader in) {
+    return in.record(2, from -> new UpstreamRun(from.text(), from.number()));
+  }
+
   static void writeInstance(UpstreamInstance instance, PackedWriter out) {
     out.record(INSTANCE_COMPONENTS + 2)
         .text(instance.id())
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/SnapshotPacking.java
@@ -42,10 +42,11 @@
     if (state instanceof GroupState.Empty) {
       out.tagged(EMPTY, 0);
     } else if (state instanceof RelayState relay) {
-      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 6));
+      RelayValues.writeConfiguration(relay.configuration(), out.tagged(RELAY, 7));
       out.bytes(relay.document()).list(relay.rollOuts(), RelayValues::writeRollOut);
       RelayValues.writeRuns(relay.leaving(), out);
-      out.list(relay.evacuations(), RelayValues::writeEvacuation);
+      out.list(relay.evacuations(), RelayValues::writeEvacuation)
+          .list(relay.quarantined(), RelayValues::writeQuarantined);
     } else {
       throw new CodecException(
           CodecException.Kind.UNSUPPORTED, state.getClass() + " is none of the relay's", null);
@@ -68,7 +69,8 @@
             in.bytes(),
             in.list(RelayValues::readRollOut),
             RelayValues.readRuns(in, components),
-            components.next() ? in.list(RelayValues::readEvacuation) : List.of());
+            components.next() ? in.list(RelayValues::readEvacuation) : List.of(),
+            components.next() ? in.list(RelayValues::readQuarantined) : List.of());
       default:
         throw PackedReader.unknown("state", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.runtime.relay;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -14,6 +15,7 @@
 import org.skylarkfork.core.consensus.Role;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayConfigurationValidator;
+import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.runtime.codec.Codec;
 import org.skylarkfork.runtime.codec.CodecException;
@@ -28,6 +30,7 @@
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
   private static final int UNAVAILABLE = 503;
+  private static final int HEXADECIMAL = 16;
 
   private final Codec codec;
 
@@ -72,6 +75,10 @@
 
   private record Version(long version) {}
 
+  private record Quarantined(String request, Instant since) {}
+
+  private record Quarantine(List<Quarantined> requests) {}
+
   @Override
   public CompletableFuture<HttpReply> answer(HttpCall call, ControlCalls control) {
     if (!call.path().startsWith(PREFIX)) {
@@ -93,13 +100,25 @@
         case "PUT evacuations" -> evacuate(last, new RelayCommand.EvacuateZone(last), control);
         case "DELETE evacuations" -> evacuate(last, new RelayCommand.TakeZoneBack(last), control);
         case "GET evacuations" -> ask(control, new RelayCommand.ReadEvacuations());
+        case "PUT quarantine" ->
+            ask(control, new RelayCommand.QuarantineRequest(requestKey(last, call)));
+        case "DELETE quarantine" ->
+            ask(control, new RelayCommand.LiftQuarantine(requestKey(last, call)));
+        case "GET quarantine" ->
+            answered(control.ask(new RelayCommand.ReadQuarantine()), this::quarantine);
         default -> done(error(NOT_FOUND, "there is no such call; see the page for operators"));
       };
     } catch (CodecException unreadable) {
       return done(error(BAD_REQUEST, String.valueOf(unreadable.getMessage())));
+    } catch (NumberFormatException unreadable) {
+      return done(error(BAD_REQUEST, "the path ends with the request's hash in hexadecimal"));
     }
   }
 
+  private static RequestKey requestKey(String hash, HttpCall call) {
+    return new RequestKey(call.parameter("team"), Long.parseUnsignedLong(hash, HEXADECIMAL));
+  }
+
   @Override
   public HttpReply lookUp(HttpCall call, EntryDirectory directory) {
     boolean known = call.method().equals("GET") && call.path().equals(PREFIX + "entries");
@@ -171,6 +190,17 @@
     return answered(control.ask(command), this::reply);
   }
 
+  /** Names requests as logs and the command line do. */
+  private HttpReply quarantine(CommandResult result) {
+    List<Quarantined> requests =
+        result instanceof RelayResult.QuarantineRead read
+            ? read.requests().stream()
+                .map(one -> new Quarantined(one.key().toString(), one.since()))
+                .toList()
+            : List.of();
+    return json(new Quarantine(requests));
+  }
+
   private HttpReply reply(CommandResult result) {
     return result instanceof CommandResult.Rejected rejected
         ? error(CONFLICT, rejected.remedy())
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -191,6 +191,8 @@
     return switch (refusal) {
       case UNKNOWN_KEY -> HttpResponseStatus.UNAUTHORIZED;
       case NO_ROUTE -> HttpResponseStatus.NOT_FOUND;
+      // Final: a caller that was told to come back would bring the request again.
+      case QUARANTINED -> HttpResponseStatus.BAD_REQUEST;
       case NOT_SERVING, STOPPING, NO_UPSTREAM, OVERLOADED, TOO_LATE ->
           HttpResponseStatus.SERVICE_UNAVAILABLE;
       case OUTCOME_UNKNOWN -> HttpResponseStatus.BAD_GATEWAY;
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/RelayDecisionBenchmark.java
@@ -88,7 +88,7 @@
         NOW,
         1,
         configuration(),
-        new RelayMessage.SharedState(List.of(), List.of(), List.of()),
+        new RelayMessage.SharedState(List.of(), List.of(), List.of(), List.of()),
         new RelayMessage.DirectoryChanges(1, 1, true, true, known),
         List.of("127.0.0.3:1"),
         ENTRIES,
