--- /dev/null
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCall.java
@@ -0,0 +1,46 @@
+package org.skylarkfork.daemon;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Calls of the command line to a control VM of the relay. */
+final class RelayCall {
+
+  /** Longest wait for an answer; a control VM answers within a second or says that it can't. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  private static final int OK = 200;
+
+  private RelayCall() {}
+
+  /**
+   * Sends a call without a body and prints the answer.
+   *
+   * @param control host and port of a control VM
+   * @param method method of the call
+   * @param path path and query below {@code /relay/v1/}
+   * @return the exit code
+   */
+  static int send(String control, String method, String path) throws InterruptedException {
+    try {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + control + "/relay/v1/" + path))
+              .timeout(TIMEOUT)
+              .method(method, HttpRequest.BodyPublishers.noBody())
+              .build();
+      HttpResponse<String> answer =
+          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+      boolean done = answer.statusCode() == OK;
+      (done ? System.out : System.err).println(answer.body());
+      return done ? ExitCode.SUCCESS : ExitCode.FAILURE;
+    } catch (IOException | IllegalArgumentException unreachable) {
+      System.err.println(
+          "The control VM can't be asked: " + unreachable.getMessage() + ". Name another one.");
+      return ExitCode.FAILURE;
+    }
+  }
+}
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/Skylarkfork.java
@@ -21,6 +21,7 @@
       TimelineCommand.class,
       ExplainCommand.class,
       EvacuateCommand.class,
+      QuarantineCommand.class,
       StandinCommand.class,
       LoadCommand.class,
       MeasureCommand.class,
