Relay: weights that add up beyond an int end no entry

What callers saw: an operator splits a route with two weights of 2^31 - 1 each, which is valid; the next request on it halts its entry, the caller's repeat the next one.

Cause: the weights were added up as int, a bound below zero was drawn from, and a reducer that throws halts its daemon. The same kind of fault as a request that ends upstreams: what ends one daemon is sent to the next. They are added as long now, which no number of int weights exceeds in a configuration that fits.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestIntake.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestIntake.java
@@ -88,8 +88,10 @@
   }
 
   private RelayService service(RouteTable table, RelayRoute route) {
-    int total = route.services().stream().mapToInt(WeightedService::weight).sum();
-    int drawn = random.nextInt(total);
+    // Two large weights add up beyond an int; each entry that drew from that would halt in its
+    // turn.
+    long total = route.services().stream().mapToLong(WeightedService::weight).sum();
+    long drawn = random.nextLong(total);
     for (WeightedService target : route.services()) {
       drawn -= target.weight();
       RelayService service = table.service(target.service());
