Relay: an upstream's unreadable address ends no entry

What callers saw: an upstream announced an address that is none (a port above 65535, a name, nothing); the first entry that sent to it halted, the caller's repeat halted the next.

Cause: the address was read where an attempt is carried out, and what throws there halts the daemon; the control VMs passed on whatever a heartbeat said.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -169,6 +169,9 @@
     if (!id.equals(instance.id())) {
       return done(error(BAD_REQUEST, "the path and the body name different upstreams"));
     }
+    if (!UpstreamAddress.isReadable(instance.address())) {
+      return done(error(BAD_REQUEST, "the address is no IP number with a port; send one"));
+    }
     control.heartbeat(instance);
     return done(json(new Version(instance.sequence())));
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -27,7 +27,7 @@
   private static final long REMEMBERED_NANOS = 20_000_000_000L;
 
   private final Bootstrap bootstrap;
-  private final InetSocketAddress address;
+  private final @Nullable InetSocketAddress address;
   private final RelayDialect dialect;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private final Deque<Waiter> waiting = new ArrayDeque<>();
@@ -36,7 +36,14 @@
   private long longestRest = Long.MAX_VALUE;
   private long staleAt;
 
-  UpstreamPool(Bootstrap bootstrap, InetSocketAddress address, RelayDialect dialect) {
+  /**
+   * Makes a pool without connections.
+   *
+   * @param bootstrap opens connections
+   * @param address where the upstream listens, or null if its address can't be read
+   * @param dialect names of headers
+   */
+  UpstreamPool(Bootstrap bootstrap, @Nullable InetSocketAddress address, RelayDialect dialect) {
     this.bootstrap = bootstrap;
     this.address = address;
     this.dialect = dialect;
@@ -104,6 +111,11 @@
   }
 
   private void connect(Taker taker) {
+    if (address == null) {
+      // Thrown here, the fault of one upstream would halt each entry that sends to it.
+      taker.take(null);
+      return;
+    }
     open++;
     UpstreamConnection connection = new UpstreamConnection(this, dialect, DEFAULT_IDLE_NANOS);
     ChannelFuture connecting =
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -32,13 +31,8 @@
 
   UpstreamPool pool(UpstreamInstance upstream) {
     return pools.computeIfAbsent(
-        upstream.id(), id -> new UpstreamPool(bootstrap, address(upstream.address()), dialect));
-  }
-
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        upstream.id(),
+        id -> new UpstreamPool(bootstrap, UpstreamAddress.read(upstream.address()), dialect));
   }
 
   /** Forgets upstreams that got nothing for a while. */
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -4,6 +4,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -27,4 +29,14 @@
     assertEquals(pool.longestRest(now), TimeUnit.MILLISECONDS.toNanos(280));
     assertEquals(pool.longestRest(now + TimeUnit.SECONDS.toNanos(60)), Long.MAX_VALUE);
   }
+
+  /** An upstream whose address can't be read takes no connection; the request goes elsewhere. */
+  @Test
+  public void upstreamWithoutAddressTakesNoConnection() {
+    UpstreamPool pool = new UpstreamPool(new Bootstrap(), null, new RelayHeaders());
+    List<Boolean> taken = new ArrayList<>();
+    pool.acquire(false, 2, connection -> taken.add(connection != null));
+    pool.probe(taken::add);
+    assertEquals(taken, List.of(false, false));
+  }
 }
