Test, red: a draft that ends its engines is sent on for good by the drafts' own way

The same cause as at the relay, found by looking for it: the way of drafts (core.attempt) bounds attempts for each request, and nothing outlives one. Not mended: that way has another control plane than the relay, and is to be joined with it.

--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/DraftTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/DraftTest.java
@@ -402,4 +402,32 @@
     assertEquals(last.ending(), AttemptOutcome.Ending.RATED_LATER);
     assertEquals(last.rating(), 0.25);
   }
+
+  @Test
+  public void draftThatEndsItsEnginesIsNotSentOnForGood() {
+    // A caller sends the same draft again and again, and each engine that begins to run it ends.
+    // Three engines later this is known; still each request is sent to as many engines as one
+    // request may be, and the callers of all other drafts there lose their answers.
+    RequestFixture own = new RequestFixture();
+    int engines = own.upstreams.size();
+    for (int request = 1; request <= 10; request++) {
+      own.ask("r" + request, RequestFixture.stream());
+      String attempt = newest(own);
+      while (attempt.startsWith("r" + request + ".")) {
+        UpstreamEffect.DispatchDraft sent = own.last(UpstreamEffect.DispatchDraft.class);
+        own.upstreams.remove(sent.upstream());
+        own.restart("e" + ++engines);
+        own.fail(attempt, Moment.ANSWER_BEGUN);
+        own.pass(Duration.ofSeconds(1));
+        attempt = newest(own).equals(attempt) ? "" : newest(own);
+      }
+    }
+    int sends = own.list(UpstreamEffect.DispatchDraft.class).size();
+    assertTrue(sends <= 3 + 3, sends + " engines ended under one content");
+  }
+
+  private static String newest(RequestFixture own) {
+    List<String> attempts = own.attempts();
+    return attempts.isEmpty() ? "" : attempts.get(attempts.size() - 1);
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
@@ -178,6 +178,11 @@
         List.of());
   }
 
+  /** Starts an engine under a new id. */
+  void restart(String id) {
+    upstreams.put(id, announcement(id, UpstreamKind.ENGINE));
+  }
+
   /** What a request of a test differs in. */
   static final class Ask {
     RequestKind kind = RequestKind.CHAT;
