Tests: what removes a part of the safeguard against requests that end upstreams fails

Each part was taken out once. Not noticed: no look between attempts, nothing told again. These two have tests now, with what becomes of begun streams, larger models and later losses.

--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
@@ -5,8 +5,13 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.message.RelayMessage;
+import org.skylarkfork.core.message.RelayMessage.LostRequest;
+import org.skylarkfork.core.message.RelayMessage.RequestServed;
+import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
 import org.skylarkfork.core.testing.RecordedOutput;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -17,13 +22,15 @@
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final UpstreamInstance UPSTREAM = RelayFixture.instance("up-1", "v1");
 
-  private CrashWatch watch = new CrashWatch(new RelayFixture.FakeView());
+  private RelayFixture.FakeView view = new RelayFixture.FakeView();
+  private CrashWatch watch = new CrashWatch(view);
   private RecordedOutput output = new RecordedOutput();
 
   /** Each test begins anew. */
   @BeforeMethod
   public void setUp() {
-    watch = new CrashWatch(new RelayFixture.FakeView());
+    view = new RelayFixture.FakeView();
+    watch = new CrashWatch(view);
     output = new RecordedOutput();
   }
 
@@ -73,4 +80,61 @@
     watch.probed(UPSTREAM.run(), false, START.plusSeconds(7), output);
     assertEquals(lines(), List.of());
   }
+
+  private List<SendToPeer> told(Class<? extends RelayMessage> type) {
+    return output.effects(SendToPeer.class).stream()
+        .filter(sent -> type.isInstance(sent.message()))
+        .toList();
+  }
+
+  /**
+   * A message to the leader is lost, and then the leader itself. What was lost with an upstream is
+   * told again for two seconds, and once more to each new leader; unknown there, the request would
+   * end as many upstreams again.
+   */
+  @Test
+  public void endIsToldAgainAndToNewLeaders() {
+    lost(1);
+    watch.probed(UPSTREAM.run(), false, START, output);
+    assertEquals(told(UpstreamEnded.class).size(), 1);
+    assertEquals(told(UpstreamEnded.class).get(0).node(), "control-1");
+    for (int tick = 1; tick <= 100; tick++) {
+      watch.tick(START.plusMillis(100L * tick), output);
+    }
+    assertEquals(told(UpstreamEnded.class).size(), 4);
+    view.leader = null;
+    watch.tick(START.plusSeconds(11), output);
+    assertEquals(told(UpstreamEnded.class).size(), 4);
+    view.leader = "control-2";
+    watch.tick(START.plusSeconds(12), output);
+    watch.tick(START.plusSeconds(13), output);
+    assertEquals(told(UpstreamEnded.class).size(), 5);
+    SendToPeer last = told(UpstreamEnded.class).get(4);
+    assertEquals(last.node(), "control-2");
+    UpstreamEnded ended = (UpstreamEnded) last.message();
+    assertEquals(ended.lost(), List.of(new LostRequest(new RequestKey("team", 1), 12000, 12000)));
+  }
+
+  /** One that is lost a little later, or was left for its silence, belongs to the same end. */
+  @Test
+  public void laterLossIsToldAtOnce() {
+    lost(1);
+    watch.probed(UPSTREAM.run(), false, START, output);
+    lost(2);
+    UpstreamEnded last = (UpstreamEnded) told(UpstreamEnded.class).get(1).message();
+    assertEquals(last.lost().size(), 1);
+    assertEquals(last.lost().get(0).key().content(), 2);
+  }
+
+  /** A request that is answered in the end is cleared at the leader; others aren't named. */
+  @Test
+  public void answerIsToldOfLostRequestsOnly() {
+    lost(1);
+    watch.probed(UPSTREAM.run(), false, START, output);
+    watch.served(new RequestKey("team", 2), output);
+    assertEquals(told(RequestServed.class), List.of());
+    watch.served(new RequestKey("team", 1), output);
+    watch.served(new RequestKey("team", 1), output);
+    assertEquals(told(RequestServed.class).size(), 1);
+  }
 }
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/QuarantinedRequestTest.java
@@ -0,0 +1,82 @@
+package org.skylarkfork.core.relay;
+
+import static org.skylarkfork.core.relay.RelayFixture.none;
+import static org.skylarkfork.core.relay.RelayFixture.only;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.skylarkfork.core.effect.RelayEffect;
+import org.skylarkfork.core.event.RelayEvent;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of what an entry does with requests that are known to end upstreams. */
+public final class QuarantinedRequestTest {
+
+  private RelayFixture entry = new RelayFixture();
+
+  /** Each test begins anew, with an entry that has room for repeats. */
+  @BeforeMethod
+  public void setUp() {
+    entry = new RelayFixture();
+    for (long number = 1000; number < 1020; number++) {
+      entry.sent(number, "/lookup/x");
+      entry.apply(new RelayEvent.CallerLeft(number));
+    }
+  }
+
+  private void quarantine(long content) {
+    entry.view.quarantined.add(new RequestKey("team", content));
+  }
+
+  private void assertRefused(List<RelayEffect> effects) {
+    assertTrue(none(effects, RelayEffect.SendAttempt.class), effects.toString());
+    RelayEffect.Refuse refuse = only(effects, RelayEffect.Refuse.class);
+    assertEquals(refuse.refusal(), Refusal.QUARANTINED);
+    assertEquals(refuse.retryAfterMillis(), 0, "nothing lures it in again");
+  }
+
+  /** The caller is refused for good before any upstream is asked; others are served. */
+  @Test
+  public void requestIsRefusedAtItsArrival() {
+    quarantine(1);
+    assertRefused(entry.arrives(1, "/lookup/x"));
+    entry.sent(2, "/lookup/x");
+  }
+
+  /** The request became known while it ran; the attempts that are left to it aren't made. */
+  @Test
+  public void requestIsNotSentAgain() {
+    entry.sent(1, "/lookup/x");
+    quarantine(1);
+    assertRefused(entry.fails(1, 1, AttemptFailure.NO_ANSWER, null));
+    entry.sent(2, "/lookup/x");
+    quarantine(2);
+    assertRefused(entry.fails(2, 1, AttemptFailure.NOT_SENT, null));
+    entry.sent(3, "/book/x");
+    quarantine(3);
+    assertRefused(entry.answers(3, 1, 503, true));
+  }
+
+  /** The caller has had the beginning of a stream: it is broken off, and goes on nowhere. */
+  @Test
+  public void begunStreamGoesOnNowhere() {
+    entry.sent(1, "/stream/x");
+    entry.answers(1, 1, 200, false);
+    quarantine(1);
+    List<RelayEffect> effects = entry.fails(1, 1, AttemptFailure.BROKEN_OFF, "4");
+    assertTrue(none(effects, RelayEffect.SendAttempt.class), effects.toString());
+    only(effects, RelayEffect.BreakOff.class);
+  }
+
+  /** An answer is at hand that a larger model would be asked for again: it is passed on. */
+  @Test
+  public void largerModelIsNotAsked() {
+    entry.sent(1, "/sized/x");
+    quarantine(1);
+    List<RelayEffect> effects = entry.apply(new RelayEvent.AnswerBegan(1, 1, 200, false, 0));
+    only(effects, RelayEffect.PassAnswer.class);
+    assertTrue(none(effects, RelayEffect.SendAttempt.class), effects.toString());
+  }
+}
