Relay: a request that is sent many times at once is found before the ones it takes with it

Cause: only ends that came one after the other were counted. Attempts of one content that are under way together ended five upstreams and counted once, while good requests moved on from each end to the next and were lost in turn four times. They were refused, and explained the ends.

Now all ends count where contents are compared, and two of them must have come one after the other, so that what ran on many upstreams of a lost zone is not found. Who is lost as often as the others is found after four ends only if none was lost more often.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
@@ -18,11 +18,12 @@
  * a request is found only if
  *
  * <ul>
- *   <li>{@link #ENDS} upstreams have ended under it, each under an attempt that was sent after the
- *       end before: what was under way at many upstreams of a zone that is lost counts once;
+ *   <li>{@link #ENDS} upstreams have ended under it, and {@link #ENDS_IN_TURN} of them one after
+ *       the other, the later one under an attempt that was sent after the first had ended: what was
+ *       under way at many upstreams of a zone that is lost is not found;
  *   <li>one of these ends at least isn't explained by a request that was found before;
- *   <li>no other one that was lost in the last of these was lost as often; such two are told apart
- *       by the next end, or both found after {@link #CERTAIN_ENDS};
+ *   <li>no other one that was lost with the last of these was lost as often; such two are told
+ *       apart by the next end, or both found after {@link #CERTAIN_ENDS};
  *   <li>it was not answered since. One whole answer clears a request.
  * </ul>
  */
@@ -31,9 +32,13 @@
   /** Upstreams that end under a request until it is found. */
   static final int ENDS = 3;
 
+  /** Of these, how many must have come one after the other. */
+  private static final int ENDS_IN_TURN = 2;
+
   /**
-   * Ends after which a request is found though others were lost as often. Where few upstreams are
-   * left, each end takes the same requests, and a good one has no attempt left after so many.
+   * Ends after which a request is found though others were lost as often, but none more often.
+   * Where few upstreams are left, each end takes the same requests, and a good one has no attempt
+   * left after so many.
    */
   private static final int CERTAIN_ENDS = 4;
 
@@ -68,10 +73,10 @@
     }
   }
 
-  /** How often a request was lost, one end after the other. */
+  /** How often a request was lost, and with which others at its last end that isn't explained. */
   private static final class Suspicion {
     private int ends;
-    private int unexplained;
+    private int inTurn;
     private Instant lastAt = Instant.EPOCH;
     private Set<RequestKey> lostWith = Set.of();
   }
@@ -178,13 +183,13 @@
     end.sentAt.forEach(
         (key, sentAt) -> {
           Suspicion suspicion = suspicions.computeIfAbsent(key, this::before);
+          suspicion.ends++;
           if (!sentAt.plus(SKEW).isBefore(suspicion.lastAt)) {
-            suspicion.ends++;
+            suspicion.inTurn++;
             suspicion.lastAt = end.at;
-            if (!end.explained) {
-              suspicion.unexplained++;
-              suspicion.lostWith = end.sentAt.keySet();
-            }
+          }
+          if (!end.explained) {
+            suspicion.lostWith = end.sentAt.keySet();
           }
         });
   }
@@ -192,16 +197,24 @@
   private Suspicion before(RequestKey key) {
     Suspicion suspicion = new Suspicion();
     suspicion.ends = onProbation.containsKey(key) ? ENDS - 1 : 0;
+    suspicion.inTurn = suspicion.ends;
     return suspicion;
   }
 
   private static boolean isFound(
       RequestKey key, Suspicion suspicion, Map<RequestKey, Suspicion> suspicions) {
-    if (suspicion.ends < ENDS || suspicion.unexplained == 0) {
+    boolean suspected = suspicion.ends >= ENDS && suspicion.inTurn >= ENDS_IN_TURN;
+    if (!suspected || suspicion.lostWith.isEmpty()) {
       return false;
     }
-    return suspicion.ends >= CERTAIN_ENDS
-        || suspicion.lostWith.stream()
-            .allMatch(other -> other.equals(key) || suspicions.get(other).ends < suspicion.ends);
+    int mostOfOthers =
+        suspicion.lostWith.stream()
+            .filter(other -> !other.equals(key))
+            .mapToInt(other -> suspicions.get(other).ends)
+            .max()
+            .orElse(0);
+    boolean alone = suspicion.ends > mostOfOthers;
+    boolean certain = suspicion.ends == mostOfOthers && suspicion.ends >= CERTAIN_ENDS;
+    return alone || certain;
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
@@ -83,6 +83,27 @@
     assertEquals(ledger.found(now), List.of());
   }
 
+  /**
+   * A caller sends a request that ends upstreams to several entries at once, so that most ends come
+   * under attempts that were under way together. Good requests that moved on from each end to the
+   * next were lost in turn more often, but less often in all.
+   */
+  @Test
+  public void requestThatIsSentManyTimesAtOnceIsFoundBeforeItsVictims() {
+    for (int upstream = 1; upstream <= 5; upstream++) {
+      lost("up-" + upstream, 1);
+    }
+    lost("up-1", 2);
+    now = now.plusMillis(150);
+    lost("up-2", 2);
+    now = now.plusMillis(150);
+    lost("up-3", 2);
+    now = now.plusMillis(150);
+    lost("up-6", 2, 1);
+    now = now.plusMillis(SETTLED);
+    assertEquals(ledger.found(now), List.of(key(1)));
+  }
+
   /** A request that is unlucky twice and then answered begins from nothing. */
   @Test
   public void answerClearsRequest() {
