--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
@@ -1,6 +1,6 @@
 package org.skylarkfork.core.relay;
 
-import java.util.Locale;
+import java.util.HexFormat;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,6 +23,6 @@
   /** Returns the key as logs and operators write it: the team, a slash, the hash in hexadecimal. */
   @Override
   public String toString() {
-    return team + "/" + String.format(Locale.ROOT, "%016x", content);
+    return team + "/" + HexFormat.of().toHexDigits(content);
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ContentHash.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ContentHash.java
@@ -15,7 +15,7 @@
  * the body was cut into pieces on its way. It is no secret and resists no one who looks for two
  * bodies alike; {@link org.skylarkfork.core.relay.RequestKey} keeps teams apart.
  */
-final class ContentHash {
+public final class ContentHash {
 
   private static final int SEED = 0;
 
@@ -27,7 +27,7 @@
    * @param head the request's head
    * @param body its whole body, not read on
    */
-  static long of(HttpRequest head, ByteBuf body) {
+  public static long of(HttpRequest head, ByteBuf body) {
     byte[] bytes = ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false);
     long[] hash = MurmurHash3.hash128x64(bytes, 0, bytes.length, SEED);
     return StableHash.of(
