Stand-in service: ends under a content that its settings name

Upstreams of tests and emulator ended by themselves, never by what they were sent, so nothing could show a request that ends upstreams. crashOn names a text; a call whose body holds it ends the service for good.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.runtime.settings.SettingsReader;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
 import org.skylarkfork.standin.settings.ZeroIfAbsent;
@@ -17,6 +18,8 @@
  * @param latency the time that a call takes; 2 ms if absent
  * @param capacity the calls answered at the same time; 64 if absent
  * @param seed decides which calls a partial fault strikes
+ * @param crashOn text that ends the service for good as it runs a call whose body holds it; nothing
+ *     does if absent
  * @param announce where it announces itself; nowhere if absent
  */
 public record ServiceSettings(
@@ -28,6 +31,7 @@
     Duration latency,
     @ZeroIfAbsent int capacity,
     @ZeroIfAbsent long seed,
+    @Nullable String crashOn,
     AnnouncerSettings announce) {
 
   private static final String LOOPBACK = "127.0.0.1";
@@ -57,7 +61,7 @@
   public static ServiceSettings of(
       String id, String zone, String service, AnnouncerSettings announce) {
     return new ServiceSettings(
-        id, LOOPBACK, 0, zone, service, DEFAULT_LATENCY, DEFAULT_CAPACITY, 0, announce);
+        id, LOOPBACK, 0, zone, service, DEFAULT_LATENCY, DEFAULT_CAPACITY, 0, null, announce);
   }
 
   /**
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -149,6 +149,10 @@
     if (strikes(FaultKind.SILENCE, requestId)) {
       return Mono.never();
     }
+    String crashOn = settings.crashOn();
+    if (crashOn != null && body.contains(crashOn)) {
+      return crash(requestId);
+    }
     Echo echo =
         new Echo(
             settings.service(),
@@ -162,6 +166,14 @@
     return Mono.delay(latency(requestId)).then(Mono.defer(() -> send(response, requestId, echo)));
   }
 
+  /** Ends as a process that crashes: no answer, no connection, no announcement any more. */
+  private Mono<Void> crash(String requestId) {
+    Logger.warn("service: {} ends under {}", settings.id(), requestId);
+    // The connections' own thread must not wait for its end.
+    CompletableFuture.runAsync(this::close);
+    return Mono.never();
+  }
+
   private String answeredId(HttpServerResponse response, String requestId) {
     if (!strikes(FaultKind.CROSSED_ANSWERS, requestId)) {
       return requestId;
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.skylarkfork.standin.Caller;
 import org.skylarkfork.standin.announce.AnnouncerSettings;
@@ -51,6 +52,29 @@
     assertEquals(echo.path("body").asText(), "body");
   }
 
+  // A call's content ends the service as it runs it. Its caller and all that call later get no
+  // answer; calls of another content are served until then.
+  @Test
+  public void endsUnderTheContentThatItsSettingsName() {
+    StandInService fragile =
+        new StandInService(
+            new ServiceSettings(
+                "s-2",
+                "127.0.0.1",
+                0,
+                "wien-halle",
+                "certificates",
+                Duration.ofMillis(1),
+                8,
+                0,
+                "fatal",
+                AnnouncerSettings.none()));
+    Caller before = new Caller(fragile.start());
+    assertEquals(before.post("/issue", "harmless").json().path("body").asText(), "harmless");
+    expectThrows(RuntimeException.class, () -> before.post("/issue", "a fatal body"));
+    expectThrows(RuntimeException.class, () -> before.post("/issue", "harmless"));
+  }
+
   // An issue of a certificate reaches the service twice, under two request ids but one key. The
   // service cannot prevent that; its count must show it.
   @Test
