Control VMs: what entries lost is gone through when it changed, not at each tick

Cause: the leader compared up to 64 ends of up to 512 requests forty times a second for as long as they are remembered, ten minutes: after the loss of a zone some million map operations a second on a VM with less than half a core. Counted from the code, not measured.

Now it looks once after each end has settled, and where an answer cleared a request.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides which requests end the upstreams that run them, from what all entries lost.
@@ -60,6 +61,9 @@
   private final Map<RequestKey, Instant> servedAt = new LinkedHashMap<>();
   private final Map<RequestKey, Instant> onProbation = new LinkedHashMap<>();
 
+  /** When to look next, or null while nothing new was told. */
+  private @Nullable Instant dueAt;
+
   /** The end of one start of an upstream, and when each request that was lost with it was sent. */
   private static final class End {
     private final Instant toldAt;
@@ -103,6 +107,9 @@
       end.sentAt.merge(key, sentAt, CrashLedger::later);
     }
     forgetOldestBeyond(MAX_UPSTREAMS, ends);
+    if (dueAt == null) {
+      dueAt = now.plus(SETTLING);
+    }
   }
 
   private static Instant later(Instant one, Instant other) {
@@ -117,7 +124,14 @@
 
   /** Clears a request that was answered whole; attempts that were sent before count no more. */
   void served(RequestKey key, Instant now) {
-    ends.values().forEach(end -> end.sentAt.remove(key));
+    boolean wasLost = false;
+    for (End end : ends.values()) {
+      wasLost |= end.sentAt.remove(key) != null;
+    }
+    if (wasLost && dueAt == null) {
+      // Another one may have been lost as often as this, and stands alone now.
+      dueAt = now;
+    }
     onProbation.remove(key);
     servedAt.remove(key);
     servedAt.put(key, now);
@@ -144,14 +158,21 @@
     ends.clear();
     servedAt.clear();
     onProbation.clear();
+    dueAt = null;
   }
 
-  /** Returns the requests that are known by now to end what runs them. */
+  /**
+   * Returns the requests that are known by now to end what runs them and weren't a moment ago.
+   *
+   * <p>Looks only once new ends have settled: what many upstreams took with them is too much to go
+   * through at each tick for as long as it is remembered.
+   */
   List<RequestKey> found(Instant now) {
-    forgetOld(now);
-    if (ends.isEmpty()) {
+    if (dueAt == null || now.isBefore(dueAt)) {
       return List.of();
     }
+    forgetOld(now);
+    dueAt = nextDue(now);
     Map<RequestKey, Suspicion> suspicions = suspicions(now);
     List<RequestKey> found = new ArrayList<>();
     suspicions.forEach(
@@ -163,6 +184,14 @@
     return found;
   }
 
+  private @Nullable Instant nextDue(Instant now) {
+    return ends.values().stream()
+        .map(end -> end.toldAt.plus(SETTLING))
+        .filter(now::isBefore)
+        .min(Comparator.naturalOrder())
+        .orElse(null);
+  }
+
   private void forgetOld(Instant now) {
     Iterator<End> oldest = ends.values().iterator();
     while (oldest.hasNext() && !now.isBefore(oldest.next().toldAt.plus(KEPT))) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashReview.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashReview.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.command.Command;
 import org.skylarkfork.core.command.GroupId;
@@ -36,6 +38,7 @@
   private final RelayMachine machine;
   private final ConsensusPart consensus;
   private final CrashLedger ledger = new CrashLedger();
+  private final Set<RequestKey> found = new LinkedHashSet<>();
   private final Map<RequestKey, Instant> refusedSince = new HashMap<>();
   private final Map<RequestKey, Instant> askedAt = new HashMap<>();
 
@@ -60,12 +63,14 @@
   /** Takes an entry's word that a request was answered whole. */
   void served(RequestKey key, Instant now) {
     ledger.served(key, now);
+    found.remove(key);
   }
 
   /** Takes note of a command that was agreed on. */
   void committed(RelayCommand command, Instant now) {
     if (command instanceof RelayCommand.QuarantineRequest request) {
       ledger.quarantined(request.key());
+      found.remove(request.key());
     } else if (command instanceof RelayCommand.LiftQuarantine lift) {
       ledger.lifted(lift.key(), now);
     }
@@ -74,6 +79,7 @@
   /** Forgets what entries told: another control VM leads, or this one begins to. */
   void clear() {
     ledger.clear();
+    found.clear();
     refusedSince.clear();
     askedAt.clear();
   }
@@ -81,13 +87,17 @@
   /** Has requests refused that were found, and let through whose time is over. */
   void tick(Instant now, Output output) {
     askedAt.values().removeIf(at -> !now.isBefore(at.plus(AGAIN)));
-    for (RequestKey key : ledger.found(now)) {
+    found.addAll(ledger.found(now));
+    for (RequestKey key : found) {
       ask(key, new RelayCommand.QuarantineRequest(key), now, output);
     }
     lift(now, output);
   }
 
   private void lift(Instant now, Output output) {
+    if (refusedSince.isEmpty() && machine.quarantined().isEmpty()) {
+      return;
+    }
     Map<RequestKey, Instant> before = Map.copyOf(refusedSince);
     refusedSince.clear();
     for (QuarantinedRequest request : machine.quarantined()) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
@@ -73,6 +73,17 @@
     assertEquals(ends("up-4", 1), List.of(key(1)));
   }
 
+  /** Of two that were lost together each time, one is answered: the other has ended upstreams. */
+  @Test
+  public void requestsThatAreLostTogetherAreToldApartByAnAnswer() {
+    ends("up-1", 1, 2);
+    ends("up-2", 1, 2);
+    assertEquals(ends("up-3", 1, 2), List.of());
+    assertEquals(ledger.found(now), List.of());
+    ledger.served(key(2), now);
+    assertEquals(ledger.found(now), List.of(key(1)));
+  }
+
   /** Many callers send the same lookup; a zone is lost and takes all that run it at once. */
   @Test
   public void upstreamsThatEndTogetherCountOnceForWhatRanOnAllOfThem() {
