Explain and logs: a request that is refused because it ends upstreams names its content

skylarkfork explain gave the bare word, and the line of a refusal at the arrival did not say which request operators would have to let through.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HexFormat;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.effect.TraceEffect;
 
@@ -134,6 +135,8 @@
             + request.id()
             + " why="
             + refusal
+            + " content=/"
+            + HexFormat.of().toHexDigits(request.contentHash())
             + " host="
             + request.host()
             + belief(now);
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
@@ -89,6 +89,8 @@
           case "STOPPING" -> "the entry was stopping and could not have ended it in time";
           case "NO_UPSTREAM" -> "no upstream took it: " + told(trouble);
           case "OVERLOADED" -> "what was ahead of it would have taken longer than its caller waits";
+          case "QUARANTINED" ->
+              "upstreams that ran the same content had ended (skylarkfork quarantine lists it)";
           case "TOO_LATE" -> "its time was over before it could be sent";
           case "OUTCOME_UNKNOWN" -> "it may have run, but no whole answer came: " + told(trouble);
           case "TIME_OUT" -> "its time was over while an upstream worked on it";
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
@@ -56,6 +56,16 @@
             + " configuration was the newest (see proof_age_ms).");
   }
 
+  @Test
+  public void refusalOfQuarantinedRequestNamesTheCommand() {
+    String refused =
+        "2026-01-01 00:00:01.101 WARN node=b part=request event=refused id=abc why=QUARANTINED"
+            + " content=/00000000000000ab host=h configuration=2 proof_age_ms=87";
+    assertTrue(
+        story(refused).cause().contains("(skylarkfork quarantine lists it)"),
+        story(refused).cause());
+  }
+
   @Test
   public void requestWithoutLinesOrEndIsToldAsSuch() {
     assertTrue(story().cause().startsWith("No line names this request"));
