--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,14 +53,20 @@
   /** Time for which an end is remembered. */
   private static final Duration KEPT = Duration.ofMinutes(10);
 
+  /** Ends that are remembered, and requests that were lost with each; the oldest end goes first. */
   private static final int MAX_UPSTREAMS = 64;
+
   private static final int MAX_LOST = 512;
+
+  /** Requests that were lost and then answered, for word of an end that comes late. */
   private static final int MAX_SERVED = 4096;
+
+  /** Requests that were let through again; as many as can be refused. */
   private static final int MAX_ON_PROBATION = 256;
 
   private final Map<UpstreamRun, End> ends = new LinkedHashMap<>();
   private final Map<RequestKey, Instant> servedAt = new LinkedHashMap<>();
-  private final Map<RequestKey, Instant> onProbation = new LinkedHashMap<>();
+  private final Set<RequestKey> onProbation = new LinkedHashSet<>();
 
   /** When to look next, or null while nothing new was told. */
   private @Nullable Instant dueAt;
@@ -106,7 +113,7 @@
     if (end.sentAt.size() < MAX_LOST) {
       end.sentAt.merge(key, sentAt, CrashLedger::later);
     }
-    forgetOldestBeyond(MAX_UPSTREAMS, ends);
+    forgetOldestBeyond(MAX_UPSTREAMS, ends.keySet());
     if (dueAt == null) {
       dueAt = now.plus(SETTLING);
     }
@@ -116,9 +123,9 @@
     return one.isAfter(other) ? one : other;
   }
 
-  private static void forgetOldestBeyond(int most, Map<?, ?> map) {
-    if (map.size() > most) {
-      map.remove(map.keySet().iterator().next());
+  private static void forgetOldestBeyond(int most, Set<?> inOrder) {
+    if (inOrder.size() > most) {
+      inOrder.remove(inOrder.iterator().next());
     }
   }
 
@@ -135,7 +142,7 @@
     onProbation.remove(key);
     servedAt.remove(key);
     servedAt.put(key, now);
-    forgetOldestBeyond(MAX_SERVED, servedAt);
+    forgetOldestBeyond(MAX_SERVED, servedAt.keySet());
   }
 
   /** Takes note that a request is refused: the ends under it are explained. */
@@ -147,9 +154,9 @@
   }
 
   /** Takes note that a request is let through again: one more end is enough to find it. */
-  void lifted(RequestKey key, Instant now) {
+  void lifted(RequestKey key) {
     ends.values().forEach(end -> end.sentAt.remove(key));
-    onProbation.put(key, now);
+    onProbation.add(key);
     forgetOldestBeyond(MAX_ON_PROBATION, onProbation);
   }
 
@@ -225,7 +232,7 @@
 
   private Suspicion before(RequestKey key) {
     Suspicion suspicion = new Suspicion();
-    suspicion.ends = onProbation.containsKey(key) ? ENDS - 1 : 0;
+    suspicion.ends = onProbation.contains(key) ? ENDS - 1 : 0;
     suspicion.inTurn = suspicion.ends;
     return suspicion;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashReview.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashReview.java
@@ -67,12 +67,12 @@
   }
 
   /** Takes note of a command that was agreed on. */
-  void committed(RelayCommand command, Instant now) {
+  void committed(RelayCommand command) {
     if (command instanceof RelayCommand.QuarantineRequest request) {
       ledger.quarantined(request.key());
       found.remove(request.key());
     } else if (command instanceof RelayCommand.LiftQuarantine lift) {
-      ledger.lifted(lift.key(), now);
+      ledger.lifted(lift.key());
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -179,7 +179,7 @@
     } else if (command instanceof RelayCommand.TakeZoneBack back) {
       upstreams.zoneTakenBack(back.zone(), longestColdMillis(), now);
     }
-    crashes.committed(command, now);
+    crashes.committed(command);
     // A restart replays the log, as fast as it can; only what is new is told.
     if (Duration.between(committed.stampedAt(), now).compareTo(REPLAYED) < 0) {
       logState(committed, command, output);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
@@ -155,7 +155,7 @@
   /** A request that is let through again is refused after one more end. */
   @Test
   public void requestOnProbationIsFoundAtItsNextEnd() {
-    ledger.lifted(key(1), now);
+    ledger.lifted(key(1));
     assertEquals(ends("up-1", 1, 2), List.of(key(1)));
   }
 
