--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestSimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestSimulation.java
@@ -2,30 +2,17 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
-import org.skylarkfork.core.Reducer;
-import org.skylarkfork.core.command.GroupId;
-import org.skylarkfork.core.command.RelayCommand;
-import org.skylarkfork.core.consensus.ConsensusPart;
-import org.skylarkfork.core.consensus.GroupSetup;
-import org.skylarkfork.core.consensus.GroupStatus;
-import org.skylarkfork.core.consensus.Growth;
+import org.skylarkfork.core.Part;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.RelayEffect;
-import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.RelayEvent;
-import org.skylarkfork.core.testing.MiniNetwork;
 
 /**
  * Control VMs, entries, upstreams and callers in virtual time, where some contents end each
@@ -35,28 +22,17 @@
  * and comes back under a new id at the same address. Such a content comes again for as long as the
  * run lasts, at any entry, whatever it is answered.
  */
-final class CrashingRequestSimulation {
-
-  /** Time in which each entry that is in touch can know what the others know. */
-  static final Duration CONTACT = Duration.ofSeconds(3);
+final class CrashingRequestSimulation extends EmulatedDeployment {
 
   /** Ends after which a content is known to end what runs it. */
   static final int ENDS_THAT_TELL = 3;
 
   private static final Duration DOWN = Duration.ofSeconds(3);
-  private static final Duration HEARTBEAT = Duration.ofMillis(1200);
   private static final int WAIT_MILLIS = 150;
   private static final int ANSWER_MILLIS = 600;
   private static final int CRASH_MILLIS = 100;
   private static final int REPEAT_MILLIS = 150;
-  private static final int CONTROLS = 3;
-  private static final long CALL_MILLIS = 4000;
   private static final List<String> PATHS = List.of("/stream/x", "/lookup/x", "/book/x");
-  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
-
-  final MiniNetwork network;
-  final List<String> controls = new ArrayList<>();
-  final List<String> entries = new ArrayList<>();
 
   /** What became of each content that ends upstreams. */
   final Map<Long, Record> records = new LinkedHashMap<>();
@@ -68,23 +44,11 @@
   int goodAnswered;
   int upstreamsEnded;
 
-  private final UniformRandomProvider random;
-  private final RelaySimulation.SnapshotNumbers codec = new RelaySimulation.SnapshotNumbers();
-  private final Map<String, ConsensusPart> groups = new HashMap<>();
-  private final Map<String, Integer> starts = new HashMap<>();
   private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
   private final Map<Long, Caller> callers = new HashMap<>();
-  private final Map<String, Instant> disturbedAt = new HashMap<>();
-  private final PriorityQueue<Due> due =
-      new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::order));
-  private Instant coreDisturbedAt = START;
-  private long order;
   private long lastNumber;
   private long lastContent = 1_000_000;
 
-  /** What is to happen at a time. */
-  private record Due(Instant at, long order, Runnable action) {}
-
   /** A request of a caller, as an entry has it. */
   private record Caller(long content, String path, int repeatsLeft) {}
 
@@ -104,7 +68,6 @@
   private static final class Upstream {
     private final UpstreamInstance instance;
     private final Map<Run, Boolean> begunByRun = new LinkedHashMap<>();
-    private long heartbeats;
     private boolean up = true;
 
     private Upstream(UpstreamInstance instance) {
@@ -120,78 +83,18 @@
    * @param upstreamCount how many upstreams there are
    */
   CrashingRequestSimulation(long seed, int entryCount, int upstreamCount) {
-    this.network = new MiniNetwork(seed);
-    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
-    network.listen(this::onEffect);
-    for (int number = 1; number <= CONTROLS; number++) {
-      controls.add("control-" + number);
-    }
-    for (String name : controls) {
-      network.add(name, List.of(GroupId.RELAY), start -> bootControl(name, start));
-      network.start(name);
-    }
-    for (int number = 1; number <= entryCount; number++) {
-      String name = "entry-" + number;
-      entries.add(name);
-      network.add(name, List.of(), start -> bootEntry(name, start));
-      network.start(name);
-    }
+    super(seed, entryCount);
     run(Duration.ofSeconds(3));
-    RelayConfiguration configuration = RelayFixture.configuration(1, "key");
-    network.inject(
-        controls.get(0),
-        new RelayEvent.CommandAsked(
-            1, new RelayCommand.PutConfiguration(configuration, new byte[0]), CALL_MILLIS));
+    put(RelayFixture.configuration(1, "key"));
     for (int number = 1; number <= upstreamCount; number++) {
       startUpstream(number, 1);
     }
     run(Duration.ofSeconds(6));
   }
 
-  private Reducer bootControl(String name, long seed) {
-    boolean first = starts.merge(name, 1, Integer::sum) == 1;
-    RelayMachine machine = new RelayMachine();
-    Growth growth = new Growth(first, CONTROLS, RelaySimulation.VOTER_SILENCE);
-    ConsensusPart consensus =
-        new ConsensusPart(
-            name,
-            List.of(new GroupSetup(GroupId.RELAY, controls, growth, machine)),
-            RelaySimulation.settings(),
-            codec,
-            seed);
-    groups.put(name, consensus);
-    return new Reducer(
-        List.of(
-            consensus,
-            new RelayControlPart(
-                name, machine, consensus, RelaySimulation.times(), RollOutSettings.DEFAULT)));
-  }
-
-  private Reducer bootEntry(String name, long seed) {
-    VersionLedger counts = new VersionLedger();
-    EntryIdentity self = new EntryIdentity(name + ":80", "a", starts.merge(name, 1, Integer::sum));
-    RelayEntryPart entry = new RelayEntryPart(self, controls, RelaySimulation.times(), counts);
-    RelayRequestSettings settings = new RelayRequestSettings("a", 0.9, 0.05, Duration.ofSeconds(8));
-    return new Reducer(List.of(entry, new RelayRequestPart(entry, settings, counts, seed)));
-  }
-
-  /** Lets time pass. */
-  void run(Duration time) {
-    Instant end = network.now().plus(time);
-    while (network.now().isBefore(end)) {
-      network.run(Duration.ofMillis(1));
-      while (!due.isEmpty() && !due.peek().at().isAfter(network.now())) {
-        due.remove().action().run();
-      }
-    }
-  }
-
-  private void after(long millis, Runnable action) {
-    due.add(new Due(network.now().plusMillis(millis), order++, action));
-  }
-
-  private int upTo(int millis) {
-    return 1 + random.nextInt(millis);
+  @Override
+  List<Part> parts(String name, RelayEntryPart entry, RelayRequestPart requests, long seed) {
+    return List.of(entry, requests);
   }
 
   private void startUpstream(int number, int start) {
@@ -200,35 +103,7 @@
     UpstreamInstance instance = new UpstreamInstance(id, "service", address, "a", "v1", 64, 1, 0);
     Upstream upstream = new Upstream(instance);
     upstreams.put(id, upstream);
-    heartbeat(upstream);
-  }
-
-  private void heartbeat(Upstream upstream) {
-    if (!upstream.up) {
-      return;
-    }
-    upstream.heartbeats++;
-    UpstreamInstance told = upstream.instance;
-    List<String> running = controls.stream().filter(this::isAwake).toList();
-    if (!running.isEmpty()) {
-      network.inject(
-          running.get(random.nextInt(running.size())),
-          new RelayEvent.HeartbeatReceived(
-              new UpstreamInstance(
-                  told.id(),
-                  told.service(),
-                  told.address(),
-                  told.zone(),
-                  told.version(),
-                  told.slots(),
-                  upstream.heartbeats,
-                  told.bornMillis())));
-    }
-    after(HEARTBEAT.toMillis(), () -> heartbeat(upstream));
-  }
-
-  private boolean isAwake(String name) {
-    return network.isUp(name) && !network.isFrozen(name);
+    announce(instance, () -> upstream.up);
   }
 
   /** Sends good requests, each of another content, for as long as the run lasts. */
@@ -266,11 +141,10 @@
   }
 
   private void send(long content, String path, int repeatsLeft) {
-    List<String> awake = entries.stream().filter(this::isAwake).toList();
-    if (awake.isEmpty()) {
+    String entry = anyEntry();
+    if (entry == null) {
       return;
     }
-    String entry = awake.get(random.nextInt(awake.size()));
     long number = ++lastNumber;
     callers.put(number, new Caller(content, path, repeatsLeft));
     inject(entry, new RelayEvent.RequestArrived(request(number, path, content)));
@@ -293,13 +167,8 @@
         content);
   }
 
-  private void inject(String entry, Event event) {
-    if (isAwake(entry)) {
-      network.inject(entry, event);
-    }
-  }
-
-  private void onEffect(String node, Effect effect) {
+  @Override
+  void onEffect(String node, Effect effect) {
     if (effect instanceof RelayEffect.SendAttempt sent) {
       after(1, () -> arrives(node, sent));
     } else if (effect instanceof RelayEffect.DropAttempt drop) {
@@ -348,12 +217,6 @@
     }
   }
 
-  private boolean isInTouch(String entry) {
-    Instant since = network.now().minus(CONTACT);
-    return disturbedAt.getOrDefault(entry, START).isBefore(since)
-        && coreDisturbedAt.isBefore(since);
-  }
-
   private void begins(Upstream upstream, Run run, Caller caller) {
     if (!upstream.begunByRun.containsKey(run)) {
       return;
@@ -469,28 +332,4 @@
       after(REPEAT_MILLIS, () -> send(caller.content(), caller.path(), caller.repeatsLeft() - 1));
     }
   }
-
-  /** Returns the control VM that leads, or null. */
-  @Nullable String leader() {
-    for (String name : controls) {
-      GroupStatus status = isAwake(name) ? groups.get(name).status(GroupId.RELAY) : null;
-      if (status != null && name.equals(status.leader())) {
-        return name;
-      }
-    }
-    return null;
-  }
-
-  /** Takes note that a daemon is disturbed now; the core's disturbances count for all. */
-  void disturbed(String name) {
-    if (controls.contains(name)) {
-      coreDisturbedAt = network.now();
-    } else {
-      disturbedAt.put(name, network.now());
-    }
-  }
-
-  UniformRandomProvider random() {
-    return random;
-  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashingRequestTest.java
@@ -111,9 +111,9 @@
     run.load(60);
     for (int strike = 1; strike <= STRIKES; strike++) {
       run.crashing(strike, 600);
-      run.run(Duration.ofMillis(run.random().nextInt(1500)));
+      run.run(Duration.ofMillis(run.random.nextInt(1500)));
       List<String> struck = strike(run);
-      run.run(Duration.ofMillis(500 + run.random().nextInt(3000)));
+      run.run(Duration.ofMillis(500 + run.random.nextInt(3000)));
       recover(run, struck);
       run.run(Duration.ofSeconds(9));
     }
@@ -129,7 +129,7 @@
   }
 
   private static List<String> strike(CrashingRequestSimulation run) {
-    UniformRandomProvider random = run.random();
+    UniformRandomProvider random = run.random;
     String leader = run.leader();
     String control = run.controls.get(random.nextInt(run.controls.size()));
     List<String> struck = new ArrayList<>();
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
@@ -0,0 +1,230 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.consensus.Growth;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.testing.MiniNetwork;
+
+/** Three control VMs and some entries in virtual time; what is around them is a subclass's. */
+abstract class EmulatedDeployment {
+
+  /** Time in which each entry that is in touch can know what the others know. */
+  static final Duration CONTACT = Duration.ofSeconds(3);
+
+  static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final Duration HEARTBEAT = Duration.ofMillis(1200);
+  private static final int CONTROLS = 3;
+  private static final long CALL_MILLIS = 4000;
+
+  final MiniNetwork network;
+  final List<String> controls = new ArrayList<>();
+  final List<String> entries = new ArrayList<>();
+  final UniformRandomProvider random;
+
+  private final RelaySimulation.SnapshotNumbers codec = new RelaySimulation.SnapshotNumbers();
+  private final Map<String, ConsensusPart> groups = new HashMap<>();
+  private final Map<String, Integer> starts = new HashMap<>();
+  private final Map<String, Instant> disturbedAt = new HashMap<>();
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::order));
+  private Instant coreDisturbedAt = START;
+  private long order;
+
+  /** What is to happen at a time. */
+  private record Due(Instant at, long order, Runnable action) {}
+
+  /**
+   * Makes and starts control VMs and entries.
+   *
+   * @param seed seed of all chance
+   * @param entryCount how many entries there are
+   */
+  EmulatedDeployment(long seed, int entryCount) {
+    this.network = new MiniNetwork(seed);
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    network.listen(this::onEffect);
+    for (int number = 1; number <= CONTROLS; number++) {
+      controls.add("control-" + number);
+    }
+    for (String name : controls) {
+      network.add(name, List.of(GroupId.RELAY), start -> bootControl(name, start));
+      network.start(name);
+    }
+    for (int number = 1; number <= entryCount; number++) {
+      String name = "entry-" + number;
+      entries.add(name);
+      network.add(name, List.of(), start -> bootEntry(name, start));
+      network.start(name);
+    }
+  }
+
+  /** Takes an effect that is neither for peers nor for disks. */
+  abstract void onEffect(String node, Effect effect);
+
+  /**
+   * Returns the parts of an entry.
+   *
+   * @param name its peer name
+   * @param entry what it believes
+   * @param requests its decisions on requests
+   * @param seed seed of random choices
+   */
+  abstract List<Part> parts(
+      String name, RelayEntryPart entry, RelayRequestPart requests, long seed);
+
+  private Reducer bootControl(String name, long seed) {
+    boolean first = starts.merge(name, 1, Integer::sum) == 1;
+    RelayMachine machine = new RelayMachine();
+    Growth growth = new Growth(first, CONTROLS, RelaySimulation.VOTER_SILENCE);
+    ConsensusPart consensus =
+        new ConsensusPart(
+            name,
+            List.of(new GroupSetup(GroupId.RELAY, controls, growth, machine)),
+            RelaySimulation.settings(),
+            codec,
+            seed);
+    groups.put(name, consensus);
+    return new Reducer(
+        List.of(
+            consensus,
+            new RelayControlPart(
+                name, machine, consensus, RelaySimulation.times(), RollOutSettings.DEFAULT)));
+  }
+
+  private Reducer bootEntry(String name, long seed) {
+    VersionLedger counts = new VersionLedger();
+    EntryIdentity self = new EntryIdentity(name + ":80", "a", starts.merge(name, 1, Integer::sum));
+    RelayEntryPart entry = new RelayEntryPart(self, controls, RelaySimulation.times(), counts);
+    RelayRequestSettings settings = new RelayRequestSettings("a", 0.9, 0.05, Duration.ofSeconds(8));
+    RelayRequestPart requests = new RelayRequestPart(entry, settings, counts, seed);
+    return new Reducer(parts(name, entry, requests, seed));
+  }
+
+  /** Puts a configuration; only once there was time to elect a leader. */
+  void put(RelayConfiguration configuration) {
+    network.inject(
+        controls.get(0),
+        new RelayEvent.CommandAsked(
+            1, new RelayCommand.PutConfiguration(configuration, new byte[0]), CALL_MILLIS));
+  }
+
+  /** Lets time pass. */
+  void run(Duration time) {
+    Instant end = network.now().plus(time);
+    while (network.now().isBefore(end)) {
+      network.run(Duration.ofMillis(1));
+      while (!due.isEmpty() && !due.peek().at().isAfter(network.now())) {
+        due.remove().action().run();
+      }
+    }
+  }
+
+  /** Lets something happen some time from now. */
+  void after(long millis, Runnable action) {
+    due.add(new Due(network.now().plusMillis(millis), order++, action));
+  }
+
+  int upTo(int millis) {
+    return 1 + random.nextInt(millis);
+  }
+
+  /**
+   * Lets an upstream announce itself to any control VM, again and again.
+   *
+   * @param upstream what it tells
+   * @param isUp whether it still does
+   */
+  void announce(UpstreamInstance upstream, BooleanSupplier isUp) {
+    heartbeat(upstream, 1, isUp);
+  }
+
+  private void heartbeat(UpstreamInstance told, long number, BooleanSupplier isUp) {
+    if (!isUp.getAsBoolean()) {
+      return;
+    }
+    List<String> running = controls.stream().filter(this::isAwake).toList();
+    if (!running.isEmpty()) {
+      network.inject(
+          running.get(random.nextInt(running.size())),
+          new RelayEvent.HeartbeatReceived(
+              new UpstreamInstance(
+                  told.id(),
+                  told.service(),
+                  told.address(),
+                  told.zone(),
+                  told.version(),
+                  told.slots(),
+                  number,
+                  told.bornMillis())));
+    }
+    after(HEARTBEAT.toMillis(), () -> heartbeat(told, number + 1, isUp));
+  }
+
+  boolean isAwake(String name) {
+    return network.isUp(name) && !network.isFrozen(name);
+  }
+
+  /** Gives an entry an event, unless it is down or frozen. */
+  void inject(String entry, Event event) {
+    if (isAwake(entry)) {
+      network.inject(entry, event);
+    }
+  }
+
+  /** Returns an entry that is awake, or null. */
+  @Nullable String anyEntry() {
+    List<String> awake = entries.stream().filter(this::isAwake).toList();
+    return awake.isEmpty() ? null : awake.get(random.nextInt(awake.size()));
+  }
+
+  /** Returns the control VM that leads, or null. */
+  @Nullable String leader() {
+    for (String name : controls) {
+      GroupStatus status = isAwake(name) ? groups.get(name).status(GroupId.RELAY) : null;
+      if (status != null && name.equals(status.leader())) {
+        return name;
+      }
+    }
+    return null;
+  }
+
+  /** Takes note that a daemon is disturbed now; the core's disturbances count for all. */
+  void disturbed(String name) {
+    if (controls.contains(name)) {
+      coreDisturbedAt = network.now();
+    } else {
+      disturbedAt.put(name, network.now());
+    }
+  }
+
+  /** Returns whether neither an entry nor the core was disturbed for {@link #CONTACT}. */
+  boolean isInTouch(String entry) {
+    return isCalm(entry) && coreDisturbedAt.isBefore(network.now().minus(CONTACT));
+  }
+
+  /** Returns whether an entry itself was not disturbed for {@link #CONTACT}. */
+  boolean isCalm(String entry) {
+    Instant since = network.now().minus(CONTACT);
+    return disturbedAt.getOrDefault(entry, START).isBefore(since);
+  }
+}
