--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -2,11 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +18,6 @@
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.event.RelayEvent;
-import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
@@ -50,15 +46,8 @@
   private boolean wasProven;
   private long stateIndex;
   private List<ServiceRollOut> rollOuts = List.of();
-  private final Map<String, UpstreamRun> leaving = new HashMap<>();
-  private Set<String> evacuated = Set.of();
   private Set<RequestKey> quarantined = Set.of();
-  private long directoryEpoch;
-  private long directorySequence;
-  private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
-  private final Map<String, List<UpstreamTrack>> byService = new HashMap<>();
-  private final Map<String, String> usualVersions = new HashMap<>();
-  private boolean settled;
+  private final UpstreamDirectory directory = new UpstreamDirectory();
   private int entries = 1;
   private Neighbourhood neighbourhood = Neighbourhood.NONE;
   private final TickLag lag;
@@ -114,12 +103,12 @@
 
   @Override
   public boolean settled() {
-    return settled;
+    return directory.settled();
   }
 
   @Override
   public List<UpstreamTrack> upstreams(String service) {
-    return byService.getOrDefault(service, List.of());
+    return directory.upstreams(service);
   }
 
   @Override
@@ -129,7 +118,7 @@
 
   @Override
   public @Nullable String usualVersion(String service) {
-    return usualVersions.get(service);
+    return directory.usualVersion(service);
   }
 
   @Override
@@ -169,7 +158,7 @@
 
   /** Returns how many upstreams name a rate limit, as far as this entry knows. */
   public int limitedUpstreams() {
-    return (int) byId.values().stream().filter(track -> track.rateLimit().isBounded()).count();
+    return (int) directory.tracks().stream().filter(track -> track.rateLimit().isBounded()).count();
   }
 
   @Override
@@ -179,7 +168,7 @@
 
   /** Returns the availability zones whose upstreams get nothing. */
   public Set<String> evacuated() {
-    return evacuated;
+    return directory.evacuated();
   }
 
   /** Returns the peer names of entries that are told of this one's load. */
@@ -193,11 +182,11 @@
   }
 
   Collection<UpstreamTrack> tracks() {
-    return byId.values();
+    return directory.tracks();
   }
 
   @Nullable UpstreamTrack track(String id) {
-    return byId.get(id);
+    return directory.track(id);
   }
 
   @Override
@@ -266,8 +255,8 @@
                 now,
                 table.configuration().version(),
                 stateIndex,
-                directoryEpoch,
-                directorySequence,
+                directory.epoch(),
+                directory.sequence(),
                 leader == null,
                 lag.busy(),
                 neighbourhood.version(),
@@ -285,7 +274,7 @@
     }
     take(update.configuration(), output);
     takeShared(update, now, output);
-    takeDirectory(update.directory(), now, output);
+    directory.take(update.directory(), now, output);
     if (!update.controlNodes().isEmpty()) {
       controlNodes = proof == null ? joined(update.controlNodes()) : update.controlNodes();
     }
@@ -332,27 +321,19 @@
     }
     stateIndex = update.stateIndex();
     rollOuts = shared.rollOuts();
-    leaving.clear();
-    shared.leaving().forEach(run -> leaving.put(run.id(), run));
     for (ServiceRollOut rollOut : rollOuts) {
       if (rollOut.phase() == RollOutPhase.SUCCEEDED) {
-        usualVersions.put(rollOut.service(), rollOut.target());
+        directory.usualVersion(rollOut.service(), rollOut.target());
       }
     }
     takeEvacuated(Set.copyOf(shared.evacuated()), now, output);
     takeQuarantined(Set.copyOf(shared.quarantined()), now, output);
-    for (UpstreamRun run : leaving.values()) {
-      UpstreamTrack track = byId.get(run.id());
-      boolean meant = track != null && run.covers(track.instance().run());
-      if (meant && track.condition() != UpstreamCondition.LEAVING) {
-        track.leaves();
-        log(false, "event=upstream_leaves id=" + run.id() + " index=" + stateIndex, output);
-      }
-    }
+    directory.leaving(shared.leaving(), stateIndex, output);
   }
 
   private void takeEvacuated(Set<String> zones, Instant now, Output output) {
-    if (zones.equals(evacuated)) {
+    Set<String> before = directory.evacuated();
+    if (zones.equals(before)) {
       return;
     }
     log(
@@ -360,14 +341,13 @@
         "event=zones_evacuated zones="
             + new TreeSet<>(zones)
             + " before="
-            + new TreeSet<>(evacuated)
+            + new TreeSet<>(before)
             + " index="
             + stateIndex
             + " proof_age_ms="
             + proofAge(now).toMillis(),
         output);
-    evacuated = zones;
-    byId.values().forEach(this::markEvacuated);
+    directory.evacuated(zones);
   }
 
   private void takeQuarantined(Set<RequestKey> requests, Instant now, Output output) {
@@ -394,111 +374,6 @@
     return requests.stream().filter(key -> !others.contains(key)).toList();
   }
 
-  private void markEvacuated(UpstreamTrack track) {
-    track.evacuated(evacuated.contains(track.instance().zone()));
-  }
-
-  private void takeDirectory(DirectoryChanges changes, Instant now, Output output) {
-    if (changes.epoch() < directoryEpoch) {
-      return;
-    }
-    boolean continues =
-        changes.epoch() == directoryEpoch && changes.sequence() >= directorySequence;
-    if (!changes.whole() && !continues) {
-      return;
-    }
-    for (UpstreamStatus status : changes.upstreams()) {
-      takeUpstream(status, now, output);
-    }
-    settled |= changes.settled();
-    directoryEpoch = changes.epoch();
-    directorySequence = changes.sequence();
-    if (changes.whole() && changes.settled()) {
-      forgetOthers(changes.upstreams());
-    } else if (changes.whole()) {
-      // An unsettled leader may not know every upstream yet; ask again for the whole later.
-      directoryEpoch = changes.epoch() - 1;
-    }
-  }
-
-  private void takeUpstream(UpstreamStatus status, Instant now, Output output) {
-    UpstreamInstance instance = status.instance();
-    UpstreamTrack known = byId.get(instance.id());
-    if (known == null || instance.bornMillis() > known.instance().bornMillis()) {
-      takeRun(status, known, output);
-    } else if (instance.bornMillis() != known.instance().bornMillis()) {
-      return;
-    } else if (known.condition() != status.condition() || instance.follows(known.instance())) {
-      known.told(status);
-    }
-    takeCold(byId.get(instance.id()), instance, now, output);
-  }
-
-  /**
-   * Takes over how long an upstream is cold; the way of the message makes it longer, never less.
-   */
-  private static void takeCold(
-      UpstreamTrack track, UpstreamInstance told, Instant now, Output output) {
-    if (told.sequence() < track.instance().sequence()) {
-      return;
-    }
-    boolean was = track.isCold(now);
-    track.coldUntil(now.plusMillis(told.coldMillis()));
-    if (was != track.isCold(now)) {
-      log(false, "event=upstream_cold id=" + told.id() + " cold_ms=" + told.coldMillis(), output);
-    }
-  }
-
-  /**
-   * Takes a start of an upstream that is not known yet; what was learned of the one before goes.
-   *
-   * <p>Kept, its failures would turn work away from a sound process, and prompts would be sent to
-   * where they were kept before.
-   */
-  private void takeRun(UpstreamStatus status, @Nullable UpstreamTrack before, Output output) {
-    UpstreamInstance instance = status.instance();
-    if (before != null) {
-      byService.getOrDefault(before.instance().service(), List.of()).remove(before);
-    }
-    UpstreamTrack track = new UpstreamTrack(status);
-    UpstreamRun left = leaving.get(instance.id());
-    if (left != null && left.covers(instance.run())) {
-      track.leaves();
-    }
-    markEvacuated(track);
-    byId.put(instance.id(), track);
-    byService.computeIfAbsent(instance.service(), service -> new ArrayList<>()).add(track);
-    usualVersions.putIfAbsent(instance.service(), instance.version());
-    log(false, "event=upstream_taken " + facts(status), output);
-  }
-
-  private void forgetOthers(List<UpstreamStatus> all) {
-    Set<String> ids = new HashSet<>();
-    all.forEach(status -> ids.add(status.instance().id()));
-    byId.keySet().retainAll(ids);
-    for (List<UpstreamTrack> tracks : byService.values()) {
-      tracks.removeIf(track -> !ids.contains(track.instance().id()));
-    }
-  }
-
-  private static String facts(UpstreamStatus status) {
-    UpstreamInstance instance = status.instance();
-    return "id="
-        + instance.id()
-        + " born_ms="
-        + instance.bornMillis()
-        + " service="
-        + instance.service()
-        + " address="
-        + instance.address()
-        + " zone="
-        + instance.zone()
-        + " version="
-        + instance.version()
-        + " condition="
-        + status.condition();
-  }
-
   private static void log(boolean warning, String facts, Output output) {
     output.effect(new TraceEffect.LogLine(warning, "relay", facts));
   }
