--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/TokenBucket.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/admission/TokenBucket.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 
 /** Lets a rate through on average, and at most a bucketful at once. */
-final class TokenBucket {
+public final class TokenBucket {
 
   private static final double NANOS = 1e9;
 
@@ -13,7 +13,14 @@
   private double level;
   private Instant filledAt;
 
-  TokenBucket(double perSecond, double most, Instant now) {
+  /**
+   * Makes a full bucket.
+   *
+   * @param perSecond what comes in a second, above 0
+   * @param most what it holds at the most, above 0
+   * @param now the present time
+   */
+  public TokenBucket(double perSecond, double most, Instant now) {
     this.perSecond = perSecond;
     this.most = most;
     this.level = most;
@@ -21,7 +28,7 @@
   }
 
   /** Follows a changed limit; what is in the bucket stays as far as it fits. */
-  void change(double newPerSecond, double newMost, Instant now) {
+  public void change(double newPerSecond, double newMost, Instant now) {
     fill(now);
     perSecond = newPerSecond;
     most = newMost;
@@ -37,13 +44,13 @@
   }
 
   /** Returns whether an amount is there; of more than a bucketful, whether the bucket is full. */
-  boolean has(double amount, Instant now) {
+  public boolean has(double amount, Instant now) {
     fill(now);
     return level >= Math.min(amount, most) - 1e-9;
   }
 
   /** Takes an amount; below zero, later requests wait longer. */
-  void take(double amount, Instant now) {
+  public void take(double amount, Instant now) {
     fill(now);
     level -= amount;
   }
@@ -55,7 +62,7 @@
   }
 
   /** Returns in how many seconds an amount is there. */
-  double secondsUntil(double amount, Instant now) {
+  public double secondsUntil(double amount, Instant now) {
     fill(now);
     return Math.max(0, (amount - level) / perSecond);
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -3,6 +3,8 @@
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.relay.EntryPlace;
+import org.skylarkfork.core.relay.NamedLimit;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.ServiceRollOut;
@@ -32,6 +34,7 @@
    *     elsewhere
    * @param neighbourhoodVersion version of the neighbourhood that it has; 0 for none
    * @param counts what it saw of each version since its start
+   * @param limits rate limits that upstreams named to it and that the leader doesn't know
    */
   record EntryPoll(
       String callerAddress,
@@ -46,15 +49,25 @@
       boolean searching,
       boolean busy,
       long neighbourhoodVersion,
-      List<VersionCounts> counts)
+      List<VersionCounts> counts,
+      List<HeardLimit> limits)
       implements RelayMessage {
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public EntryPoll {
       counts = List.copyOf(counts);
+      limits = List.copyOf(limits);
     }
   }
 
+  /**
+   * What an upstream said of its rate limit in an answer.
+   *
+   * @param upstream the start of it that answered
+   * @param named what it said
+   */
+  record HeardLimit(UpstreamRun upstream, NamedLimit named) {}
+
   /**
    * What a leader tells an entry.
    *
@@ -93,12 +106,18 @@
    * @param peers peer names of the entries that it tells of its load
    * @param schedulers peer names of the entries that place prompts, each for the group of engines
    *     whose number is its place here; empty if each entry places its own
+   * @param place which one of all entries it is
    */
   record Neighbourhood(
-      long version, List<String> callerAddresses, List<String> peers, List<String> schedulers) {
+      long version,
+      List<String> callerAddresses,
+      List<String> peers,
+      List<String> schedulers,
+      EntryPlace place) {
 
     /** Before anything was told. */
-    public static final Neighbourhood NONE = new Neighbourhood(0, List.of(), List.of(), List.of());
+    public static final Neighbourhood NONE =
+        new Neighbourhood(0, List.of(), List.of(), List.of(), EntryPlace.UNKNOWN);
 
     /** Copies the lists. */
     public Neighbourhood {
@@ -181,8 +200,17 @@
    * @param number number of the question
    * @param progress what has happened
    * @param millis time since the sending, in milliseconds
+   * @param named what the entry knows of the engine's rate limit, or null if it never named one
    */
-  record PlacementNews(long number, AttemptProgress progress, int millis) implements RelayMessage {}
+  record PlacementNews(
+      long number, AttemptProgress progress, int millis, @Nullable NamedLimit named)
+      implements RelayMessage {
+
+    /** Makes news of an attempt at an engine that never named a rate limit. */
+    public PlacementNews(long number, AttemptProgress progress, int millis) {
+      this(number, progress, millis, null);
+    }
+  }
 
   /** What becomes of an attempt. */
   enum AttemptProgress {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -73,6 +73,14 @@
         && all.stream().allMatch(track -> track.condition().barsNewWork());
   }
 
+  /**
+   * Returns when an upstream takes a request that none takes now, or zero if that isn't a matter of
+   * rate limits.
+   */
+  Duration untilTaken(ActiveRelay relay, Instant now) {
+    return picker.untilTaken(query(relay, relay.modelName(), relay.tried), now);
+  }
+
   /** Returns where an attempt with another of the route's models would go, or null. */
   @Nullable Placement placeLarger(ActiveRelay relay, int model, Instant now) {
     return pick(relay, relay.route.models().get(model), triedAndPresent(relay), now);
@@ -164,6 +172,9 @@
     relay.waitingMillis = placement.workMillis();
     UpstreamTrack track = placement.track();
     track.sent(placement.workMillis(), now);
+    if (grant == null) {
+      picker.sent(relay.service, placement, now);
+    }
     PromptChain chain = placement.chain();
     if (chain != null) {
       track.kept().sent(chain, (double) placement.newTokens() * view.entries());
@@ -204,7 +215,8 @@
     double millis = Duration.between(relay.sentAt, now).toMillis();
     picker.answered(relay.service, relay.modelName(), placement, millis, now);
     if (relay.grant != null) {
-      schedulers.tell(relay.grant, AttemptProgress.BEGUN, (long) millis, output);
+      NamedLimit named = placement.track().named(now);
+      schedulers.tell(relay.grant, AttemptProgress.BEGUN, (long) millis, named, output);
     }
   }
 
@@ -226,7 +238,7 @@
             || how == AttemptProgress.SILENT && track.silentSince(relay.sentAt);
     track.failed(gone, now);
     if (relay.grant != null) {
-      schedulers.tell(relay.grant, how, 0, output);
+      schedulers.tell(relay.grant, how, 0, track.named(now), output);
       relay.grant = null;
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -14,6 +14,9 @@
    */
   private static final long EVACUATED_RETRY_MILLIS = 1000;
 
+  /** When to come back at the latest where upstreams take little, in milliseconds. */
+  private static final long LONGEST_RETRY_MILLIS = 10_000;
+
   private final AttemptSender sender;
   private final RequestEndings endings;
   private final RetryBudget budget;
@@ -105,6 +108,16 @@
       endings.breakOff(relay, now, output);
     } else if (sender.isEvacuated(relay)) {
       endings.giveUp(relay, untaken(relay), EVACUATED_RETRY_MILLIS, now, output);
+    } else {
+      limitedOrNone(relay, now, output);
+    }
+  }
+
+  private void limitedOrNone(ActiveRelay relay, Instant now, Output output) {
+    long waitMillis = sender.untilTaken(relay, now).toMillis();
+    if (waitMillis > 0) {
+      long retryMillis = Math.min(waitMillis, LONGEST_RETRY_MILLIS);
+      endings.giveUp(relay, untaken(relay), retryMillis, now, output);
     } else {
       endings.giveUp(relay, untaken(relay), now, output);
     }
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRateDivision.java
@@ -0,0 +1,48 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+import org.skylarkfork.core.routing.StableHash;
+
+/**
+ * An entry's part of what limited upstreams take.
+ *
+ * <p>A limit of two requests a second divided over a hundred entries is one in a minute each, and a
+ * hundred at once after a pause. So only as many entries as may send at once have a part, others at
+ * each upstream: those that follow a number that its name gives.
+ */
+final class EntryRateDivision implements RateDivision {
+
+  private final RelayView view;
+
+  EntryRateDivision(RelayView view) {
+    this.view = view;
+  }
+
+  @Override
+  public RateShare share(RelayService service, UpstreamTrack track, Instant now) {
+    EntryPlace place = view.place();
+    // Before the leader has told how many entries there are, each would think that it is alone.
+    if (!place.isKnown()) {
+      return RateShare.NOTHING;
+    }
+    RateLimit limit = track.rateLimit();
+    double perSecond = RateDivision.perSecond(limit);
+    double burst = RateDivision.burst(limit);
+    if (RateDivision.isScheduled(service, view)) {
+      perSecond *= 1 - ColdStartLimiter.SCHEDULER_SHARE;
+      burst = RateDivision.holdersBesideScheduler(limit);
+    }
+    int holders = (int) Math.min(place.of(), burst);
+    int rank = Math.floorMod(place.number() - first(track, place.of()), place.of());
+    if (rank >= holders) {
+      return RateShare.NOTHING;
+    }
+    double staggered = (double) rank / holders;
+    return new RateShare(perSecond / holders, burst / holders, staggered, Instant.EPOCH);
+  }
+
+  /** Returns the number of the first entry that has a part at an upstream. */
+  private static int first(UpstreamTrack track, int entries) {
+    return Math.floorMod(StableHash.of(track.instance().id()), entries);
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -99,11 +99,15 @@
     boolean few = sorted.size() <= MOST_PEERS + 1;
     List<String> peers = few ? others(sorted, own) : List.of();
     List<String> schedulers = few ? List.of() : schedulers(sorted, engines);
+    EntryPlace place = new EntryPlace(own, sorted.size());
     long version =
         StableHash.of(
-                String.join(",", addresses), String.join(",", peers), String.join(",", schedulers))
+                String.join(",", addresses),
+                String.join(",", peers),
+                String.join(",", schedulers),
+                place.toString())
             | 1;
-    return new Neighbourhood(version, addresses, peers, schedulers);
+    return new Neighbourhood(version, addresses, peers, schedulers, place);
   }
 
   /** Returns the entries that come next in the order of names, around its end. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
@@ -1,7 +1,9 @@
 package org.skylarkfork.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -11,7 +13,8 @@
  * Picks the upstream with the least expected time, failures and distance weighed in.
  *
  * <p>An upstream that failed lately is taken only if no other is there, one that is silent only
- * after those. A cold one is taken as far as {@link ColdStartLimiter} allows.
+ * after those. A cold one is taken as far as {@link ColdStartLimiter} allows, one that names a rate
+ * limit as far as {@link RateLimiter} does.
  */
 final class LeastTimePicker implements UpstreamPicker {
 
@@ -30,15 +33,25 @@
   /** Milliseconds of wait that a certain failure is worth. */
   private static final double FAILURE_MILLIS = 500.0;
 
+  /**
+   * Milliseconds by which an upstream that names a rate limit goes first while it takes a request.
+   * What it takes and doesn't get is lost, while the others have to take all the rest; more than a
+   * tie is not meant.
+   */
+  private static final double LIMITED_MILLIS = 2.0;
+
   private final UpstreamSource upstreams;
-  private final ColdStartLimiter limiter;
+  private final ColdStartLimiter coldStarts;
+  private final RateLimiter rates;
   private final UniformRandomProvider random;
   private final EngineEstimates engines;
   private final CallEstimates calls;
 
-  LeastTimePicker(UpstreamSource upstreams, ColdStartLimiter limiter, long seed) {
+  LeastTimePicker(
+      UpstreamSource upstreams, ColdStartLimiter coldStarts, RateLimiter rates, long seed) {
     this.upstreams = upstreams;
-    this.limiter = limiter;
+    this.coldStarts = coldStarts;
+    this.rates = rates;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.engines = new EngineEstimates(upstreams);
     this.calls = new CallEstimates();
@@ -67,7 +80,7 @@
   private List<UpstreamTrack> uncrowded(
       RelayService service, List<UpstreamTrack> sound, Instant now) {
     List<UpstreamTrack> others =
-        sound.stream().filter(track -> !limiter.isCrowded(service, track, now)).toList();
+        sound.stream().filter(track -> !coldStarts.isCrowded(service, track, now)).toList();
     return others.isEmpty() ? sound : others;
   }
 
@@ -77,13 +90,33 @@
     List<UpstreamTrack> found = new ArrayList<>();
     for (UpstreamTrack track : upstreams.upstreams(service.name())) {
       boolean fits = track.condition() == condition && query.fits().test(track.instance());
-      if (fits && limiter.takes(service, track, now)) {
+      if (fits && takes(service, track, now)) {
         found.add(track);
       }
     }
     return found;
   }
 
+  private boolean takes(RelayService service, UpstreamTrack track, Instant now) {
+    return coldStarts.takes(service, track, now) && rates.takes(service, track, now);
+  }
+
+  @Override
+  public void sent(RelayService service, Placement placement, Instant now) {
+    rates.sent(service, placement.track(), now);
+  }
+
+  @Override
+  public Duration untilTaken(PlacementQuery query, Instant now) {
+    RelayService service = query.service();
+    return upstreams.upstreams(service.name()).stream()
+        .filter(track -> track.condition() == UpstreamCondition.READY)
+        .filter(track -> query.fits().test(track.instance()))
+        .map(track -> rates.untilTaken(service, track, now))
+        .min(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
+
   private @Nullable Placement best(
       TimeEstimate estimate, PlacementQuery query, List<UpstreamTrack> usable, Instant now) {
     String zone = query.zone();
@@ -95,6 +128,7 @@
       double cost = placement.firstByteMillis() + estimate.extraMillis(placement);
       cost += FAILURE_MILLIS * track.failureShare() + random.nextDouble();
       cost += zone.equals(track.instance().zone()) ? 0 : distance;
+      cost -= track.rateLimit().isBounded() ? LIMITED_MILLIS : 0;
       if (cost < least) {
         least = cost;
         best = placement;
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
@@ -0,0 +1,83 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.admission.TokenBucket;
+
+/** Keeps a daemon's sends to upstreams that name a rate limit within its part of it. */
+final class RateLimiter {
+
+  private static final double MILLIS_A_SECOND = 1000;
+
+  private final RateDivision division;
+
+  RateLimiter(RateDivision division) {
+    this.division = division;
+  }
+
+  /** A daemon's sends to one upstream for as long as that names a limit. */
+  static final class Account {
+
+    /** What is left of the daemon's part, or null while it has none. */
+    private @Nullable TokenBucket bucket;
+
+    private Instant since = Instant.EPOCH;
+    private boolean opened;
+  }
+
+  /** Returns whether an upstream may get one more request of this daemon now. */
+  boolean takes(RelayService service, UpstreamTrack track, Instant now) {
+    if (!track.rateLimit().isBounded()) {
+      track.account(null);
+      return true;
+    }
+    TokenBucket bucket = bucket(service, track, now);
+    return bucket != null && bucket.has(1, now);
+  }
+
+  /** Takes note of a request that this daemon sends to an upstream by its own choice. */
+  void sent(RelayService service, UpstreamTrack track, Instant now) {
+    if (track.rateLimit().isBounded()) {
+      TokenBucket bucket = bucket(service, track, now);
+      if (bucket != null) {
+        bucket.take(1, now);
+      }
+    }
+  }
+
+  /** Returns the time until an upstream takes one more request, of this daemon or another one. */
+  Duration untilTaken(RelayService service, UpstreamTrack track, Instant now) {
+    if (takes(service, track, now)) {
+      return Duration.ZERO;
+    }
+    TokenBucket bucket = bucket(service, track, now);
+    double seconds =
+        bucket == null
+            ? 1 / RateDivision.perSecond(track.rateLimit())
+            : bucket.secondsUntil(1, now);
+    return Duration.ofMillis((long) Math.ceil(seconds * MILLIS_A_SECOND));
+  }
+
+  private @Nullable TokenBucket bucket(RelayService service, UpstreamTrack track, Instant now) {
+    Account known = track.account();
+    Account account = known == null ? new Account() : known;
+    track.account(account);
+    RateShare share = division.share(service, track, now);
+    TokenBucket bucket = account.bucket;
+    if (share.isNothing()) {
+      bucket = null;
+    } else if (bucket != null && account.since.equals(share.since())) {
+      bucket.change(share.perSecond(), share.burst(), now);
+    } else {
+      bucket = new TokenBucket(share.perSecond(), share.burst(), now);
+      // A part that comes and goes with other entries' restarts begins empty each time, so that
+      // no send is allowed twice.
+      bucket.take(share.burst() - (account.opened ? 0 : share.first()), now);
+      account.since = share.since();
+      account.opened = true;
+    }
+    account.bucket = bucket;
+    return bucket;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -23,6 +23,7 @@
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.message.RelayMessage;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
+import org.skylarkfork.core.message.RelayMessage.HeardLimit;
 
 /** A control VM's work for the relay: operators' commands, the directory and its spreading. */
 public final class RelayControlPart implements Part {
@@ -92,6 +93,11 @@
     return upstreams.all(now);
   }
 
+  /** Returns the upstreams that name a rate limit, as far as this control VM knows. */
+  public List<LimitedUpstream> limitedUpstreams() {
+    return upstreams.limited();
+  }
+
   /** Returns what this control VM's replica knows of its group, or null before it has one. */
   public @Nullable GroupStatus group() {
     return consensus.status(GroupId.RELAY);
@@ -291,6 +297,9 @@
     for (VersionCounts counts : poll.counts()) {
       judge.add(counts, find(before, counts));
     }
+    for (HeardLimit heard : poll.limits()) {
+      limitHeard(entry, heard, now, output);
+    }
     if (leads()) {
       updates.await(entry, now);
     } else if (poll.searching()) {
@@ -298,6 +307,22 @@
     }
   }
 
+  private void limitHeard(String entry, HeardLimit heard, Instant now, Output output) {
+    if (upstreams.named(heard.upstream(), heard.named(), entry, now)) {
+      news = true;
+      String facts =
+          "id="
+              + heard.upstream().id()
+              + " per_second="
+              + heard.named().limit()
+              + " entry="
+              + entry
+              + " age_ms="
+              + heard.named().ageMillis();
+      log(output, "rate_limit_heard", facts);
+    }
+  }
+
   private static @Nullable VersionCounts find(EntryPoll before, VersionCounts counts) {
     for (VersionCounts older : before.counts()) {
       if (older.service().equals(counts.service()) && older.version().equals(counts.version())) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -126,6 +126,11 @@
     return Math.max(1, entries);
   }
 
+  @Override
+  public EntryPlace place() {
+    return neighbourhood.place();
+  }
+
   @Override
   public double loadShare() {
     return Math.min(1, (neighbourhood.peers().size() + 1.0) / entries());
@@ -260,7 +265,8 @@
                 leader == null,
                 lag.busy(),
                 neighbourhood.version(),
-                node.equals(leader) ? counts.all() : List.of())));
+                node.equals(leader) ? counts.all() : List.of(),
+                node.equals(leader) ? directory.limitsNewToLeader(now) : List.of())));
   }
 
   private void onUpdate(String from, EntryUpdate update, Instant now, Output output) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -69,7 +69,11 @@
     this(
         entry,
         settings.zone(),
-        new LeastTimePicker(entry, new EntryColdStartLimiter(entry, entry.name()), seed),
+        new LeastTimePicker(
+            entry,
+            new EntryColdStartLimiter(entry, entry.name()),
+            new RateLimiter(new EntryRateDivision(entry)),
+            seed),
         new ConfidenceCascade(answerTimes),
         answerTimes,
         new VersionRule(entry, settings.canaryShare()),
@@ -170,7 +174,7 @@
       return;
     }
     if (began.status() != WRONG_RUN) {
-      rateLimits.heard(track, began.rateLimit(), relay.request.id(), now, output);
+      rateLimits.heard(track, began, relay.request.id(), now, output);
     }
     if (began.notRun() || began.status() == WRONG_RUN) {
       failures.notRun(relay, track, began, now, output);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -29,6 +29,9 @@
   /** Returns the version of a service that is used apart from roll-outs, or null if none is. */
   @Nullable String usualVersion(String service);
 
+  /** Returns which one of all entries this one is. */
+  EntryPlace place();
+
   /** Returns how many entries serve, at least 1. */
   int entries();
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerClient.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerClient.java
@@ -245,8 +245,18 @@
 
   /** Tells a scheduler how an attempt goes on that it placed. */
   void tell(SchedulerGrant grant, AttemptProgress progress, long millis, Output output) {
+    tell(grant, progress, millis, null, output);
+  }
+
+  /** Tells a scheduler how an attempt goes on, and what its engine said of its rate limit. */
+  void tell(
+      SchedulerGrant grant,
+      AttemptProgress progress,
+      long millis,
+      @Nullable NamedLimit named,
+      Output output) {
     output.effect(
         new SendToPeer(
-            grant.scheduler(), new PlacementNews(grant.number(), progress, (int) millis)));
+            grant.scheduler(), new PlacementNews(grant.number(), progress, (int) millis, named)));
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
@@ -39,7 +39,7 @@
 
   private final RelayView view;
   private final ScheduledEngines engines;
-  private final SchedulerColdStartLimiter limiter;
+  private final SchedulerRole role;
   private final LeastTimePicker picker;
   private final Map<SchedulerGrant, Place> places = new HashMap<>();
   private Instant sweptAt = Instant.EPOCH;
@@ -58,8 +58,13 @@
   SchedulerPart(RelayView view, String self, long seed) {
     this.view = view;
     this.engines = new ScheduledEngines(view);
-    this.limiter = new SchedulerColdStartLimiter(view, self);
-    this.picker = new LeastTimePicker(engines, limiter, seed);
+    this.role = new SchedulerRole(view, self);
+    this.picker =
+        new LeastTimePicker(
+            engines,
+            new SchedulerColdStartLimiter(role),
+            new RateLimiter(new SchedulerRateDivision(role)),
+            seed);
   }
 
   /** A place that an attempt has at an engine. */
@@ -90,7 +95,7 @@
   @Override
   public void apply(Event event, Instant now, Output output) {
     if (event instanceof LifecycleEvent.Tick) {
-      limiter.tick(now);
+      role.tick(now);
       sweep(now);
     } else if (event instanceof PeerEvent.MessageReceived received) {
       if (received.message() instanceof PlacementAsk ask) {
@@ -110,6 +115,7 @@
     }
     UpstreamTrack track = placement.track();
     track.sent(placement.workMillis(), now);
+    picker.sent(service, placement, now);
     track.kept().sent(chain, placement.newTokens());
     Instant expiresAt = now.plusMillis(ask.lastsMillis()).plus(MARGIN);
     places.put(
@@ -154,6 +160,7 @@
       return;
     }
     UpstreamTrack track = place.placement.track();
+    track.toldRateLimit(news.named(), now);
     switch (news.progress()) {
       case BEGUN -> begun(place, news.millis(), now);
       case ENDED -> {
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerRateDivision.java
@@ -0,0 +1,24 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Instant;
+
+/** A scheduler's part of what limited engines of its group take: all but what entries keep. */
+final class SchedulerRateDivision implements RateDivision {
+
+  private final SchedulerRole role;
+
+  SchedulerRateDivision(SchedulerRole role) {
+    this.role = role;
+  }
+
+  @Override
+  public RateShare share(RelayService service, UpstreamTrack track, Instant now) {
+    if (!role.serves(track.instance().id(), now)) {
+      return RateShare.NOTHING;
+    }
+    RateLimit limit = track.rateLimit();
+    double perSecond = RateDivision.perSecond(limit) * ColdStartLimiter.SCHEDULER_SHARE;
+    double burst = RateDivision.burst(limit) - RateDivision.holdersBesideScheduler(limit);
+    return new RateShare(perSecond, burst, 0, role.since());
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -13,10 +14,14 @@
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
+import org.skylarkfork.core.message.RelayMessage.HeardLimit;
 
 /** The upstreams that an entry knows of, as the leader tells of them. */
 final class UpstreamDirectory {
 
+  /** Rate limits in one poll, some 30 bytes each; the others come with the next. */
+  private static final int MOST_LIMITS = 64;
+
   private final Map<String, UpstreamTrack> byId = new LinkedHashMap<>();
   private final Map<String, List<UpstreamTrack>> byService = new HashMap<>();
   private final Map<String, String> usualVersions = new HashMap<>();
@@ -130,7 +135,9 @@
     } else if (known.condition() != status.condition() || instance.follows(known.instance())) {
       known.told(status);
     }
-    takeCold(byId.get(instance.id()), instance, now, output);
+    UpstreamTrack track = byId.get(instance.id());
+    takeCold(track, instance, now, output);
+    takeLimit(track, status.named(), now, output);
   }
 
   /**
@@ -171,6 +178,36 @@
     log("event=upstream_taken " + facts(status), output);
   }
 
+  private static void takeLimit(
+      UpstreamTrack track, @Nullable NamedLimit named, Instant now, Output output) {
+    RateLimit before = track.rateLimit();
+    track.leaderKnows(named == null ? RateLimit.NONE : named.limit());
+    if (track.toldRateLimit(named, now) && !track.rateLimit().isNear(before)) {
+      String facts =
+          "event=rate_limit_told id="
+              + track.instance().id()
+              + " per_second="
+              + track.rateLimit()
+              + " before="
+              + before
+              + " age_ms="
+              + Duration.between(track.rateLimitAt(), now).toMillis();
+      log(facts, output);
+    }
+  }
+
+  /** Returns what upstreams named to this entry and the leader doesn't know. */
+  List<HeardLimit> limitsNewToLeader(Instant now) {
+    List<HeardLimit> limits = new ArrayList<>();
+    for (UpstreamTrack track : byId.values()) {
+      NamedLimit named = track.isNewsToLeader() ? track.named(now) : null;
+      if (named != null && limits.size() < MOST_LIMITS) {
+        limits.add(new HeardLimit(track.instance().run(), named));
+      }
+    }
+    return limits;
+  }
+
   private void forgetOthers(List<UpstreamStatus> all) {
     Set<String> ids = new HashSet<>();
     all.forEach(status -> ids.add(status.instance().id()));
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamPicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamPicker.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.relay;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +16,25 @@
    */
   @Nullable Placement pick(PlacementQuery query, Instant now);
 
+  /**
+   * Takes note of an attempt that goes where this picker has placed it.
+   *
+   * @param service service that it goes to
+   * @param placement where it goes
+   * @param now the present time
+   */
+  void sent(RelayService service, Placement placement, Instant now);
+
+  /**
+   * Returns when an upstream takes a request for which {@link #pick} found none.
+   *
+   * @param query what is to be placed
+   * @param now the present time
+   * @return the time until the first one takes it, or zero if it isn't a rate limit that all wait
+   *     for
+   */
+  Duration untilTaken(PlacementQuery query, Instant now);
+
   /**
    * Takes note of an answer's first byte.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -63,6 +63,9 @@
     if (!sameRun || known.condition != condition || cold) {
       entry.changedAt = ++sequence;
     }
+    if (!sameRun) {
+      entry.forgetLimit();
+    }
     entry.instance = instance;
     entry.coldUntil = coldUntil;
     entry.lastHeard = now;
@@ -70,6 +73,49 @@
     byId.put(instance.id(), entry);
   }
 
+  /**
+   * Takes note of what an upstream said of its rate limit to an entry; the newest word counts.
+   *
+   * @param run the start of the upstream
+   * @param named what it said
+   * @param by the entry that got that answer
+   * @param now the present time
+   * @return whether entries are to be told
+   */
+  boolean named(UpstreamRun run, NamedLimit named, String by, Instant now) {
+    Entry entry = byId.get(run.id());
+    boolean meant = entry != null && entry.instance().run().equals(run);
+    if (!meant || !named.namedAt(now).isAfter(entry.limitAt)) {
+      return false;
+    }
+    RateLimit before = entry.limit;
+    entry.limit = named.limit();
+    entry.limitAt = named.namedAt(now);
+    boolean news = !named.limit().isNear(before);
+    if (news) {
+      entry.limitBy = by;
+      entry.limitSince = entry.limitAt;
+      entry.changedAt = ++sequence;
+    }
+    return news;
+  }
+
+  /** Returns the upstreams that name a rate limit. */
+  List<LimitedUpstream> limited() {
+    return byId.values().stream()
+        .filter(entry -> entry.limit.isBounded())
+        .map(
+            entry ->
+                new LimitedUpstream(
+                    entry.instance().id(),
+                    entry.instance().service(),
+                    entry.instance().address(),
+                    entry.limit.perSecond(),
+                    entry.limitSince,
+                    entry.limitBy))
+        .toList();
+  }
+
   /** Returns whether it makes a difference until when of two times an upstream is cold. */
   private static boolean isOtherCold(Instant before, Instant after, Instant now) {
     boolean matters = before.isAfter(now) || after.isAfter(now);
@@ -185,7 +231,7 @@
     }
     changed.sort(Comparator.comparingLong(entry -> entry.changedAt));
     return changed.stream()
-        .map(entry -> new UpstreamStatus(toldAt(entry, now), entry.condition))
+        .map(entry -> new UpstreamStatus(toldAt(entry, now), entry.condition, entry.named(now)))
         .toList();
   }
 
@@ -211,6 +257,20 @@
     private UpstreamCondition condition = UpstreamCondition.READY;
     private Instant coldUntil = Instant.EPOCH;
     private long changedAt;
+    private RateLimit limit = RateLimit.NONE;
+    private Instant limitAt = Instant.EPOCH;
+    private Instant limitSince = Instant.EPOCH;
+    private String limitBy = "";
+
+    private void forgetLimit() {
+      limit = RateLimit.NONE;
+      limitAt = Instant.EPOCH;
+    }
+
+    private @Nullable NamedLimit named(Instant now) {
+      boolean never = limitAt.equals(Instant.EPOCH);
+      return never ? null : new NamedLimit(limit, Duration.between(limitAt, now).toMillis());
+    }
 
     private boolean isYoungerThan(UpstreamInstance other) {
       return instance().bornMillis() > other.bornMillis();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/ColdStartLimiterTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/ColdStartLimiterTest.java
@@ -114,8 +114,9 @@
   @Test
   public void schedulerThatTakesOverStartsFromUsedUpWindow() {
     RelayFixture.FakeView view = view(55, "scheduler");
-    SchedulerColdStartLimiter limiter = new SchedulerColdStartLimiter(view, "scheduler");
-    limiter.tick(START);
+    SchedulerRole role = new SchedulerRole(view, "scheduler");
+    SchedulerColdStartLimiter limiter = new SchedulerColdStartLimiter(role);
+    role.tick(START);
     Instant soon = START.plusMillis(1400);
     assertEquals(sends(limiter, track("up", START.plusSeconds(9)), soon), 0);
     Instant later = START.plusMillis(1500);
@@ -130,8 +131,9 @@
   @Test
   public void schedulerGivesOutItsOwnGroupOnly() {
     RelayFixture.FakeView view = view(55, "other", "scheduler");
-    SchedulerColdStartLimiter limiter = new SchedulerColdStartLimiter(view, "scheduler");
-    limiter.tick(START);
+    SchedulerRole role = new SchedulerRole(view, "scheduler");
+    SchedulerColdStartLimiter limiter = new SchedulerColdStartLimiter(role);
+    role.tick(START);
     Instant later = START.plusSeconds(2);
     List<Integer> sends = new ArrayList<>();
     for (int engine = 0; engine < 20; engine++) {
@@ -147,7 +149,7 @@
   @Test
   public void engineThatWouldFallOverIfItTurnedColdIsCrowded() {
     SchedulerColdStartLimiter limiter =
-        new SchedulerColdStartLimiter(view(55, "scheduler"), "scheduler");
+        new SchedulerColdStartLimiter(new SchedulerRole(view(55, "scheduler"), "scheduler"));
     UpstreamTrack track = track("up", START);
     for (int sent = 0; sent < 23; sent++) {
       assertFalse(limiter.isCrowded(SERVICE, track, START), "after " + sent);
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
@@ -41,6 +41,9 @@
   final List<String> entries = new ArrayList<>();
   final UniformRandomProvider random;
 
+  /** What each entry believes, of its newest start. */
+  final Map<String, RelayEntryPart> entryParts = new HashMap<>();
+
   private final RelaySimulation.SnapshotNumbers codec = new RelaySimulation.SnapshotNumbers();
   private final Map<String, ConsensusPart> groups = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
@@ -115,6 +118,7 @@
     VersionLedger counts = new VersionLedger();
     EntryIdentity self = new EntryIdentity(name + ":80", "a", starts.merge(name, 1, Integer::sum));
     RelayEntryPart entry = new RelayEntryPart(self, controls, RelaySimulation.times(), counts);
+    entryParts.put(name, entry);
     RelayRequestSettings settings = new RelayRequestSettings("a", 0.9, 0.05, Duration.ofSeconds(8));
     RelayRequestPart requests = new RelayRequestPart(entry, settings, counts, seed);
     return new Reducer(parts(name, entry, requests, seed));
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -170,7 +170,7 @@
     for (int number = 0; number < schedulers; number++) {
       placing.add("entry-" + number);
     }
-    return new Neighbourhood(1, List.of(), names, placing);
+    return new Neighbourhood(1, List.of(), names, placing, new EntryPlace(own, entryCount));
   }
 
   /** Lets a share of the requests of each kind be for one subject. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/LoadSharePartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/LoadSharePartTest.java
@@ -67,7 +67,11 @@
             List.of(CONTROL),
             3,
             new Neighbourhood(
-                7, List.of("10.0.0.9:80"), List.of("entry-2", "entry-3"), List.of())));
+                7,
+                List.of("10.0.0.9:80"),
+                List.of("entry-2", "entry-3"),
+                List.of(),
+                new EntryPlace(0, 3))));
   }
 
   private void receive(String from, RelayMessage message) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitSimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitSimulation.java
@@ -36,6 +36,10 @@
   private static final int SUBJECTS = 60;
   private static final int FIRST_BYTE_MILLIS = 150;
   private static final int ANSWER_MILLIS = 500;
+
+  /** Time that each request under way at an upstream adds to a first byte there. */
+  private static final int RUNNING_MILLIS = 8;
+
   private static final double REJECTED_SHARE = 0.03;
   private static final List<String> MODELS = List.of("small", "large");
 
@@ -64,6 +68,11 @@
     private final Map<String, Instant> toldAt = new HashMap<>();
     private final Deque<Instant> counted = new ArrayDeque<>();
     private boolean up = true;
+    private int running;
+
+    /** When it first answered without a limit since it last named one, or null. */
+    private @Nullable Instant freeSince;
+
     int sends;
 
     private Upstream(UpstreamInstance instance) {
@@ -132,6 +141,7 @@
       upstream.toldAt.clear();
     }
     upstream.limit = new RateLimit(perSecond);
+    upstream.freeSince = null;
   }
 
   /** Lets an upstream name no limit any more. */
@@ -219,10 +229,11 @@
     }
     if (random.nextDouble() < REJECTED_SHARE) {
       after(upTo(5), () -> answers(upstream, entry, sent, 503, true));
-    } else if (engines) {
-      after(50 + upTo(FIRST_BYTE_MILLIS), () -> answers(upstream, entry, sent, 200, false));
     } else {
-      after(30 + upTo(30), () -> answers(upstream, entry, sent, 200, false));
+      upstream.running++;
+      int first = engines ? 50 + upTo(FIRST_BYTE_MILLIS) : 30 + upTo(30);
+      int shared = RUNNING_MILLIS * upstream.running;
+      after(first + shared, () -> answers(upstream, entry, sent, 200, false));
     }
   }
 
@@ -239,6 +250,9 @@
     if (limit.isBounded() && isAwake(entry)) {
       upstream.toldAt.putIfAbsent(entry, network.now());
     }
+    if (!limit.isBounded() && !notRun && upstream.freeSince == null) {
+      upstream.freeSince = network.now();
+    }
     int confidence = random.nextInt(100);
     inject(
         entry,
@@ -248,17 +262,42 @@
       after(
           engines ? upTo(ANSWER_MILLIS) : 0,
           () -> {
+            upstream.running--;
             entryByRequest.remove(sent.request());
             inject(entry, new RelayEvent.AnswerEnded(sent.request(), sent.attempt()));
           });
     }
   }
 
-  /** Takes note of a daemon that starts again: it knows nothing of limits. */
-  void forgetsLimits(String entry) {
+  /** Ends an entry at once; it knows nothing of limits once it starts again. */
+  void crash(String entry) {
+    network.crash(entry);
     upstreams.values().forEach(upstream -> upstream.toldAt.remove(entry));
   }
 
+  /**
+   * Returns the upstreams that an entry in touch believes to be limited though they have answered
+   * without a limit {@link #CONTACT} ago.
+   */
+  List<String> staleBeliefs() {
+    Instant since = network.now().minus(CONTACT);
+    List<String> stale = new ArrayList<>();
+    for (Upstream upstream : running()) {
+      Instant free = upstream.freeSince;
+      if (free != null && free.isBefore(since)) {
+        entries.stream()
+            .filter(entry -> isAwake(entry) && isInTouch(entry) && believesLimited(entry, upstream))
+            .forEach(entry -> stale.add(entry + " of " + upstream.instance.id()));
+      }
+    }
+    return stale;
+  }
+
+  private boolean believesLimited(String entry, Upstream upstream) {
+    UpstreamTrack track = entryParts.get(entry).track(upstream.instance.id());
+    return track != null && track.rateLimit().isBounded();
+  }
+
   private void count(Upstream upstream, String entry) {
     Instant now = network.now();
     Instant told = upstream.toldAt.get(entry);
@@ -301,17 +340,14 @@
     return loosest;
   }
 
-  /** Returns how many requests an upstream gets in a second while some time passes. */
-  double rate(Upstream upstream, Duration time) {
-    int before = upstream.sends;
+  /** Returns how many requests each of some upstreams gets in a second while some time passes. */
+  double rate(List<Upstream> some, Duration time) {
+    int before = sends(some);
     run(time);
-    return (upstream.sends - before) / (time.toMillis() / 1000.0);
+    return (sends(some) - before) / (time.toMillis() / 1000.0) / some.size();
   }
 
-  /** Returns an upstream that names a limit, or null. */
-  @Nullable Upstream anyLimited() {
-    List<Upstream> limited =
-        running().stream().filter(upstream -> upstream.limit.isBounded()).toList();
-    return limited.isEmpty() ? null : limited.get(random.nextInt(limited.size()));
+  private static int sends(List<Upstream> some) {
+    return some.stream().mapToInt(upstream -> upstream.sends).sum();
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
@@ -4,23 +4,166 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import org.skylarkfork.core.relay.RateLimitSimulation.Upstream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests with upstreams that name in their answers how many requests a second they take. */
 public final class RateLimitTest {
 
+  /** Property with the number of seeds; more are run by hand. */
+  private static final String SEEDS_PROPERTY = "skylarkfork.relay.seeds";
+
+  /** Property with the first seed. */
+  private static final String FIRST_PROPERTY = "skylarkfork.relay.first";
+
+  private static final int USUAL_SEEDS = 10;
+  private static final int STRIKES = 6;
+
   /** Guards against entries that go on sending what they like to an upstream that names a limit. */
   @Test
   public void upstreamsThatNameLimitsGetNoMoreFromAllEntries() {
     RateLimitSimulation run = new RateLimitSimulation(1, 7, 13, true);
     run.load(97);
     run.run(Duration.ofSeconds(2));
-    List<RateLimitSimulation.Upstream> upstreams = run.running();
+    List<Upstream> upstreams = run.running();
     run.limit(upstreams.get(0), 2.7);
     run.limit(upstreams.get(1), 2.3);
     run.run(Duration.ofSeconds(15));
     assertTrue(run.limitedSends > 0);
     assertEquals(run.worst, "");
   }
+
+  /** Entries, upstreams, whether these are engines, requests a second, and a limit. */
+  @DataProvider
+  public Object[][] deployments() {
+    return new Object[][] {
+      {1, 3, false, 30.0, 2.0},
+      {7, 13, true, 97.0, 2.5},
+      {7, 3, false, 34.0, 4.0},
+      {20, 24, true, 180.0, 2.0},
+      {75, 42, true, 440.0, 2.3},
+      {75, 5, false, 90.0, 6.0},
+      {75, 5, false, 90.0, 0.5},
+      {120, 5, false, 140.0, 0.0},
+    };
+  }
+
+  /**
+   * Guards against a limited upstream that is asked too much or hardly at all, whatever the number
+   * of entries, and against one that counts as limited for good.
+   */
+  @Test(dataProvider = "deployments")
+  public void poolHalfLimitedGetsWhatItTakes(
+      int entries, int upstreamCount, boolean engines, double load, double perSecond) {
+    RateLimitSimulation run = new RateLimitSimulation(1, entries, upstreamCount, engines);
+    run.load(load);
+    run.run(Duration.ofSeconds(2));
+    List<Upstream> limited = run.running().subList(0, (upstreamCount + 1) / 2);
+    limited.forEach(upstream -> run.limit(upstream, perSecond));
+    run.run(EmulatedDeployment.CONTACT.plusSeconds(2));
+    double rate = run.rate(limited, Duration.ofSeconds(20));
+    assertTrue(rate >= 0.5 * perSecond, rate + " a second at a limit of " + perSecond);
+    limited.forEach(run::lift);
+    run.run(Duration.ofSeconds(5));
+    double free = run.rate(limited, Duration.ofSeconds(10));
+    assertTrue(free > 1.5 * perSecond, free + " a second once lifted");
+    assertEquals(run.staleBeliefs(), List.of());
+    assertEquals(run.worst, "");
+  }
+
+  /** Entries, upstreams, whether these are engines, and requests a second. */
+  @DataProvider
+  public Object[][] pools() {
+    return new Object[][] {{7, 13, true, 97.0}, {7, 3, false, 40.0}, {20, 33, true, 200.0}};
+  }
+
+  /**
+   * Guards against too many sends while entries are killed, frozen or cut off, leaders change, and
+   * upstreams name, change and lift limits or start again.
+   */
+  @Test(dataProvider = "pools")
+  public void limitsHoldInRandomRuns(int entries, int upstreams, boolean engines, double load) {
+    long first = Long.getLong(FIRST_PROPERTY, 1);
+    int seeds = Integer.getInteger(SEEDS_PROPERTY, USUAL_SEEDS);
+    int sends = 0;
+    for (long seed = first; seed < first + seeds; seed++) {
+      RateLimitSimulation run = new RateLimitSimulation(seed, entries, upstreams, engines);
+      run.load(load);
+      randomRun(run);
+      assertEquals(run.worst, "", "seed " + seed);
+      run.run(Duration.ofSeconds(5));
+      assertEquals(run.staleBeliefs(), List.of(), "seed " + seed);
+      sends += run.limitedSends;
+    }
+    System.out.println(seeds + " seeds, " + sends + " sends to limited upstreams");
+  }
+
+  private static void randomRun(RateLimitSimulation run) {
+    run.network.weather(0.01, 0.01, 3);
+    for (int strike = 0; strike < STRIKES; strike++) {
+      changeLimits(run);
+      run.run(Duration.ofMillis(run.random.nextInt(4000)));
+      List<String> struck = strike(run);
+      run.run(Duration.ofMillis(500 + run.random.nextInt(3000)));
+      recover(run, struck);
+      run.run(Duration.ofMillis(2000 + run.random.nextInt(5000)));
+    }
+  }
+
+  private static void changeLimits(RateLimitSimulation run) {
+    for (Upstream upstream : run.running()) {
+      switch (run.random.nextInt(6)) {
+        case 0, 1 -> run.limit(upstream, 0.1 + 6 * run.random.nextDouble());
+        case 2 -> run.lift(upstream);
+        case 3 -> {
+          if (run.random.nextInt(4) == 0) {
+            run.restart(upstream);
+          }
+        }
+        default -> {}
+      }
+    }
+  }
+
+  private static List<String> strike(RateLimitSimulation run) {
+    List<String> struck = new ArrayList<>();
+    String leader = run.leader();
+    String control = run.controls.get(run.random.nextInt(run.controls.size()));
+    String entry = run.entries.get(run.random.nextInt(run.entries.size()));
+    switch (run.random.nextInt(7)) {
+      case 0 -> struck.add(leader == null ? control : leader);
+      case 1 -> struck.addAll(run.controls);
+      case 2 -> struck.addAll(run.entries.subList(0, run.entries.size() / 2));
+      case 3 -> struck.add(entry);
+      case 4 -> run.network.freeze(run.random.nextBoolean() ? entry : control);
+      case 5 -> run.network.isolate(entry);
+      default -> run.network.isolate(leader == null ? control : leader);
+    }
+    for (String name : struck) {
+      run.crash(name);
+    }
+    everyStruck(run).forEach(run::disturbed);
+    run.disturbed(entry);
+    return struck;
+  }
+
+  private static List<String> everyStruck(RateLimitSimulation run) {
+    List<String> all = new ArrayList<>(run.controls);
+    all.addAll(run.entries);
+    return all.stream().filter(name -> !run.isAwake(name)).toList();
+  }
+
+  private static void recover(RateLimitSimulation run, List<String> struck) {
+    everyStruck(run).forEach(run::disturbed);
+    run.network.heal();
+    for (String name : everyStruck(run)) {
+      if (run.network.isFrozen(name)) {
+        run.network.thaw(name);
+      }
+    }
+    struck.forEach(run.network::start);
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -33,7 +33,11 @@
                 new RelayRequestPart(
                     view,
                     "a",
-                    new LeastTimePicker(view, new EntryColdStartLimiter(view, "entry-7"), 1),
+                    new LeastTimePicker(
+                        view,
+                        new EntryColdStartLimiter(view, "entry-7"),
+                        new RateLimiter(new EntryRateDivision(view)),
+                        1),
                     new ConfidenceCascade(answerTimes),
                     answerTimes,
                     new VersionRule(view, 0.05),
@@ -151,6 +155,7 @@
     @Nullable String usual;
     List<String> schedulers = List.of();
     int entries = 1;
+    EntryPlace place = new EntryPlace(0, 1);
     Duration proofAge = Duration.ZERO;
     final Set<RequestKey> quarantined = new HashSet<>();
     @Nullable String leader = "control-1";
@@ -211,6 +216,11 @@
       return entries;
     }
 
+    @Override
+    public EntryPlace place() {
+      return place;
+    }
+
     @Override
     public double loadShare() {
       return 1;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/SchedulerTest.java
@@ -50,7 +50,11 @@
                 new RelayRequestPart(
                     view,
                     "a",
-                    new LeastTimePicker(view, new EntryColdStartLimiter(view, ENTRY), 1),
+                    new LeastTimePicker(
+                        view,
+                        new EntryColdStartLimiter(view, ENTRY),
+                        new RateLimiter(new EntryRateDivision(view)),
+                        1),
                     new ConfidenceCascade(answerTimes),
                     answerTimes,
                     new VersionRule(view, 0.05),
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -8,6 +8,7 @@
 import org.skylarkfork.core.message.RelayMessage.EntryLoads;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
+import org.skylarkfork.core.message.RelayMessage.HeardLimit;
 import org.skylarkfork.core.message.RelayMessage.KeptPrompt;
 import org.skylarkfork.core.message.RelayMessage.LostRequest;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
@@ -20,6 +21,7 @@
 import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
 import org.skylarkfork.core.message.RelayMessage.UpstreamHeard;
 import org.skylarkfork.core.message.RelayMessage.UpstreamLoad;
+import org.skylarkfork.core.relay.EntryPlace;
 import org.skylarkfork.core.relay.VersionCounts;
 
 /** The messages between entries and control VMs. */
@@ -63,10 +65,11 @@
     } else if (message instanceof PlacementAnswer answer) {
       writeAnswer(answer, out);
     } else if (message instanceof PlacementNews news) {
-      out.tagged(PLACEMENT_NEWS, NEWS_COMPONENTS)
+      out.tagged(PLACEMENT_NEWS, NEWS_COMPONENTS + 1)
           .number(news.number())
           .text(news.progress().name())
-          .number(news.millis());
+          .number(news.millis())
+          .optional(news.named(), RelayValues::writeNamed);
     } else if (message instanceof UpstreamEnded ended) {
       RelayValues.writeRun(ended.upstream(), out.tagged(UPSTREAM_ENDED, 2));
       out.list(ended.lost(), RelayMessages::writeLost);
@@ -104,7 +107,10 @@
       case PLACEMENT_NEWS:
         components.take(NEWS_COMPONENTS);
         return new PlacementNews(
-            in.number(), RelayValues.constant(AttemptProgress.class, in.text()), in.smallNumber());
+            in.number(),
+            RelayValues.constant(AttemptProgress.class, in.text()),
+            in.smallNumber(),
+            components.next() ? in.optional(RelayValues::readNamed) : null);
       case UPSTREAM_ENDED:
         components.take(2);
         return new UpstreamEnded(RelayValues.readRun(in), in.list(RelayMessages::readLost));
@@ -162,7 +168,7 @@
   }
 
   private static void writePoll(EntryPoll poll, PackedWriter out) {
-    out.tagged(ENTRY_POLL, POLL_COMPONENTS + 1)
+    out.tagged(ENTRY_POLL, POLL_COMPONENTS + 2)
         .text(poll.callerAddress())
         .text(poll.zone())
         .flag(poll.serving())
@@ -175,7 +181,8 @@
         .flag(poll.searching())
         .flag(poll.busy())
         .list(poll.counts(), RelayValues::writeCounts)
-        .number(poll.neighbourhoodVersion());
+        .number(poll.neighbourhoodVersion())
+        .list(poll.limits(), RelayMessages::writeHeard);
   }
 
   private static EntryPoll readPoll(PackedReader in, PackedReader.Components more) {
@@ -204,7 +211,18 @@
         searching,
         busy,
         more.next() ? in.number() : 0,
-        counts);
+        counts,
+        more.next() ? in.list(RelayMessages::readHeard) : List.of());
+  }
+
+  private static void writeHeard(HeardLimit heard, PackedWriter out) {
+    RelayValues.writeRun(heard.upstream(), out.record(2));
+    RelayValues.writeNamed(heard.named(), out);
+  }
+
+  private static HeardLimit readHeard(PackedReader in) {
+    return in.record(
+        2, from -> new HeardLimit(RelayValues.readRun(from), RelayValues.readNamed(from)));
   }
 
   private static void writeLoad(UpstreamLoad load, PackedWriter out) {
@@ -236,11 +254,13 @@
   }
 
   private static void writeNeighbourhood(Neighbourhood neighbourhood, PackedWriter out) {
-    out.record(4)
+    out.record(6)
         .number(neighbourhood.version())
         .list(neighbourhood.callerAddresses(), (address, to) -> to.text(address))
         .list(neighbourhood.peers(), (peer, to) -> to.text(peer))
-        .list(neighbourhood.schedulers(), (peer, to) -> to.text(peer));
+        .list(neighbourhood.schedulers(), (peer, to) -> to.text(peer))
+        .number(neighbourhood.place().number())
+        .number(neighbourhood.place().of());
   }
 
   private static Neighbourhood readNeighbourhood(PackedReader in) {
@@ -251,7 +271,13 @@
                 from.number(),
                 from.list(PackedReader::text),
                 from.list(PackedReader::text),
-                more.next() ? from.list(PackedReader::text) : List.of()));
+                more.next() ? from.list(PackedReader::text) : List.of(),
+                more.next() ? readPlace(from, more) : EntryPlace.UNKNOWN));
+  }
+
+  private static EntryPlace readPlace(PackedReader in, PackedReader.Components more) {
+    int number = in.smallNumber();
+    return more.next() ? new EntryPlace(number, in.smallNumber()) : EntryPlace.UNKNOWN;
   }
 
   private static void writeUpdate(EntryUpdate update, PackedWriter out) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -7,7 +7,9 @@
 import org.skylarkfork.core.relay.EngineProfile;
 import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.ModelPrice;
+import org.skylarkfork.core.relay.NamedLimit;
 import org.skylarkfork.core.relay.QuarantinedRequest;
+import org.skylarkfork.core.relay.RateLimit;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRoute;
@@ -336,15 +338,26 @@
   }
 
   static void writeStatus(UpstreamStatus status, PackedWriter out) {
-    writeInstance(status.instance(), out.record(2));
-    out.text(status.condition().name());
+    writeInstance(status.instance(), out.record(3));
+    out.text(status.condition().name()).optional(status.named(), RelayValues::writeNamed);
   }
 
   static UpstreamStatus readStatus(PackedReader in) {
-    return in.record(
+    return in.grownRecord(
         2,
-        from ->
-            new UpstreamStatus(readInstance(from), constant(UpstreamCondition.class, from.text())));
+        (from, more) ->
+            new UpstreamStatus(
+                readInstance(from),
+                constant(UpstreamCondition.class, from.text()),
+                more.next() ? from.optional(RelayValues::readNamed) : null));
+  }
+
+  static void writeNamed(NamedLimit named, PackedWriter out) {
+    out.record(2).real(named.limit().perSecond()).number(named.ageMillis());
+  }
+
+  static NamedLimit readNamed(PackedReader in) {
+    return in.record(2, from -> new NamedLimit(new RateLimit(from.real()), from.number()));
   }
 
   static void writeCounts(VersionCounts counts, PackedWriter out) {
