Relay: operators see which upstreams name a rate limit; the stand-in service can name one

skylarkfork limits and GET /relay/v1/limits at the control VM that leads: upstream, limit, since when, and the entry that heard it. The stand-in service names the limit of its settings in each answer.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -93,7 +93,7 @@
     return upstreams.all(now);
   }
 
-  /** Returns the upstreams that name a rate limit, as far as this control VM knows. */
+  /** Returns the upstreams that name a rate limit; only the leader is told of them. */
   public List<LimitedUpstream> limitedUpstreams() {
     return upstreams.limited();
   }
@@ -233,7 +233,8 @@
     log(output, "leader_changed", "node=" + leader + " term=" + changed.term());
   }
 
-  private boolean leads() {
+  /** Returns whether this control VM leads, as far as it knows. */
+  public boolean leads() {
     return node.equals(leader);
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -104,6 +104,7 @@
   private final Map<Long, Integer> written = new HashMap<>();
   private @Nullable UniformRandomProvider lengths;
   private ColdReturn coldReturn = ColdReturn.none();
+  private final Map<String, RateLimit> limits = new HashMap<>();
 
   /**
    * Makes a replay.
@@ -216,6 +217,12 @@
     return coldReturn;
   }
 
+  /** Lets some engines name a rate limit from a time on. */
+  void limit(int count, double atMillis, double perSecond) {
+    List<String> named = engines.keySet().stream().sorted().limit(count).toList();
+    at(atMillis, () -> named.forEach(engine -> limits.put(engine, new RateLimit(perSecond))));
+  }
+
   private boolean stands(String name) {
     return name.equals(frozen) && now >= frozenFrom && now < frozenUntil;
   }
@@ -379,7 +386,10 @@
             + CONFIDENCE_SLOPE * (quality - one.difficulty)
             + CONFIDENCE_NOISE * (2 * random.nextDouble() - 1);
     int percent = (int) Math.max(0, Math.min(100, confidence));
-    apply(job.entry, new RelayEvent.AnswerBegan(job.request, job.attempt, 200, false, percent));
+    RateLimit limit = limits.getOrDefault(engine.instance.id(), RateLimit.NONE);
+    apply(
+        job.entry,
+        new RelayEvent.AnswerBegan(job.request, job.attempt, 200, false, percent, limit));
     if (!job.cancelled) {
       at(
           now + engine.outputMillis(job),
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
@@ -181,6 +181,31 @@
     assertTrue(limited.late() <= unlimited.late(), limited + " and " + unlimited);
   }
 
+  /**
+   * Guards against a pool that loses engines altogether as they name a rate limit: four of thirteen
+   * take three requests a second each, a third of their part, and callers get more than nine
+   * engines alone would give them.
+   */
+  @Test(dataProvider = "seeds")
+  public void limitedEnginesAreUsedForWhatTheyTake(long seed) {
+    EngineLoadReplay limited = limitedPool(seed, 13);
+    limited.limit(4, 3000, 3);
+    Outcome outcome = limited.play(24);
+    Outcome without = limitedPool(seed, 9).play(24);
+    assertTrue(outcome.worth() > without.worth() + 0.03, outcome + " and " + without);
+    assertTrue(outcome.late() < without.late(), outcome + " and " + without);
+    assertTrue(outcome.refused() < 0.005, outcome.toString());
+  }
+
+  private static EngineLoadReplay limitedPool(long seed, int engines) {
+    List<Kind> kinds =
+        List.of(
+            new Kind("long", 360, 6300, 2890, 52, 1500, 8000, 0, 3.2, 38),
+            new Kind("mid", 400, 568, 1800, 24, 1500, 5000, 1, 1.9, 41.8),
+            new Kind("short", 160, 172, 543, 280, 1000, 25_000, 2, 0.95, 17));
+    return new EngineLoadReplay(seed, 7, Collections.nCopies(engines, 1.0), 6, 0, kinds);
+  }
+
   /**
    * Callers get the answer at hand in place of one that breaks off at their deadline. Answers of
    * the largest model are ten times as slow; the longest ones begin in time and can't end.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -1,10 +1,12 @@
 package org.skylarkfork.runtime.relay;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.relay.LimitedUpstream;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamRun;
 
@@ -29,6 +31,9 @@
   /** Returns what this control VM's replica knows of its group, or null before it has one. */
   @Nullable GroupStatus group();
 
+  /** Returns the upstreams that name a rate limit, or null if this control VM doesn't lead. */
+  @Nullable List<LimitedUpstream> limitedUpstreams();
+
   /** Returns whether there is such an availability zone, as far as this control VM knows. */
   boolean isZone(String zone);
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.LimitedUpstream;
 import org.skylarkfork.core.relay.RelayControlPart;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamRun;
@@ -72,6 +73,11 @@
     return control.group();
   }
 
+  @Override
+  public @Nullable List<LimitedUpstream> limitedUpstreams() {
+    return control.leads() ? control.limitedUpstreams() : null;
+  }
+
   @Override
   public boolean isZone(String zone) {
     return !zone.isEmpty() && (zones.isEmpty() || zones.contains(zone));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -13,6 +13,7 @@
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.consensus.Role;
+import org.skylarkfork.core.relay.LimitedUpstream;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayConfigurationValidator;
 import org.skylarkfork.core.relay.RequestKey;
@@ -79,6 +80,8 @@
 
   private record Quarantine(List<Quarantined> requests) {}
 
+  private record Limits(List<LimitedUpstream> upstreams) {}
+
   @Override
   public CompletableFuture<HttpReply> answer(HttpCall call, ControlCalls control) {
     if (!call.path().startsWith(PREFIX)) {
@@ -94,6 +97,7 @@
         case "DELETE upstreams" ->
             ask(control, new RelayCommand.UpstreamLeaves(control.startsUntilNow(last)));
         case "GET group" -> done(group(control));
+        case "GET limits" -> done(limits(control));
         case "GET entries" -> done(lookUp(call, control));
         case "PUT roll-outs" -> begin(last, call, control);
         case "GET roll-outs" -> ask(control, new RelayCommand.ReadRollOut(last));
@@ -164,6 +168,13 @@
             status.members().learners()));
   }
 
+  private HttpReply limits(ControlCalls control) {
+    List<LimitedUpstream> limited = control.limitedUpstreams();
+    return limited == null
+        ? error(UNAVAILABLE, "only the control VM that leads is told of limits; ask another one")
+        : json(new Limits(limited));
+  }
+
   private CompletableFuture<HttpReply> heartbeat(String id, HttpCall call, ControlCalls control) {
     UpstreamInstance instance = body(call, UpstreamInstance.class);
     if (!id.equals(instance.id())) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RateLimitNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RateLimitNodeTest.java
@@ -34,7 +34,7 @@
   }
 
   /**
-   * Operators see how many upstreams name a limit, for as long as they name it; callers get the
+   * Operators see which upstreams name a limit, for as long as they name it; callers get the
    * answer's head as it is.
    */
   @Test
@@ -42,6 +42,12 @@
     serveWith(named());
     showsAfterAnAnswer("", 0);
     showsAfterAnAnswer("X-Rate-Limit: 100.5\r\n", 1);
+    String listed = "";
+    for (int tries = 0; tries < MAX_TRIES && !listed.contains("up-1"); tries++) {
+      listed = operator("GET", "limits").body();
+    }
+    assertTrue(listed.contains("\"perSecond\":100.5"), listed);
+    assertTrue(listed.contains("\"service\":\"service\""), listed);
     showsAfterAnAnswer("X-Rate-Limit: plenty\r\n", 1);
     showsAfterAnAnswer("", 0);
     showsAfterAnAnswer("X-Rate-Limit: -3\r\n", 0);
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Headers.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Headers.java
@@ -15,6 +15,9 @@
   /** Is {@code true} on a refusal for which nothing was started. */
   public static final String NOT_STARTED = "X-Not-Started";
 
+  /** Requests a second that the upstream takes from all entries together. */
+  public static final String RATE_LIMIT = "X-Rate-Limit";
+
   /** Names a non-idempotent request over all its resends. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/ServiceSettings.java
@@ -20,6 +20,8 @@
  * @param seed decides which calls a partial fault strikes
  * @param crashOn text that ends the service for good as it runs a call whose body holds it; nothing
  *     does if absent
+ * @param rateLimit requests a second that it names in its answers as its limit, which it doesn't
+ *     enforce; none if absent
  * @param announce where it announces itself; nowhere if absent
  */
 public record ServiceSettings(
@@ -32,6 +34,7 @@
     @ZeroIfAbsent int capacity,
     @ZeroIfAbsent long seed,
     @Nullable String crashOn,
+    @Nullable Double rateLimit,
     AnnouncerSettings announce) {
 
   private static final String LOOPBACK = "127.0.0.1";
@@ -61,7 +64,7 @@
   public static ServiceSettings of(
       String id, String zone, String service, AnnouncerSettings announce) {
     return new ServiceSettings(
-        id, LOOPBACK, 0, zone, service, DEFAULT_LATENCY, DEFAULT_CAPACITY, 0, null, announce);
+        id, LOOPBACK, 0, zone, service, DEFAULT_LATENCY, DEFAULT_CAPACITY, 0, null, null, announce);
   }
 
   /**
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -130,6 +130,10 @@
   private Mono<Void> call(HttpServerRequest request, HttpServerResponse response) {
     String requestId = Exchange.text(request, Headers.REQUEST_ID, "none");
     response.header(Headers.REQUEST_ID, requestId);
+    Double rateLimit = settings.rateLimit();
+    if (rateLimit != null) {
+      response.header(Headers.RATE_LIMIT, rateLimit.toString());
+    }
     if (refuses(requestId)) {
       return Exchange.refuse(response, UNAVAILABLE, "Ask another upstream.", "not_taken");
     }
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
@@ -68,6 +68,7 @@
                 8,
                 0,
                 "fatal",
+                null,
                 AnnouncerSettings.none()));
     Caller before = new Caller(fragile.start());
     assertEquals(before.post("/issue", "harmless").json().path("body").asText(), "harmless");
@@ -75,6 +76,27 @@
     expectThrows(RuntimeException.class, () -> before.post("/issue", "harmless"));
   }
 
+  @Test
+  public void namesTheRateLimitOfItsSettings() {
+    StandInService limited =
+        new StandInService(
+            new ServiceSettings(
+                "s-3",
+                "127.0.0.1",
+                0,
+                "wien-halle",
+                "certificates",
+                Duration.ofMillis(1),
+                8,
+                0,
+                null,
+                2.5,
+                AnnouncerSettings.none()));
+    assertEquals(new Caller(limited.start()).post("/issue", "").header("x-rate-limit"), "2.5");
+    limited.close();
+    assertEquals(caller.post("/issue", "").header("x-rate-limit"), "");
+  }
+
   // An issue of a certificate reaches the service twice, under two request ids but one key. The
   // service cannot prevent that; its count must show it.
   @Test
