Relay: entries together open no more connections to an upstream than it takes

Where an upstream takes fewer than two connections for each entry, each had two all the same: 102 of 51 entries at an upstream that takes 100, which resets what is beyond. One each keeps the sum as long as there are no more entries than connections. Found by reading; ConnectionShareTest failed before (51 entries have 2 each).

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -192,7 +192,7 @@
     int connections = (int) (relay.service.maxConnections() * CONNECTION_SHARE / view.entries());
     return new AttemptTarget(
         placement.track().instance(),
-        Math.max(2, connections),
+        Math.max(1, connections),
         team == null ? null : team.name(),
         relay.model < 0 ? null : relay.modelName(),
         relay.service.engine() == null ? null : Urgency.of(relay, placement),
