--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -215,7 +215,7 @@
     double millis = Duration.between(relay.sentAt, now).toMillis();
     picker.answered(relay.service, relay.modelName(), placement, millis, now);
     if (relay.grant != null) {
-      NamedLimit named = placement.track().named(now);
+      NamedLimit named = placement.track().rate().toTell(now);
       schedulers.tell(relay.grant, AttemptProgress.BEGUN, (long) millis, named, output);
     }
   }
@@ -238,7 +238,7 @@
             || how == AttemptProgress.SILENT && track.silentSince(relay.sentAt);
     track.failed(gone, now);
     if (relay.grant != null) {
-      schedulers.tell(relay.grant, how, 0, track.named(now), output);
+      schedulers.tell(relay.grant, how, 0, track.rate().toTell(now), output);
       relay.grant = null;
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ColdStartLimiter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ColdStartLimiter.java
@@ -21,7 +21,7 @@
    */
   Duration WINDOW = Duration.ofMillis(1150);
 
-  /** Share of what a cold upstream bears that its scheduler gives out, if there is one. */
+  /** Share of what a cold or limited upstream takes that its scheduler gives out, if it has one. */
   double SCHEDULER_SHARE = 5 / 6.0;
 
   /** Returns whether an upstream may get one more request now. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimitWatch.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimitWatch.java
@@ -33,7 +33,7 @@
     if (limit == null || !limit.isBounded() && !isLifted(before, answer)) {
       return;
     }
-    track.namedRateLimit(limit, now);
+    track.rate().heard(limit, now);
     if (!limit.isNear(before)) {
       String facts =
           "event=rate_limit_heard id="
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
@@ -29,7 +29,7 @@
   /** Returns whether an upstream may get one more request of this daemon now. */
   boolean takes(RelayService service, UpstreamTrack track, Instant now) {
     if (!track.rateLimit().isBounded()) {
-      track.account(null);
+      track.rate().account(null);
       return true;
     }
     TokenBucket bucket = bucket(service, track, now);
@@ -60,9 +60,9 @@
   }
 
   private @Nullable TokenBucket bucket(RelayService service, UpstreamTrack track, Instant now) {
-    Account known = track.account();
+    Account known = track.rate().account();
     Account account = known == null ? new Account() : known;
-    track.account(account);
+    track.rate().account(account);
     RateShare share = division.share(service, track, now);
     TokenBucket bucket = account.bucket;
     if (share.isNothing()) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
@@ -32,7 +32,7 @@
           tracks.computeIfAbsent(known.instance().run(), run -> new UpstreamTrack(status));
       own.told(status);
       own.coldUntil(known.coldUntil());
-      own.toldRateLimit(known.rateLimit(), known.rateLimitAt());
+      own.rate().told(known.rateLimit(), known.rate().namedAt());
       own.evacuated(known.condition() == UpstreamCondition.EVACUATED);
       found.add(own);
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
@@ -160,7 +160,7 @@
       return;
     }
     UpstreamTrack track = place.placement.track();
-    track.toldRateLimit(news.named(), now);
+    track.rate().told(news.named(), now);
     switch (news.progress()) {
       case BEGUN -> begun(place, news.millis(), now);
       case ENDED -> {
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/TrackedRateLimit.java
@@ -0,0 +1,76 @@
+package org.skylarkfork.core.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+
+/** What a daemon knows of one upstream's rate limit, and what it has sent under it. */
+final class TrackedRateLimit {
+
+  private RateLimit limit = RateLimit.NONE;
+  private Instant namedAt = Instant.EPOCH;
+  private RateLimit knownToLeader = RateLimit.NONE;
+  private RateLimiter.@Nullable Account account;
+
+  /** Returns the limit that the upstream named last. */
+  RateLimit limit() {
+    return limit;
+  }
+
+  /** Returns when it named that; long ago if it never named one. */
+  Instant namedAt() {
+    return namedAt;
+  }
+
+  /** Takes note of what an answer to this daemon named. */
+  void heard(RateLimit named, Instant now) {
+    limit = named;
+    namedAt = now;
+  }
+
+  /** Takes note of what the upstream named at a time; returns whether that is newer. */
+  boolean told(RateLimit named, Instant at) {
+    boolean newer = at.isAfter(namedAt);
+    if (newer) {
+      heard(named, at);
+    }
+    return newer;
+  }
+
+  /**
+   * Takes note of what the upstream named to another daemon.
+   *
+   * @param named the word, or null if the sender knows of none
+   * @param now the present time
+   * @return whether it is newer than what is known here
+   */
+  boolean told(@Nullable NamedLimit named, Instant now) {
+    return named != null && told(named.limit(), named.namedAt(now));
+  }
+
+  /** Takes note of what the leader knows, or null if it knows of no limit. */
+  void leaderKnows(@Nullable NamedLimit named) {
+    knownToLeader = named == null ? RateLimit.NONE : named.limit();
+  }
+
+  /** Returns whether the leader lacks what is known here. */
+  boolean isNewsToLeader() {
+    return !limit.isNear(knownToLeader);
+  }
+
+  /** Returns what is to be told to others, or null if the upstream never named a limit. */
+  @Nullable NamedLimit toTell(Instant now) {
+    boolean never = namedAt.equals(Instant.EPOCH);
+    return never ? null : new NamedLimit(limit, Duration.between(namedAt, now).toMillis());
+  }
+
+  /** Returns the account of sends under the limit, or null before the first. */
+  RateLimiter.@Nullable Account account() {
+    return account;
+  }
+
+  /** Keeps the account of sends under the limit; null forgets it. */
+  void account(RateLimiter.@Nullable Account newer) {
+    account = newer;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
@@ -181,8 +181,8 @@
   private static void takeLimit(
       UpstreamTrack track, @Nullable NamedLimit named, Instant now, Output output) {
     RateLimit before = track.rateLimit();
-    track.leaderKnows(named == null ? RateLimit.NONE : named.limit());
-    if (track.toldRateLimit(named, now) && !track.rateLimit().isNear(before)) {
+    track.rate().leaderKnows(named);
+    if (track.rate().told(named, now) && !track.rateLimit().isNear(before)) {
       String facts =
           "event=rate_limit_told id="
               + track.instance().id()
@@ -191,7 +191,7 @@
               + " before="
               + before
               + " age_ms="
-              + Duration.between(track.rateLimitAt(), now).toMillis();
+              + Duration.between(track.rate().namedAt(), now).toMillis();
       log(facts, output);
     }
   }
@@ -200,7 +200,8 @@
   List<HeardLimit> limitsNewToLeader(Instant now) {
     List<HeardLimit> limits = new ArrayList<>();
     for (UpstreamTrack track : byId.values()) {
-      NamedLimit named = track.isNewsToLeader() ? track.named(now) : null;
+      TrackedRateLimit rate = track.rate();
+      NamedLimit named = rate.isNewsToLeader() ? rate.toTell(now) : null;
       if (named != null && limits.size() < MOST_LIMITS) {
         limits.add(new HeardLimit(track.instance().run(), named));
       }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -85,32 +85,27 @@
   boolean named(UpstreamRun run, NamedLimit named, String by, Instant now) {
     Entry entry = byId.get(run.id());
     boolean meant = entry != null && entry.instance().run().equals(run);
-    if (!meant || !named.namedAt(now).isAfter(entry.limitAt)) {
+    if (!meant || !entry.rate.told(named, now) || named.limit().isNear(entry.toldLimit)) {
       return false;
     }
-    RateLimit before = entry.limit;
-    entry.limit = named.limit();
-    entry.limitAt = named.namedAt(now);
-    boolean news = !named.limit().isNear(before);
-    if (news) {
-      entry.limitBy = by;
-      entry.limitSince = entry.limitAt;
-      entry.changedAt = ++sequence;
-    }
-    return news;
+    entry.toldLimit = named.limit();
+    entry.limitBy = by;
+    entry.limitSince = entry.rate.namedAt();
+    entry.changedAt = ++sequence;
+    return true;
   }
 
   /** Returns the upstreams that name a rate limit. */
   List<LimitedUpstream> limited() {
     return byId.values().stream()
-        .filter(entry -> entry.limit.isBounded())
+        .filter(entry -> entry.rate.limit().isBounded())
         .map(
             entry ->
                 new LimitedUpstream(
                     entry.instance().id(),
                     entry.instance().service(),
                     entry.instance().address(),
-                    entry.limit.perSecond(),
+                    entry.rate.limit().perSecond(),
                     entry.limitSince,
                     entry.limitBy))
         .toList();
@@ -231,7 +226,9 @@
     }
     changed.sort(Comparator.comparingLong(entry -> entry.changedAt));
     return changed.stream()
-        .map(entry -> new UpstreamStatus(toldAt(entry, now), entry.condition, entry.named(now)))
+        .map(
+            entry ->
+                new UpstreamStatus(toldAt(entry, now), entry.condition, entry.rate.toTell(now)))
         .toList();
   }
 
@@ -257,19 +254,14 @@
     private UpstreamCondition condition = UpstreamCondition.READY;
     private Instant coldUntil = Instant.EPOCH;
     private long changedAt;
-    private RateLimit limit = RateLimit.NONE;
-    private Instant limitAt = Instant.EPOCH;
+    private TrackedRateLimit rate = new TrackedRateLimit();
+    private RateLimit toldLimit = RateLimit.NONE;
     private Instant limitSince = Instant.EPOCH;
     private String limitBy = "";
 
     private void forgetLimit() {
-      limit = RateLimit.NONE;
-      limitAt = Instant.EPOCH;
-    }
-
-    private @Nullable NamedLimit named(Instant now) {
-      boolean never = limitAt.equals(Instant.EPOCH);
-      return never ? null : new NamedLimit(limit, Duration.between(limitAt, now).toMillis());
+      rate = new TrackedRateLimit();
+      toldLimit = RateLimit.NONE;
     }
 
     private boolean isYoungerThan(UpstreamInstance other) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamTrack.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.placement.KeptPrompts;
 import org.skylarkfork.core.placement.PeerWork;
 import org.skylarkfork.core.placement.Slowness;
@@ -26,10 +25,7 @@
   private Instant answeredAt = Instant.EPOCH;
   private final SendWindow sends = new SendWindow(ColdStartLimiter.WINDOW);
   private Instant coldUntil = Instant.EPOCH;
-  private RateLimit rateLimit = RateLimit.NONE;
-  private Instant rateLimitAt = Instant.EPOCH;
-  private RateLimit toldLimit = RateLimit.NONE;
-  private RateLimiter.@Nullable Account account;
+  private final TrackedRateLimit rate = new TrackedRateLimit();
   private boolean wrongRun;
   private boolean evacuated;
 
@@ -66,65 +62,14 @@
     return now.isBefore(coldUntil);
   }
 
-  /** Returns the rate limit that it named last. */
-  RateLimit rateLimit() {
-    return rateLimit;
-  }
-
-  /** Returns when it named its rate limit last, or named none. */
-  Instant rateLimitAt() {
-    return rateLimitAt;
-  }
-
-  /** Takes note of what an answer to this entry named. */
-  void namedRateLimit(RateLimit limit, Instant at) {
-    rateLimit = limit;
-    rateLimitAt = at;
-  }
-
-  /**
-   * Takes note of what the upstream named to another daemon.
-   *
-   * @param named the word, or null if the sender knows of none
-   * @param now the present time
-   * @return whether it is newer than what is known here
-   */
-  boolean toldRateLimit(@Nullable NamedLimit named, Instant now) {
-    return named != null && toldRateLimit(named.limit(), named.namedAt(now));
-  }
-
-  /** Takes note of what the upstream named at a time; returns whether that is newer. */
-  boolean toldRateLimit(RateLimit limit, Instant at) {
-    boolean newer = at.isAfter(rateLimitAt);
-    if (newer) {
-      namedRateLimit(limit, at);
-    }
-    return newer;
-  }
-
-  /** Takes note of the limit that the leader knows, {@link RateLimit#NONE} if it knows none. */
-  void leaderKnows(RateLimit limit) {
-    toldLimit = limit;
-  }
-
-  /** Returns whether the leader lacks what is known here. */
-  boolean isNewsToLeader() {
-    return !rateLimit.isNear(toldLimit);
+  /** Returns what is known of its rate limit. */
+  TrackedRateLimit rate() {
+    return rate;
   }
 
-  /** Returns what it said of its limit, or null if it never named one. */
-  @Nullable NamedLimit named(Instant now) {
-    boolean never = rateLimitAt.equals(Instant.EPOCH);
-    return never ? null : new NamedLimit(rateLimit, Duration.between(rateLimitAt, now).toMillis());
-  }
-
-  /** Returns the account of sends while it names a limit, or null before the first. */
-  RateLimiter.@Nullable Account account() {
-    return account;
-  }
-
-  void account(RateLimiter.@Nullable Account newer) {
-    account = newer;
+  /** Returns the rate limit that it named last. */
+  RateLimit rateLimit() {
+    return rate.limit();
   }
 
   /** Returns how many requests were sent there within {@link ColdStartLimiter#WINDOW}. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
@@ -1,10 +1,14 @@
 package org.skylarkfork.core.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -171,4 +175,45 @@
     assertEquals(changes.upstreams().size(), 1);
     return changes.upstreams().get(0).instance().coldMillis();
   }
+
+  private boolean named(double perSecond, long ageMillis, Instant now) {
+    NamedLimit named = new NamedLimit(new RateLimit(perSecond), ageMillis);
+    return registry.named(new UpstreamRun("up", 0), named, "entry-1", now);
+  }
+
+  private @Nullable NamedLimit told() {
+    return registry.all(RelayFixture.START.plusSeconds(9)).get(0).named();
+  }
+
+  /** Guards against entries that go on by a limit which fell by steps too small to be told. */
+  @Test
+  public void limitThatFallsBySmallStepsIsTold() {
+    registry.heard(beat("up", "one", 1), false, RelayFixture.START);
+    assertTrue(named(10, 0, RelayFixture.START));
+    assertFalse(named(9.5, 0, RelayFixture.START.plusSeconds(1)), "not worth a word");
+    assertTrue(named(8.9, 0, RelayFixture.START.plusSeconds(2)));
+    assertEquals(registry.limited().get(0).perSecond(), 8.9);
+    assertEquals(registry.limited().get(0).heardBy(), "entry-1");
+  }
+
+  /** Guards against a word that was held up and takes the place of a newer one. */
+  @Test
+  public void newestWordOnLimitCounts() {
+    registry.heard(beat("up", "one", 1), false, RelayFixture.START);
+    assertTrue(named(2, 0, RelayFixture.START.plusSeconds(5)));
+    assertFalse(named(30, 700, RelayFixture.START.plusMillis(5200)));
+    assertEquals(told(), new NamedLimit(new RateLimit(2), 4000));
+    assertTrue(named(Double.POSITIVE_INFINITY, 100, RelayFixture.START.plusSeconds(6)));
+    assertEquals(registry.limited(), List.of());
+  }
+
+  /** Guards against an upstream that starts again and counts as limited as it was before. */
+  @Test
+  public void laterStartNamesNoLimit() {
+    registry.heard(beat("up", "one", 1), false, RelayFixture.START);
+    assertTrue(named(2, 0, RelayFixture.START));
+    registry.heard(started("up", "10.0.0.1:80", 1, 1000), false, RelayFixture.START.plusSeconds(3));
+    assertNull(told());
+    assertFalse(named(2, 0, RelayFixture.START.plusSeconds(4)), "of the start before");
+  }
 }
