Relay: a request that may have run is told no time to come back, whatever its upstreams wait for

Where a request was lost at one upstream and no other took it, because of limits or an evacuated zone, its caller got 502 with a time to come back, which is for requests that have not run. The tests also hold that a request whose upstreams are all limited is told the time of the next place, and that a failure without the header lifts no limit.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -106,8 +106,10 @@
       endings.giveUp(relay, late, now, output);
     } else if (relay.passing) {
       endings.breakOff(relay, now, output);
+    } else if (relay.mayHaveRun) {
+      endings.giveUp(relay, Refusal.OUTCOME_UNKNOWN, now, output);
     } else if (sender.isEvacuated(relay)) {
-      endings.giveUp(relay, untaken(relay), EVACUATED_RETRY_MILLIS, now, output);
+      endings.giveUp(relay, Refusal.NO_UPSTREAM, EVACUATED_RETRY_MILLIS, now, output);
     } else {
       limitedOrNone(relay, now, output);
     }
@@ -117,9 +119,9 @@
     long waitMillis = sender.untilTaken(relay, now).toMillis();
     if (waitMillis > 0) {
       long retryMillis = Math.min(waitMillis, LONGEST_RETRY_MILLIS);
-      endings.giveUp(relay, untaken(relay), retryMillis, now, output);
+      endings.giveUp(relay, Refusal.NO_UPSTREAM, retryMillis, now, output);
     } else {
-      endings.giveUp(relay, untaken(relay), now, output);
+      endings.giveUp(relay, Refusal.NO_UPSTREAM, now, output);
     }
   }
 
