--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRateDivision.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRateDivision.java
@@ -6,9 +6,10 @@
 /**
  * An entry's part of what limited upstreams take.
  *
- * <p>A limit of two requests a second divided over a hundred entries is one in a minute each, and a
- * hundred at once after a pause. So only as many entries as may send at once have a part, others at
- * each upstream: those that follow a number that its name gives.
+ * <p>Divided over all entries, a limit of two requests a second would be one in a minute for each
+ * of a hundred, and a hundred at once after a pause. So only as many entries have a part as may
+ * send at once. A hash of the upstream's id gives the number of the first of them; the next numbers
+ * follow.
  */
 final class EntryRateDivision implements RateDivision {
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateDivision.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateDivision.java
@@ -11,12 +11,12 @@
 interface RateDivision {
 
   /**
-   * Requests that all daemons together may have sent to a limited upstream at once, whatever its
-   * limit. Fewer would leave fewer entries that may send to an upstream with a small limit.
+   * Requests that all daemons together may send to a limited upstream at once, however small its
+   * limit; as many entries can have a part of it.
    */
   double SPARE = 4;
 
-  /** Time whose requests may come at once beyond these, in seconds. */
+  /** Seconds whose requests may come at once beyond {@link #SPARE}. */
   double BURST_SECONDS = 1.5;
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
@@ -73,7 +73,7 @@
       bucket = new TokenBucket(share.perSecond(), share.burst(), now);
       // A part that comes and goes with other entries' restarts begins empty each time, so that
       // no send is allowed twice.
-      bucket.take(share.burst() - (account.opened ? 0 : share.first()), now);
+      bucket.take(share.burst() - (account.opened ? 0 : share.initial()), now);
       account.since = share.since();
       account.opened = true;
     }
