--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplay.java
@@ -104,7 +104,7 @@
   private final Map<Long, Integer> written = new HashMap<>();
   private @Nullable UniformRandomProvider lengths;
   private ColdReturn coldReturn = ColdReturn.none();
-  private final Map<String, RateLimit> limits = new HashMap<>();
+  private LimitedEngines limited = LimitedEngines.none();
 
   /**
    * Makes a replay.
@@ -156,24 +156,13 @@
     List<Part> parts =
         List.of(entry, part, new LoadSharePart(entry, part), new SchedulerPart(entry, name, seed));
     entries.put(name, new Reducer(parts));
-    Neighbourhood neighbourhood = neighbourhood(number, entryCount, peers, schedulers);
+    Neighbourhood neighbourhood =
+        ReplayedDeployment.neighbourhood(number, entryCount, peers, schedulers);
     neighbourhoods.put(name, neighbourhood);
     at(0, () -> proveOften(name, neighbourhood));
     at(random.nextDouble() * TICK, () -> tick(name));
   }
 
-  private static Neighbourhood neighbourhood(int own, int entryCount, int peers, int schedulers) {
-    List<String> names = new ArrayList<>();
-    for (int step = 1; step <= Math.min(peers, entryCount - 1); step++) {
-      names.add("entry-" + (own + step) % entryCount);
-    }
-    List<String> placing = new ArrayList<>();
-    for (int number = 0; number < schedulers; number++) {
-      placing.add("entry-" + number);
-    }
-    return new Neighbourhood(1, List.of(), names, placing, new EntryPlace(own, entryCount));
-  }
-
   /** Lets a share of the requests of each kind be for one subject. */
   void heat(double share) {
     hotShare = share;
@@ -218,9 +207,10 @@
   }
 
   /** Lets some engines name a rate limit from a time on. */
-  void limit(int count, double atMillis, double perSecond) {
+  LimitedEngines limit(int count, double atMillis, double perSecond) {
     List<String> named = engines.keySet().stream().sorted().limit(count).toList();
-    at(atMillis, () -> named.forEach(engine -> limits.put(engine, new RateLimit(perSecond))));
+    limited = new LimitedEngines(named, atMillis, perSecond);
+    return limited;
   }
 
   private boolean stands(String name) {
@@ -255,7 +245,7 @@
         new RelayMessage.EntryUpdate(
             instant(),
             1,
-            configuration(),
+            ReplayedDeployment.configuration(kinds, MODELS, coldReturn.cold()),
             new RelayMessage.SharedState(List.of(), List.of(), List.of(), List.of()),
             new RelayMessage.DirectoryChanges(1, 1, true, true, statuses),
             List.of(CONTROL),
@@ -264,40 +254,6 @@
     apply(name, new PeerEvent.MessageReceived(CONTROL, update));
   }
 
-  private RelayConfiguration configuration() {
-    List<RelayRoute> routes = new ArrayList<>();
-    for (Kind kind : kinds) {
-      routes.add(
-          new RelayRoute(
-              kind.name(),
-              "host.example",
-              "/" + kind.name() + "/",
-              RouteKind.STREAMING,
-              List.of(new WeightedService("service", 1)),
-              kind.deadlineMillis(),
-              kind.objectiveMillis(),
-              800,
-              3,
-              kind.priority(),
-              true,
-              true,
-              true,
-              MODELS));
-    }
-    return new RelayConfiguration(
-        1,
-        routes,
-        List.of(
-            new RelayService(
-                "service",
-                "/health",
-                360,
-                new EngineProfile(64, 590_000, List.of()),
-                coldReturn.cold())),
-        List.of(),
-        RelayLimits.DEFAULT);
-  }
-
   private void tick(String name) {
     apply(name, new LifecycleEvent.Tick());
     at(now + TICK, () -> tick(name));
@@ -338,6 +294,7 @@
     RelayRequest request = requests.get(send.request());
     AttemptTarget target = send.target();
     EmulatedEngine engine = engines.get(target.upstream().id());
+    limited.sent(engine.instance.id(), now);
     if (!coldReturn.bears(engine.instance.id(), now)) {
       apply(
           name,
@@ -386,7 +343,7 @@
             + CONFIDENCE_SLOPE * (quality - one.difficulty)
             + CONFIDENCE_NOISE * (2 * random.nextDouble() - 1);
     int percent = (int) Math.max(0, Math.min(100, confidence));
-    RateLimit limit = limits.getOrDefault(engine.instance.id(), RateLimit.NONE);
+    RateLimit limit = limited.limit(engine.instance.id(), now);
     apply(
         job.entry,
         new RelayEvent.AnswerBegan(job.request, job.attempt, 200, false, percent, limit));
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EngineLoadReplayTest.java
@@ -189,8 +189,10 @@
   @Test(dataProvider = "seeds")
   public void limitedEnginesAreUsedForWhatTheyTake(long seed) {
     EngineLoadReplay limited = limitedPool(seed, 13);
-    limited.limit(4, 3000, 3);
+    final LimitedEngines engines = limited.limit(4, 3000, 3);
     Outcome outcome = limited.play(24);
+    double used = engines.usedUntil(24_000);
+    assertTrue(used > 0.9 && used < 1.1, "used: " + used);
     Outcome without = limitedPool(seed, 9).play(24);
     assertTrue(outcome.worth() > without.worth() + 0.03, outcome + " and " + without);
     assertTrue(outcome.late() < without.late(), outcome + " and " + without);
