Rate limits: an entry that gets a part later begins with none of it used

Entries' numbers shift with each restart, and with them who may send to a limited upstream. One that had no part before began with up to one request in hand, which the entry before it may just have sent: up to half of the burst beyond what the parts add up to. RateLimiterTest failed before (1 of 2 entries sends too early).

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RateLimiter.java
@@ -23,7 +23,9 @@
     private @Nullable TokenBucket bucket;
 
     private Instant since = Instant.EPOCH;
-    private boolean opened;
+
+    /** Whether the parts were divided before. */
+    private boolean settled;
   }
 
   /** Returns whether an upstream may get one more request of this daemon now. */
@@ -71,13 +73,13 @@
       bucket.change(share.perSecond(), share.burst(), now);
     } else {
       bucket = new TokenBucket(share.perSecond(), share.burst(), now);
-      // A part that comes and goes with other entries' restarts begins empty each time, so that
-      // no send is allowed twice.
-      bucket.take(share.burst() - (account.opened ? 0 : share.initial()), now);
+      // A part that comes later, with other entries' restarts, begins empty: another entry may
+      // have just used it up.
+      bucket.take(share.burst() - (account.settled ? 0 : share.initial()), now);
       account.since = share.since();
-      account.opened = true;
     }
     account.bucket = bucket;
+    account.settled = true;
     return bucket;
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimiterTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimiterTest.java
@@ -106,4 +106,27 @@
     assertFalse(limiter.takes(PLAIN, track, START.plusSeconds(11)));
     assertTrue(limiter.takes(PLAIN, track, START.plusSeconds(12)));
   }
+
+  private static int entriesOfTwoThatSendAfterSecond(boolean knownFromTheStart) {
+    int send = 0;
+    for (int number = 0; number < 2; number++) {
+      RelayFixture.FakeView view = view(0, 0);
+      RateLimiter limiter = new RateLimiter(new EntryRateDivision(view));
+      UpstreamTrack track = track("up", 1);
+      if (!knownFromTheStart) {
+        limiter.takes(PLAIN, track, START);
+      }
+      view.place = new EntryPlace(number, 2);
+      limiter.takes(PLAIN, track, START);
+      send += limiter.takes(PLAIN, track, START.plusSeconds(1)) ? 1 : 0;
+    }
+    return send;
+  }
+
+  /** Guards against entries that get parts of others, which have just used these up. */
+  @Test
+  public void partThatComesLaterBeginsEmpty() {
+    assertEquals(entriesOfTwoThatSendAfterSecond(true), 1);
+    assertEquals(entriesOfTwoThatSendAfterSecond(false), 0);
+  }
 }
