--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
@@ -77,7 +77,9 @@
   /** Entries, upstreams, whether these are engines, and requests a second. */
   @DataProvider
   public Object[][] pools() {
-    return new Object[][] {{7, 13, true, 97.0}, {7, 3, false, 40.0}, {20, 33, true, 200.0}};
+    return new Object[][] {
+      {7, 13, true, 97.0}, {7, 3, false, 40.0}, {20, 33, true, 200.0}, {30, 6, false, 120.0}
+    };
   }
 
   /**
