--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RateLimitNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RateLimitNodeTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
@@ -52,4 +53,22 @@
     showsAfterAnAnswer("", 0);
     showsAfterAnAnswer("X-Rate-Limit: -3\r\n", 0);
   }
+
+  /**
+   * Guards against a limit that is heard and not obeyed: the only upstream takes one request in
+   * five seconds, and the callers of the others are told when to come back.
+   */
+  @Test
+  public void limitedUpstreamGetsNoMoreAndCallersAreToldWhenToComeBack() throws Exception {
+    serveWith(named());
+    header.set("X-Rate-Limit: 0.2\r\n");
+    served("/lookup/x", "first");
+    String refused = "";
+    for (int request = 0; request < 30; request++) {
+      String answer = exchange("/lookup/x", "request-" + request, "body");
+      refused = answer.startsWith("HTTP/1.1 503") ? answer : refused;
+    }
+    assertTrue(upstreams.get(0).heads().size() <= 6, upstreams.get(0).heads().size() + " sends");
+    assertTrue(refused.toLowerCase(Locale.ROOT).contains("retry-after: "), refused);
+  }
 }
