--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RateLimitTest.java
@@ -66,6 +66,7 @@
     run.run(EmulatedDeployment.CONTACT.plusSeconds(2));
     double rate = run.rate(limited, Duration.ofSeconds(20));
     assertTrue(rate >= 0.5 * perSecond, rate + " a second at a limit of " + perSecond);
+    assertTrue(run.refused <= 0.03 * run.requests, run.refused + " refused of " + run.requests);
     limited.forEach(run::lift);
     run.run(Duration.ofSeconds(5));
     double free = run.rate(limited, Duration.ofSeconds(10));
