Consensus: operators see who asks to join, who votes, and why a leader stepped down

- event=asks_to_join (once a start), learner_caught_up, members_proposed, members_agreed with each disk's number, stepped_down with its reason (majority_silent, disk_stalled, disk_failed, newer_term, stopping, no_voter).
- event=call_answered at control VMs: each operator's call, its command, its outcome, its time.
- GET /relay/v1/group names the replica's own disk and whether the members are agreed on.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Member.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Member.java
@@ -23,4 +23,10 @@
   public int hashCode() {
     return 31 * node.hashCode() + Long.hashCode(instance);
   }
+
+  /** Returns the member as logs name it: the node, a slash, the number of its disk. */
+  @Override
+  public String toString() {
+    return node + "/" + instance;
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Members.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/Members.java
@@ -48,6 +48,11 @@
     return voters.contains(member);
   }
 
+  /** Returns the members for a log line. */
+  public String describe() {
+    return "voters=" + voters + " learners=" + learners;
+  }
+
   /** Returns these members without the node's. */
   public Members without(String node) {
     List<Member> otherVoters = new ArrayList<>(voters);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
@@ -53,6 +53,10 @@
     if (!(entry.command() instanceof GroupCommand)) {
       result = machine.apply(entry.index(), entry.stampedAt(), entry.command());
     }
+    if (entry.command() instanceof GroupCommand.ChangeMembers change) {
+      String facts = "index=" + entry.index() + " " + change.members().describe();
+      turn.log(replica.group, "members_agreed", facts);
+    }
     turn.raise(
         new ConsensusEvent.CommandCommitted(
             replica.group, entry.index(), entry.stampedAt(), entry.command(), result));
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -30,6 +30,7 @@
   private final Map<String, Long> emptyDisks = new HashMap<>();
   private List<String> votersHeardOf = List.of();
   private Instant nextRequest = Instant.EPOCH;
+  private boolean askedToJoin;
 
   Founding(Replica replica, GroupSetup setup) {
     this.replica = replica;
@@ -77,11 +78,20 @@
       nodes.add(leader);
     }
     nodes.remove(replica.node);
+    logFirstRequest(nodes, turn);
     for (String node : nodes) {
       turn.send(node, new JoinRequest(replica.group, replica.instance()));
     }
   }
 
+  /** A voter that waits for a leader asks as well; only one that isn't a member is told of. */
+  private void logFirstRequest(Set<String> nodes, Turn turn) {
+    if (!askedToJoin && !replica.members.latest().all().contains(replica.self())) {
+      askedToJoin = true;
+      turn.log(replica.group, "asks_to_join", "member=" + replica.self() + " nodes=" + nodes);
+    }
+  }
+
   private List<String> voterNodes() {
     return replica.members.latest().voters().stream().map(Member::node).toList();
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupStatus.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupStatus.java
@@ -16,6 +16,9 @@
  * @param syncedIndex last index that its disk holds for certain
  * @param snapshotIndex last index that its saved snapshot covers, 0 if there is none
  * @param members the members in its log
+ * @param membersIndex index of the entry that gave them; agreed on once {@code commitIndex} covers
+ *     it
+ * @param instance number of the disk that the replica has now
  * @param storageFailed whether it has stopped voting because its disk failed
  */
 public record GroupStatus(
@@ -28,4 +31,12 @@
     long syncedIndex,
     long snapshotIndex,
     Members members,
-    boolean storageFailed) {}
+    long membersIndex,
+    long instance,
+    boolean storageFailed) {
+
+  /** Returns whether the members in the log are known to be agreed on. */
+  public boolean membersAgreed() {
+    return membersIndex <= commitIndex;
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/MemberChanges.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/MemberChanges.java
@@ -102,6 +102,8 @@
     }
     Member learner = replication.caughtUpLearner(turn.now());
     if (learner != null && wantsVoter(turn.now())) {
+      String facts = "learner=" + learner + " commit=" + replica.commitIndex();
+      turn.log(replica.group, "learner_caught_up", facts);
       return new GroupCommand.ChangeMembers(replica.members.latest().withVoter(learner));
     }
     for (String node : joiners.keySet()) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -82,6 +82,8 @@
         replica.durability.syncedIndex(),
         snapshot == null ? 0 : snapshot.index(),
         replica.members.latest(),
+        replica.members.latestIndex(),
+        replica.instance(),
         replica.failed());
   }
 
@@ -101,7 +103,7 @@
     } else if (event instanceof StorageEvent.SnapshotSaved saved) {
       snapshotSaved(saved.index(), turn);
     } else if (event instanceof StorageEvent.Failed) {
-      stopLeading(turn);
+      stopLeading("disk_failed", turn);
       replica.fail(turn);
     }
     finish(turn);
@@ -167,10 +169,8 @@
     if (!ready()) {
       return;
     }
-    Instant stall = turn.now().minus(replica.settings.storageStall());
-    if (replica.leads()
-        && (replication.lostMajority(turn.now()) || replica.durability.stalledSince(stall))) {
-      stepDown(turn);
+    if (replica.leads()) {
+      stepDownIfUnfit(turn);
     }
     if (!stopping && !snapshotReceiver.saving()) {
       election.tick(turn);
@@ -179,6 +179,15 @@
     finish(turn);
   }
 
+  private void stepDownIfUnfit(Turn turn) {
+    Instant stall = turn.now().minus(replica.settings.storageStall());
+    if (replication.lostMajority(turn.now())) {
+      stepDown("majority_silent", turn);
+    } else if (replica.durability.stalledSince(stall)) {
+      stepDown("disk_stalled", turn);
+    }
+  }
+
   /** A replica speaks only once its instance is on its disk, and never after its disk failed. */
   private boolean ready() {
     return recovered && !replica.failed() && replica.durability.hardStateWasSynced();
@@ -257,7 +266,7 @@
     }
     Invariants.check(!replica.leads() || term > replica.term(), "one leader in a term");
     if (term > replica.term()) {
-      stopLeading(turn);
+      stopLeading("newer_term", turn);
       replica.adoptTerm(term);
     }
     replica.become(Role.FOLLOWER, from, turn);
@@ -267,7 +276,7 @@
 
   private boolean answersThisTerm(long term, Turn turn) {
     if (term > replica.term()) {
-      stopLeading(turn);
+      stopLeading("newer_term", turn);
       replica.adoptTerm(term);
       replica.become(Role.FOLLOWER, null, turn);
       return false;
@@ -275,13 +284,15 @@
     return term == replica.term() && replica.leads();
   }
 
-  private void stopLeading(Turn turn) {
+  private void stopLeading(String why, Turn turn) {
     if (replica.leads()) {
-      stepDown(turn);
+      stepDown(why, turn);
     }
   }
 
-  private void stepDown(Turn turn) {
+  private void stepDown(String why, Turn turn) {
+    String facts = "why=" + why + " term=" + replica.term() + " commit=" + replica.commitIndex();
+    turn.log(replica.group, "stepped_down", facts + " last=" + replica.log.lastIndex());
     replica.become(Role.FOLLOWER, null, turn);
     replica.drawElectionDeadline(turn.now());
     proposals.stop(turn);
@@ -295,7 +306,7 @@
       return;
     }
     String successor = replication.successor();
-    stepDown(turn);
+    stepDown("stopping", turn);
     if (successor != null) {
       turn.send(successor, new CampaignNow(replica.group, replica.term()));
     }
@@ -394,12 +405,14 @@
   private void changeMembers(Turn turn) {
     boolean settled = replica.members.latestIndex() <= replica.commitIndex();
     if (settled && !replica.votes()) {
-      stepDown(turn);
+      stepDown("no_voter", turn);
       return;
     }
     GroupCommand.ChangeMembers change = memberChanges.next(turn);
     if (change != null) {
-      append(change, turn);
+      LogEntry entry = append(change, turn);
+      String facts = "index=" + entry.index() + " " + change.members().describe();
+      turn.log(replica.group, "members_proposed", facts);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Turn.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Turn.java
@@ -2,8 +2,10 @@
 
 import java.time.Instant;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.PeerEffect;
+import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.message.RaftMessage;
@@ -33,4 +35,10 @@
   void raise(Event event) {
     output.raise(event);
   }
+
+  /** Tells operators of a replica's decision, with what it rests on. */
+  void log(GroupId group, String event, String facts) {
+    output.effect(
+        new TraceEffect.LogLine(false, "raft", "event=" + event + " group=" + group + " " + facts));
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -45,7 +45,7 @@
   private final EntryRegistry entries;
   private final EntryUpdates updates;
   private final CrashReview crashes;
-  private final Map<Long, Long> callBySubmission = new HashMap<>();
+  private final Map<Long, AskedCall> callBySubmission = new HashMap<>();
   private @Nullable String leader;
   private long stateIndex;
   private Instant judgedAt = Instant.EPOCH;
@@ -53,6 +53,9 @@
   private boolean takesCalls;
   private boolean news;
 
+  /** A call that waits until its command was agreed on. */
+  private record AskedCall(long id, RelayCommand command, Instant askedAt) {}
+
   /**
    * Makes the part.
    *
@@ -140,7 +143,7 @@
 
   private void submit(RelayEvent.CommandAsked asked, Instant now, Output output) {
     long submission = consensus.submitter().newSubmissionId();
-    callBySubmission.put(submission, asked.callId());
+    callBySubmission.put(submission, new AskedCall(asked.callId(), asked.command(), now));
     consensus
         .submitter()
         .submit(
@@ -154,9 +157,9 @@
 
   private void onConsensus(ConsensusEvent event, Instant now, Output output) {
     if (event instanceof ConsensusEvent.SubmissionAnswered answered) {
-      reply(answered.submissionId(), answered.result(), "", output);
+      reply(answered.submissionId(), answered.result(), "", now, output);
     } else if (event instanceof ConsensusEvent.SubmissionFailed failed) {
-      reply(failed.submissionId(), null, failed.remedy(), output);
+      reply(failed.submissionId(), null, failed.remedy(), now, output);
     } else if (event instanceof ConsensusEvent.CommandCommitted committed) {
       committed(committed, now, output);
     } else if (event instanceof ConsensusEvent.GroupRestored restored) {
@@ -168,10 +171,20 @@
   }
 
   private void reply(
-      long submission, @Nullable CommandResult result, String remedy, Output output) {
-    Long call = callBySubmission.remove(submission);
+      long submission, @Nullable CommandResult result, String remedy, Instant now, Output output) {
+    AskedCall call = callBySubmission.remove(submission);
     if (call != null) {
-      output.effect(new RelayEffect.ReplyToCall(call, result, remedy));
+      String facts =
+          "call="
+              + call.id
+              + " command="
+              + describe(call.command)
+              + " outcome="
+              + (result == null ? "none: " + remedy : result.getClass().getSimpleName())
+              + " ms="
+              + Duration.between(call.askedAt, now).toMillis();
+      log(output, "call_answered", facts);
+      output.effect(new RelayEffect.ReplyToCall(call.id, result, remedy));
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -57,18 +57,22 @@
   /**
    * A replicated group as one of its replicas knows it.
    *
+   * @param instance number of the disk that this replica has now
    * @param role what this replica does
    * @param leader peer name of the leader, or null if it knows none
    * @param term newest term that it has seen
    * @param commitIndex last index that it knows to be agreed on
+   * @param membersAgreed whether voters and learners are agreed on, as far as it knows
    * @param voters replicas that count for the quorum, each with the number of its disk
    * @param learners replicas that copy the log
    */
   public record Group(
+      long instance,
       Role role,
       @Nullable String leader,
       long term,
       long commitIndex,
+      boolean membersAgreed,
       List<Member> voters,
       List<Member> learners) {}
 
@@ -160,10 +164,12 @@
     }
     return json(
         new Group(
+            status.instance(),
             status.role(),
             status.leader(),
             status.term(),
             status.commitIndex(),
+            status.membersAgreed(),
             status.members().voters(),
             status.members().learners()));
   }
