Consensus: a leader deposed by a late vote's answer lets go of its submissions

An operator could be told that a change was accepted which nobody has.

Cause: a refused vote of a newer term that reaches a replica after it has won made it a follower, but not by the way by which a leader leaves its office. Its submissions stayed bound to the indexes of its own entries; the next leader's entries at these indexes answered them.

Evidence: leaderDeposedByLateVoteAnswersNothing failed before ("cut-off was answered but never applied"); it passes now. Ruled out: requests for votes, which a leader refuses under its lease.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -212,7 +212,7 @@
     } else if (message instanceof VoteRequest request) {
       election.onRequest(from, request, turn);
     } else if (message instanceof VoteResponse response) {
-      election.onResponse(from, response, turn);
+      onVoteResponse(from, response, turn);
     } else if (message instanceof SnapshotChunk chunk) {
       if (acceptLeader(from, chunk.term(), turn)) {
         snapshotReceiver.onChunk(from, chunk, turn);
@@ -234,6 +234,20 @@
     }
   }
 
+  /**
+   * Takes the answer of a voter, which may come after this replica has won.
+   *
+   * <p>A leader that is deposed by one must let go of its submissions: another leader's entries
+   * come to stand where its own stood, and each submitter would be told that its command was
+   * applied.
+   */
+  private void onVoteResponse(String from, VoteResponse response, Turn turn) {
+    if (!response.granted() && response.term() > replica.term()) {
+      stopLeading("newer_term", turn);
+    }
+    election.onResponse(from, response, turn);
+  }
+
   private void onCampaignNow(String from, CampaignNow handover, Turn turn) {
     boolean current = handover.term() == replica.term() && from.equals(replica.leader());
     if (current && replica.votes() && !stopping && !snapshotReceiver.saving()) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
@@ -11,6 +11,8 @@
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.LedgerResult;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.RaftMessage;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -68,6 +70,32 @@
     cluster.assertNothingLost();
   }
 
+  /**
+   * Guards against an operator who is told that a change was made which nobody has: a leader that
+   * was deposed by a late vote's answer took another leader's entry at that index for its own.
+   */
+  @Test
+  public void leaderDeposedByLateVoteAnswersNothing() {
+    TestCluster cluster = cluster(3, 3, 1000);
+    String old = cluster.leader();
+    final String free = other(cluster, old);
+    cluster.network.isolate(old);
+    cluster.submit(old, "cut-off");
+    cluster.network.run(Duration.ofMillis(60));
+    GroupStatus status = cluster.status(old);
+    assertEquals(status.role(), Role.LEADER);
+    long term = status.term() + 1;
+    long instance = cluster.status(free).instance();
+    cluster.network.inject(
+        old,
+        new PeerEvent.MessageReceived(
+            free, new RaftMessage.VoteResponse(TestCluster.GROUP, term, instance, false, false)));
+    cluster.write(free, "free-", 1);
+    cluster.network.heal();
+    assertTrue(cluster.awaitAnswer("cut-off"), cluster.statuses());
+    cluster.assertNothingLost();
+  }
+
   // A voter is cut off for a minute and comes back. Without the pre-vote it would have taken a new
   // term each half second, and its return would depose the leader: callers would see a pause.
   @Test
