Consensus: a replica with an empty disk asks a leader to join as soon as it hears of it

It asked at its start, when there is no leader yet after a crash of everything, and then each 300 ms.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.command.Members;
@@ -31,6 +32,7 @@
   private List<String> votersHeardOf = List.of();
   private Instant nextRequest = Instant.EPOCH;
   private boolean askedToJoin;
+  private @Nullable String askedUnder;
 
   Founding(Replica replica, GroupSetup setup) {
     this.replica = replica;
@@ -40,10 +42,11 @@
 
   void tick(Turn turn) {
     boolean member = replica.members.latest().all().contains(replica.self());
-    if (member && replica.leader() != null || turn.now().isBefore(nextRequest)) {
+    if (member && replica.leader() != null || !isDue(turn.now())) {
       return;
     }
     nextRequest = turn.now().plus(replica.settings.resend());
+    askedUnder = replica.leader();
     if (mayFound()) {
       askForFounding(turn);
     } else {
@@ -51,6 +54,13 @@
     }
   }
 
+  /** A leader that has just been heard of is asked at once: who asked before it was in vain. */
+  private boolean isDue(Instant now) {
+    String leader = replica.leader();
+    boolean newLeader = leader != null && !leader.equals(askedUnder);
+    return newLeader || !now.isBefore(nextRequest);
+  }
+
   private boolean mayFound() {
     return mayFound
         && replica.empty()
