Crash: what finds requests that end upstreams has a package of its own

A move for the drafts' own way, which needs the same law; the relay decides as before, and the wire's numbers stay. CrashWatch, CrashLedger, CrashReview and RequestKey know neither routes nor the relay's log any more: who is told (CrashJudges), what is probed (WatchedUpstream) and how a finding is replicated (QuarantineList) come from outside. UpstreamRun moves to core.upstream, their messages to CrashMessage.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -1,9 +1,9 @@
 package org.skylarkfork.core.command;
 
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.relay.RelayConfiguration;
-import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.RollOutPhase;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Changes to what the relay's control VMs agree on. */
 public sealed interface RelayCommand extends Command {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
@@ -5,7 +5,7 @@
 import org.skylarkfork.core.relay.QuarantinedRequest;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.ServiceRollOut;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
  * The state that the relay's control VMs agree on.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashLedger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashLedger.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.crash;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
  * Decides which requests end the upstreams that run them, from what all entries lost.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/CrashWatch.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashWatch.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.crash;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -10,28 +10,29 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
-import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
-import org.skylarkfork.core.message.RelayMessage.LostRequest;
-import org.skylarkfork.core.message.RelayMessage.RequestServed;
-import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
+import org.skylarkfork.core.message.CrashMessage;
+import org.skylarkfork.core.message.CrashMessage.LostRequest;
+import org.skylarkfork.core.message.CrashMessage.RequestServed;
+import org.skylarkfork.core.message.CrashMessage.UpstreamEnded;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
- * Finds out, at an entry, which upstreams have ended while they ran requests, and tells the leader
- * which requests these were.
+ * Finds out, at an entry, which upstreams have ended while they ran requests, and tells those that
+ * judge which requests these were.
  *
  * <p>An attempt that is lost says nothing of its upstream: a connection is reset, an answer spoilt,
  * by upstreams that go on serving. One that takes no connection any more has ended.
  *
- * <p>The leader keeps what it is told in memory. A new one is told again all that is kept here, so
+ * <p>A judge keeps what it is told in memory. A new one is told again all that is kept here, so
  * that a content which ends upstreams isn't unknown again after each election.
  */
-final class CrashWatch {
+public final class CrashWatch {
 
   /** Time after the first lost attempt in which others are put down to the same end. */
   private static final Duration SAME_END = Duration.ofSeconds(5);
 
-  /** Time for which ends are kept, to be told to a new leader. */
+  /** Time for which ends are kept, to be told to a new judge. */
   private static final Duration KEPT = Duration.ofSeconds(60);
 
   /** An end is told again after this pause, for some time: messages may be lost. */
@@ -48,11 +49,16 @@
   /** Requests that are named in a log line. */
   private static final int MAX_NAMED = 12;
 
-  private final RelayView view;
+  private final CrashJudges judges;
   private final Map<UpstreamRun, Losses> losses = new LinkedHashMap<>();
 
-  CrashWatch(RelayView view) {
-    this.view = view;
+  /**
+   * Makes a watch that lost nothing.
+   *
+   * @param judges those that are told
+   */
+  public CrashWatch(CrashJudges judges) {
+    this.judges = judges;
   }
 
   /** An attempt that reached an upstream and got no whole answer. */
@@ -60,14 +66,14 @@
 
   /** What was lost at one start of an upstream. */
   private static final class Losses {
-    private final UpstreamInstance upstream;
+    private final WatchedUpstream upstream;
     private final Instant firstAt;
     private final Map<RequestKey, Lost> byKey = new LinkedHashMap<>();
     private @Nullable Instant endedAt;
     private Instant toldAt = Instant.EPOCH;
-    private @Nullable String toldTo;
+    private List<String> toldTo = List.of();
 
-    private Losses(UpstreamInstance upstream, Instant firstAt) {
+    private Losses(WatchedUpstream upstream, Instant firstAt) {
       this.upstream = upstream;
       this.firstAt = firstAt;
     }
@@ -83,13 +89,14 @@
    * @param now the present time
    * @param output takes what is to be done
    */
-  void lost(UpstreamInstance upstream, RequestKey key, Instant sentAt, Instant now, Output output) {
+  public void lost(
+      WatchedUpstream upstream, RequestKey key, Instant sentAt, Instant now, Output output) {
     Losses known = losses.get(upstream.run());
     if (known == null) {
       known = new Losses(upstream, now);
       losses.put(upstream.run(), known);
       forgetOldest();
-      output.effect(new RelayEffect.ProbeUpstream(upstream));
+      output.effect(upstream.probe());
     }
     if (known.byKey.size() < MAX_LOST) {
       known.byKey.put(key, new Lost(sentAt, now));
@@ -106,7 +113,7 @@
   }
 
   /** Takes the word of a probe: losses at an upstream that goes on are its connections' only. */
-  void probed(UpstreamRun upstream, boolean reachable, Instant now, Output output) {
+  public void probed(UpstreamRun upstream, boolean reachable, Instant now, Output output) {
     Losses known = losses.get(upstream);
     if (known == null || known.endedAt != null) {
       return;
@@ -123,7 +130,7 @@
 
   private static String describe(Losses losses, Instant now) {
     return "event=upstream_ended id="
-        + losses.upstream.id()
+        + losses.upstream.run().id()
         + " service="
         + losses.upstream.service()
         + " upstream_version="
@@ -137,19 +144,18 @@
   }
 
   /** Takes note that a request was answered whole: it has ended no upstream. */
-  void served(RequestKey key, Output output) {
+  public void served(RequestKey key, Output output) {
     boolean suspected = false;
     for (Losses one : losses.values()) {
       suspected |= one.byKey.remove(key) != null && one.endedAt != null;
     }
-    String leader = view.leader();
-    if (suspected && leader != null) {
-      output.effect(new SendToPeer(leader, new RequestServed(key)));
+    if (suspected) {
+      send(new RequestServed(key), output);
     }
   }
 
   /** Tells ends again where that is due, and forgets old ones. */
-  void tick(Instant now, Output output) {
+  public void tick(Instant now, Output output) {
     Iterator<Losses> all = losses.values().iterator();
     while (all.hasNext()) {
       Losses one = all.next();
@@ -164,27 +170,29 @@
 
   private boolean isDue(Losses one, Instant now) {
     Instant endedAt = one.endedAt;
-    String leader = view.leader();
-    if (endedAt == null || leader == null) {
+    if (endedAt == null || judges.peers().isEmpty()) {
       return false;
     }
     boolean again = now.isBefore(endedAt.plus(REPEATED)) && !now.isBefore(one.toldAt.plus(AGAIN));
-    return again || !leader.equals(one.toldTo);
+    return again || !one.toldTo.containsAll(judges.peers());
   }
 
   private void tellAll(Losses one, Instant now, Output output) {
     one.toldAt = now;
-    one.toldTo = view.leader();
+    one.toldTo = List.copyOf(judges.peers());
     tell(one, one.byKey.keySet(), now, output);
   }
 
   private void tell(Losses one, Collection<RequestKey> keys, Instant now, Output output) {
-    String leader = view.leader();
-    if (leader == null || keys.isEmpty()) {
+    if (keys.isEmpty()) {
       return;
     }
     List<LostRequest> lost = keys.stream().map(key -> told(key, one.byKey.get(key), now)).toList();
-    output.effect(new SendToPeer(leader, new UpstreamEnded(one.upstream.run(), lost)));
+    send(new UpstreamEnded(one.upstream.run(), lost), output);
+  }
+
+  private void send(CrashMessage message, Output output) {
+    judges.peers().forEach(peer -> output.effect(new SendToPeer(peer, message)));
   }
 
   private static LostRequest told(RequestKey key, @Nullable Lost lost, Instant now) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestKey.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/RequestKey.java
@@ -1,7 +1,6 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.crash;
 
 import java.util.HexFormat;
-import org.jspecify.annotations.Nullable;
 
 /**
  * What makes two requests the same: a caller that sends its request again sends both alike, under a
@@ -15,11 +14,6 @@
  */
 public record RequestKey(String team, long content) {
 
-  /** Returns the key of a team's request; of a request without a key if the team is null. */
-  static RequestKey of(@Nullable RelayTeam team, RelayRequest request) {
-    return new RequestKey(team == null ? "" : team.name(), request.contentHash());
-  }
-
   /** Returns the key as logs and operators write it: the team, a slash, the hash in hexadecimal. */
   @Override
   public String toString() {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -7,7 +7,7 @@
 import org.skylarkfork.core.relay.RateLimit;
 import org.skylarkfork.core.relay.RelayRequest;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** What happens at the relay. */
 public sealed interface RelayEvent extends Event {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/PeerMessage.java
@@ -10,4 +10,5 @@
         SessionMessage,
         DirectoryMessage,
         LimitMessage,
+        CrashMessage,
         RelayMessage {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -3,15 +3,15 @@
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.relay.EntryPlace;
 import org.skylarkfork.core.relay.NamedLimit;
 import org.skylarkfork.core.relay.RelayConfiguration;
-import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.VersionCounts;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Messages between the relay's entries and control VMs. */
 public sealed interface RelayMessage extends PeerMessage {
@@ -299,36 +299,6 @@
     }
   }
 
-  /**
-   * An entry tells the leader that an upstream ended while it ran requests.
-   *
-   * @param upstream the start of the upstream that ended
-   * @param lost the requests that were lost there
-   */
-  record UpstreamEnded(UpstreamRun upstream, List<LostRequest> lost) implements RelayMessage {
-
-    /** Copies the list. */
-    public UpstreamEnded {
-      lost = List.copyOf(lost);
-    }
-  }
-
-  /**
-   * A request that was lost as its upstream ended.
-   *
-   * @param key what it has in common with the same request sent again
-   * @param sentMillis time since its attempt was sent, in milliseconds
-   * @param lostMillis time since it was lost, in milliseconds
-   */
-  record LostRequest(RequestKey key, int sentMillis, int lostMillis) {}
-
-  /**
-   * An entry tells the leader that a request was answered whole which it had told as lost.
-   *
-   * @param key what it has in common with the same request sent again
-   */
-  record RequestServed(RequestKey key) implements RelayMessage {}
-
   /**
    * A control VM passes an upstream's heartbeat on to the leader.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** A request that an entry works on. */
 final class ActiveRelay {
@@ -80,7 +81,7 @@
     this.route = route;
     this.service = service;
     this.team = team;
-    this.key = RequestKey.of(team, request);
+    this.key = request.keyOf(team);
     this.arrivedAt = arrivedAt;
     this.deadline = deadline;
     this.lastEventId = request.lastEventId();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailures.java
@@ -4,6 +4,9 @@
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.crash.CrashWatch;
+import org.skylarkfork.core.crash.WatchedUpstream;
+import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 
@@ -103,7 +106,7 @@
     }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
-      crashes.lost(track.instance(), relay.key, relay.sentAt, now, output);
+      crashes.lost(watched(track.instance()), relay.key, relay.sentAt, now, output);
     }
     if (failed.failure().blamesVersion()) {
       counts.failed(track.instance());
@@ -196,10 +199,18 @@
     noteWait(relay, silent, now);
     trace.attemptEnded(why, relay, "after_event=" + relay.lastEventId, now, output);
     sender.drop(relay, output);
-    crashes.lost(silent.instance(), relay.key, relay.sentAt, now, output);
+    crashes.lost(watched(silent.instance()), relay.key, relay.sentAt, now, output);
     starter.next(relay, now, output);
   }
 
+  private static WatchedUpstream watched(UpstreamInstance instance) {
+    return new WatchedUpstream(
+        instance.run(),
+        instance.service(),
+        instance.version(),
+        new RelayEffect.ProbeUpstream(instance));
+  }
+
   /**
    * Counts the time of an attempt that was not waited out as if the answer had begun now.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryUpdates.java
@@ -12,6 +12,7 @@
 import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.consensus.ConsensusPart;
 import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/QuarantinedRequest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/QuarantinedRequest.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.relay;
 
 import java.time.Instant;
+import org.skylarkfork.core.crash.RequestKey;
 
 /**
  * A request that no entry sends to an upstream, since it ends those that run it.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -13,6 +13,7 @@
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.consensus.ConsensusPart;
 import org.skylarkfork.core.consensus.GroupStatus;
+import org.skylarkfork.core.crash.CrashReview;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
@@ -21,6 +22,7 @@
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.message.CrashMessage;
 import org.skylarkfork.core.message.RelayMessage;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.HeardLimit;
@@ -79,7 +81,7 @@
     this.upstreams = new UpstreamRegistry(times);
     this.entries = new EntryRegistry(times);
     this.updates = new EntryUpdates(machine, consensus, upstreams, entries, times);
-    this.crashes = new CrashReview(machine, consensus);
+    this.crashes = new CrashReview(new ReplicatedQuarantine(machine, consensus));
   }
 
   /**
@@ -197,8 +199,11 @@
       upstreams.leaves(leaves.run());
     } else if (command instanceof RelayCommand.TakeZoneBack back) {
       upstreams.zoneTakenBack(back.zone(), longestColdMillis(), now);
+    } else if (command instanceof RelayCommand.QuarantineRequest request) {
+      crashes.refused(request.key());
+    } else if (command instanceof RelayCommand.LiftQuarantine lift) {
+      crashes.lifted(lift.key());
     }
-    crashes.committed(command);
     // A restart replays the log, as fast as it can; only what is new is told.
     if (Duration.between(committed.stampedAt(), now).compareTo(REPLAYED) < 0) {
       logState(committed, command, output);
@@ -298,9 +303,9 @@
       onPoll(received.node(), poll, now, output);
     } else if (received.message() instanceof RelayMessage.UpstreamHeard heard) {
       heard(heard.instance(), now, output);
-    } else if (leads() && received.message() instanceof RelayMessage.UpstreamEnded ended) {
+    } else if (leads() && received.message() instanceof CrashMessage.UpstreamEnded ended) {
       crashes.ended(ended, now);
-    } else if (leads() && received.message() instanceof RelayMessage.RequestServed served) {
+    } else if (leads() && received.message() instanceof CrashMessage.RequestServed served) {
       crashes.served(served.key(), now);
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.event.Event;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -12,6 +12,8 @@
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.command.RelayState;
 import org.skylarkfork.core.command.StateMachine;
+import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
  * Applies the relay's commands: configuration, roll-outs, leaving upstreams, evacuated zones,
@@ -62,6 +64,11 @@
     return List.copyOf(quarantined.values());
   }
 
+  /** Returns what these requests have in common with the same ones sent again. */
+  List<RequestKey> quarantinedKeys() {
+    return List.copyOf(quarantined.keySet());
+  }
+
   /** Returns whether a start of an upstream said that it leaves. */
   public boolean isLeaving(UpstreamRun run) {
     UpstreamRun left = leaving.get(run.id());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.placement.PromptPart;
 
 /**
@@ -40,4 +41,11 @@
   public RelayRequest {
     prompt = List.copyOf(prompt);
   }
+
+  /**
+   * Returns what it has in common with the same request sent again; the team is null without a key.
+   */
+  RequestKey keyOf(@Nullable RelayTeam team) {
+    return new RequestKey(team == null ? "" : team.name(), contentHash);
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
+import org.skylarkfork.core.crash.CrashWatch;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
@@ -98,7 +99,7 @@
     this.counts = counts;
     this.stopPlan = stopPlan;
     this.trace = new RequestTrace(view);
-    this.crashes = new CrashWatch(view);
+    this.crashes = new CrashWatch(view::judges);
     this.schedulers = new SchedulerClient(view);
     this.sender = new AttemptSender(view, zone, picker, schedulers, versions, prompts, trace);
     this.endings = new RequestEndings(active, sender, answerTimes, trace);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** What an entry believes of configuration and upstreams. */
 interface RelayView extends UpstreamSource {
@@ -41,6 +42,12 @@
   /** Returns the peer name of the control VM that leads, or null if none is known. */
   @Nullable String leader();
 
+  /** Returns who judges which requests end their upstreams: the control VM that leads. */
+  default List<String> judges() {
+    String leader = leader();
+    return leader == null ? List.of() : List.of(leader);
+  }
+
   /** Returns the entries that place prompts, by group of engines; empty if each places its own. */
   List<String> schedulers();
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestAdmission.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestAdmission.java
@@ -47,7 +47,7 @@
   }
 
   private @Nullable Refusal quarantined(@Nullable RelayTeam team, RelayRequest request) {
-    return view.isQuarantined(RequestKey.of(team, request)) ? Refusal.QUARANTINED : null;
+    return view.isQuarantined(request.keyOf(team)) ? Refusal.QUARANTINED : null;
   }
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
  * The engines as a scheduler knows them: their state from the directory, their load from what it
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
@@ -15,6 +15,7 @@
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
 import org.skylarkfork.core.message.RelayMessage.HeardLimit;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** The upstreams that an entry knows of, as the leader tells of them. */
 final class UpstreamDirectory {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamInstance.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamInstance.java
@@ -1,5 +1,7 @@
 package org.skylarkfork.core.relay;
 
+import org.skylarkfork.core.upstream.UpstreamRun;
+
 /**
  * One run of an upstream's process, as its newest heartbeat told it.
  *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** The upstreams that a control VM has heard of, with a number for each change. */
 final class UpstreamRegistry {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/upstream/UpstreamRun.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.upstream;
 
 /**
  * One start of an upstream's process.
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashLedgerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/crash/CrashLedgerTest.java
@@ -1,9 +1,10 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.crash;
 
 import static org.testng.Assert.assertEquals;
 
 import java.time.Instant;
 import java.util.List;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
@@ -5,13 +5,16 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.skylarkfork.core.crash.CrashWatch;
+import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.crash.WatchedUpstream;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
-import org.skylarkfork.core.message.RelayMessage;
-import org.skylarkfork.core.message.RelayMessage.LostRequest;
-import org.skylarkfork.core.message.RelayMessage.RequestServed;
-import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
+import org.skylarkfork.core.message.CrashMessage;
+import org.skylarkfork.core.message.CrashMessage.LostRequest;
+import org.skylarkfork.core.message.CrashMessage.RequestServed;
+import org.skylarkfork.core.message.CrashMessage.UpstreamEnded;
 import org.skylarkfork.core.testing.RecordedOutput;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -21,21 +24,27 @@
 
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final UpstreamInstance UPSTREAM = RelayFixture.instance("up-1", "v1");
+  private static final WatchedUpstream WATCHED =
+      new WatchedUpstream(
+          UPSTREAM.run(),
+          UPSTREAM.service(),
+          UPSTREAM.version(),
+          new RelayEffect.ProbeUpstream(UPSTREAM));
 
   private RelayFixture.FakeView view = new RelayFixture.FakeView();
-  private CrashWatch watch = new CrashWatch(view);
+  private CrashWatch watch = new CrashWatch(view::judges);
   private RecordedOutput output = new RecordedOutput();
 
   /** Each test begins anew. */
   @BeforeMethod
   public void setUp() {
     view = new RelayFixture.FakeView();
-    watch = new CrashWatch(view);
+    watch = new CrashWatch(view::judges);
     output = new RecordedOutput();
   }
 
   private void lost(long content) {
-    watch.lost(UPSTREAM, new RequestKey("team", content), START, START, output);
+    watch.lost(WATCHED, new RequestKey("team", content), START, START, output);
   }
 
   private List<String> lines() {
@@ -81,7 +90,7 @@
     assertEquals(lines(), List.of());
   }
 
-  private List<SendToPeer> told(Class<? extends RelayMessage> type) {
+  private List<SendToPeer> told(Class<? extends CrashMessage> type) {
     return output.effects(SendToPeer.class).stream()
         .filter(sent -> type.isInstance(sent.message()))
         .toList();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/QuarantinedRequestTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/QuarantinedRequestTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
 import org.testng.annotations.BeforeMethod;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayEntryPartTest.java
@@ -11,6 +11,7 @@
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.message.RelayMessage;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.Event;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamRegistryTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -7,7 +7,7 @@
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.ServiceRollOut;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
 /** The commands of the relay's group and what they give. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/PeerMessagePacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/PeerMessagePacking.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.runtime.packed;
 
+import org.skylarkfork.core.message.CrashMessage;
 import org.skylarkfork.core.message.PeerMessage;
 import org.skylarkfork.core.message.RaftMessage;
 import org.skylarkfork.core.message.RelayMessage;
@@ -19,6 +20,8 @@
       RaftMessages.write(raft, out);
     } else if (message instanceof RelayMessage relay) {
       RelayMessages.write(relay, out);
+    } else if (message instanceof CrashMessage crash) {
+      RelayMessages.write(crash, out);
     } else {
       throw new CodecException(
           CodecException.Kind.UNSUPPORTED, message.getClass() + " is none of the relay's", null);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -2,6 +2,11 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.skylarkfork.core.message.CrashMessage;
+import org.skylarkfork.core.message.CrashMessage.LostRequest;
+import org.skylarkfork.core.message.CrashMessage.RequestServed;
+import org.skylarkfork.core.message.CrashMessage.UpstreamEnded;
+import org.skylarkfork.core.message.PeerMessage;
 import org.skylarkfork.core.message.RelayMessage;
 import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 import org.skylarkfork.core.message.RelayMessage.DirectoryChanges;
@@ -10,15 +15,12 @@
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
 import org.skylarkfork.core.message.RelayMessage.HeardLimit;
 import org.skylarkfork.core.message.RelayMessage.KeptPrompt;
-import org.skylarkfork.core.message.RelayMessage.LostRequest;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
 import org.skylarkfork.core.message.RelayMessage.PlacementAsk;
 import org.skylarkfork.core.message.RelayMessage.PlacementNews;
 import org.skylarkfork.core.message.RelayMessage.PromptBeginning;
-import org.skylarkfork.core.message.RelayMessage.RequestServed;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
-import org.skylarkfork.core.message.RelayMessage.UpstreamEnded;
 import org.skylarkfork.core.message.RelayMessage.UpstreamHeard;
 import org.skylarkfork.core.message.RelayMessage.UpstreamLoad;
 import org.skylarkfork.core.relay.EntryPlace;
@@ -70,7 +72,11 @@
           .text(news.progress().name())
           .number(news.millis())
           .optional(news.named(), RelayValues::writeNamed);
-    } else if (message instanceof UpstreamEnded ended) {
+    }
+  }
+
+  static void write(CrashMessage message, PackedWriter out) {
+    if (message instanceof UpstreamEnded ended) {
       RelayValues.writeRun(ended.upstream(), out.tagged(UPSTREAM_ENDED, 2));
       out.list(ended.lost(), RelayMessages::writeLost);
     } else if (message instanceof RequestServed served) {
@@ -78,7 +84,7 @@
     }
   }
 
-  static RelayMessage read(int tag, PackedReader.Components components, PackedReader in) {
+  static PeerMessage read(int tag, PackedReader.Components components, PackedReader in) {
     switch (tag) {
       case ENTRY_POLL:
         components.take(POLL_COMPONENTS);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.relay.ColdStart;
 import org.skylarkfork.core.relay.EngineProfile;
 import org.skylarkfork.core.relay.Evacuation;
@@ -15,16 +16,15 @@
 import org.skylarkfork.core.relay.RelayRoute;
 import org.skylarkfork.core.relay.RelayService;
 import org.skylarkfork.core.relay.RelayTeam;
-import org.skylarkfork.core.relay.RequestKey;
 import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.RouteKind;
 import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamCondition;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.VersionCounts;
 import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
 /** The values of the relay: configurations, upstreams and roll-outs. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ContentHash.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ContentHash.java
@@ -13,7 +13,7 @@
  *
  * <p>Ids, deadlines and trace headers differ each time. The hash is the same on each entry, however
  * the body was cut into pieces on its way. It is no secret and resists no one who looks for two
- * bodies alike; {@link org.skylarkfork.core.relay.RequestKey} keeps teams apart.
+ * bodies alike; {@link org.skylarkfork.core.crash.RequestKey} keeps teams apart.
  */
 public final class ContentHash {
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/ControlCalls.java
@@ -8,7 +8,7 @@
 import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.relay.LimitedUpstream;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** What a control VM does for operators, upstreams and callers; called on its one thread. */
 public interface ControlCalls extends EntryDirectory {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/OpenCalls.java
@@ -13,7 +13,7 @@
 import org.skylarkfork.core.relay.LimitedUpstream;
 import org.skylarkfork.core.relay.RelayControlPart;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 
 /** Calls to a control VM that wait for an answer of the reducer; one thread only. */
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/PackedCodecTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/PackedCodecTest.java
@@ -19,7 +19,7 @@
 import org.skylarkfork.core.message.RaftMessage;
 import org.skylarkfork.core.message.RelayMessage;
 import org.skylarkfork.core.relay.UpstreamInstance;
-import org.skylarkfork.core.relay.UpstreamRun;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 import org.testng.annotations.Test;
 
