Drafts: a request that ends its engines is refused by all entries

Callers saw: all callers whose drafts ran beside such a one lost their answers, again and again. A draft that ends each engine which begins to run it was sent to three engines a request, and its caller sends it again.

Cause: attempts and repeats are bounded for each request at one entry, and nothing that a draft had done to engines outlived it.

Evidence: DraftTest.draftThatEndsItsEnginesIsNotSentOnForGood, unchanged, failed before (30 engines ended under ten sends, 6 allowed) and passes. Its fixture got the parts that a daemon has: the judge, a probe and a group that agrees.

Mend: the same law as the relay's (core.crash), not a copy. Entries report lost attempts of engines and of plain services that take no connection any more; engines that leave or were drained aren't counted. All voters of the configuration's group are told, so that a new leader knows as much, and the one that leads has the content quarantined: a change of the configuration like any other, with its history, its spreading and its lease. Entries look at the list when a request comes and before each attempt: retries, resumed streams, later steps of a cascade, hedges, calls. Callers get 400 at once with the true run state and no time to come back. Weighed: a state machine of its own beside the configuration's (a second way of spreading, and a second lease); telling the leader alone (a new one begins from nothing until entries tell it again).

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempt.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempt.java
@@ -4,12 +4,14 @@
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.ModelVersion;
+import org.skylarkfork.core.upstream.Announcement;
 
 /** One dispatch of a request to one upstream. */
 final class Attempt {
 
   final String id;
   final String upstream;
+  final Announcement target;
   final @Nullable ModelVersion version;
   final Instant dispatchedAt;
 
@@ -28,9 +30,14 @@
   int tokens;
 
   Attempt(
-      String id, String upstream, @Nullable ModelVersion version, Instant now, Duration timeout) {
+      String id,
+      Announcement target,
+      @Nullable ModelVersion version,
+      Instant now,
+      Duration timeout) {
     this.id = id;
-    this.upstream = upstream;
+    this.upstream = target.id();
+    this.target = target;
     this.version = version;
     this.dispatchedAt = now;
     this.heardAt = now;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempts.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Attempts.java
@@ -31,7 +31,7 @@
     active.attempts++;
     active.stepAttempts++;
     String id = active.id() + "." + active.attempts;
-    Attempt attempt = new Attempt(id, upstream.id(), version, turn.now(), timeout);
+    Attempt attempt = new Attempt(id, upstream, version, turn.now(), timeout);
     requests.addAttempt(active, attempt);
     requests.wakeBy(active, attempt.silentAt());
     parts.chooser().dispatched(upstream.id(), active.request, turn.now());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallRun.java
@@ -41,6 +41,7 @@
   private final Retries retries;
   private final Hedging hedging;
   private final Ending ending;
+  private final CrashGuard crashes;
 
   CallRun(
       ActiveRequests requests,
@@ -49,7 +50,8 @@
       Attempts attempts,
       Retries retries,
       Hedging hedging,
-      Ending ending) {
+      Ending ending,
+      CrashGuard crashes) {
     this.requests = requests;
     this.parts = parts;
     this.settings = settings;
@@ -57,6 +59,7 @@
     this.retries = retries;
     this.hedging = hedging;
     this.ending = ending;
+    this.crashes = crashes;
   }
 
   /** Starts an admitted call; a non-idempotent one is claimed first. */
@@ -144,6 +147,11 @@
 
   /** Dispatches a call, or lets it wait, or gives it up. */
   void dispatch(ActiveRequest active, Turn turn) {
+    RoutingError refused = crashes.refusal(active);
+    if (refused != null) {
+      ending.fail(active, refused, turn);
+      return;
+    }
     Configuration current = parts.configuration().current();
     Optional<ServiceDefinition> service = current.service(active.request.service());
     boolean allowed =
@@ -222,6 +230,9 @@
       return;
     }
     active.hedgeAt = null;
+    if (crashes.refusal(active) != null) {
+      return;
+    }
     Optional<Announcement> upstream = choose(active, turn);
     Configuration current = parts.configuration().current();
     Optional<ServiceDefinition> service = current.service(active.request.service());
@@ -240,6 +251,7 @@
       hedging.measured(active.request.service(), loser.dispatchedAt, turn.now());
     }
     active.ran = true;
+    crashes.served(active, turn);
     active.tokens = 0;
     if (event.status() < SERVER_ERROR) {
       active.costMicros = price(active.request.service());
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CrashJudgePart.java
@@ -0,0 +1,96 @@
+package org.skylarkfork.core.attempt;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.function.Predicate;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.configuration.ConfigurationChange;
+import org.skylarkfork.core.configuration.ConfigurationView;
+import org.skylarkfork.core.crash.CrashReview;
+import org.skylarkfork.core.crash.QuarantineList;
+import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.ConfigurationEvent;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.core.event.PeerEvent;
+import org.skylarkfork.core.message.CrashMessage;
+
+/**
+ * A voter's work on requests that end their upstreams: hears what all entries lost, and has them
+ * refused through the configuration while it leads.
+ */
+public final class CrashJudgePart implements Part {
+
+  private final ConfigurationView configuration;
+  private final Predicate<Instant> leads;
+  private final CrashReview review = new CrashReview(new ConfiguredQuarantine());
+  private List<RequestKey> known = List.of();
+
+  /**
+   * Makes the part.
+   *
+   * @param configuration the configuration in force
+   * @param leads whether this daemon leads the configuration's group at a time
+   */
+  public CrashJudgePart(ConfigurationView configuration, Predicate<Instant> leads) {
+    this.configuration = configuration;
+    this.leads = leads;
+  }
+
+  @Override
+  public void apply(Event event, Instant now, Output output) {
+    if (event instanceof PeerEvent.MessageReceived received) {
+      onMessage(received, now);
+    } else if (event instanceof LifecycleEvent.Tick) {
+      noteChanges();
+      if (leads.test(now)) {
+        review.tick(now, output);
+      }
+    }
+  }
+
+  private void onMessage(PeerEvent.MessageReceived received, Instant now) {
+    if (received.message() instanceof CrashMessage.UpstreamEnded ended) {
+      review.ended(ended, now);
+    } else if (received.message() instanceof CrashMessage.RequestServed served) {
+      review.served(served.key(), now);
+    }
+  }
+
+  private void noteChanges() {
+    List<RequestKey> present = configuration.current().quarantined();
+    if (present == known) {
+      return;
+    }
+    present.stream().filter(key -> !known.contains(key)).forEach(review::refused);
+    known.stream().filter(key -> !present.contains(key)).forEach(review::lifted);
+    known = present;
+  }
+
+  /** The requests that the configuration refuses. */
+  private final class ConfiguredQuarantine implements QuarantineList {
+
+    @Override
+    public List<RequestKey> keys() {
+      return configuration.current().quarantined();
+    }
+
+    @Override
+    public void refuse(RequestKey key, Instant now, Output output) {
+      propose(new ConfigurationChange.QuarantineRequest(key), "quarantine-" + key, now, output);
+    }
+
+    @Override
+    public void lift(RequestKey key, Instant now, Output output) {
+      propose(new ConfigurationChange.LiftQuarantine(key), "lift-" + key, now, output);
+    }
+
+    private void propose(ConfigurationChange change, String id, Instant now, Output output) {
+      output.effect(new TraceEffect.LogLine(true, "crash", "event=crash_review asks=" + change));
+      String changeId = id + "-" + now.toEpochMilli();
+      output.raise(new ConfigurationEvent.ChangeProposed(changeId, "crash-review", change));
+    }
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftRun.java
@@ -31,6 +31,7 @@
   private final Cascade cascade;
   private final DraftAnswer answers;
   private final Ending ending;
+  private final CrashGuard crashes;
   private final FirstTokens firstTokens;
 
   DraftRun(
@@ -42,7 +43,8 @@
       Retries retries,
       Cascade cascade,
       DraftAnswer answers,
-      Ending ending) {
+      Ending ending,
+      CrashGuard crashes) {
     this.requests = requests;
     this.parts = parts;
     this.settings = settings;
@@ -52,6 +54,7 @@
     this.cascade = cascade;
     this.answers = answers;
     this.ending = ending;
+    this.crashes = crashes;
     this.firstTokens = new FirstTokens(settings);
   }
 
@@ -98,6 +101,11 @@
 
   /** Dispatches the present step, or lets it wait, or gives it up. */
   void dispatch(ActiveRequest active, Turn turn) {
+    RoutingError refused = crashes.refusal(active);
+    if (refused != null) {
+      giveUp(active, refused, turn);
+      return;
+    }
     ModelVersion version = active.currentStep().version();
     if (!planning.mayRun(active, version)) {
       versionGone(active, version, turn);
@@ -199,6 +207,7 @@
   /** Gives up an attempt whose answer can't be trusted any more, and goes on elsewhere. */
   void cut(ActiveRequest active, Attempt attempt, String detail, Turn turn) {
     attempts.cancel(active, attempt, false, turn);
+    crashes.lost(active, attempt, Moment.ANSWER_BEGUN, turn);
     failed(active, attempt, Moment.ANSWER_BEGUN, detail, turn);
   }
 
@@ -230,6 +239,7 @@
       next(active, turn);
       return;
     }
+    crashes.served(active, turn);
     answers.sample(active, answer, outcome, turn);
     answers.deliver(active, answer, turn);
   }
@@ -264,6 +274,7 @@
       return;
     }
     if (held != null) {
+      crashes.served(active, turn);
       answers.deliver(active, held, turn);
       return;
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
@@ -29,6 +29,7 @@
   private final Ending ending;
   private final DraftRun drafts;
   private final CallRun calls;
+  private final CrashGuard crashes;
 
   Intake(
       ActiveRequests requests,
@@ -37,7 +38,8 @@
       Routes routes,
       Ending ending,
       DraftRun drafts,
-      CallRun calls) {
+      CallRun calls,
+      CrashGuard crashes) {
     this.requests = requests;
     this.parts = parts;
     this.settings = settings;
@@ -45,6 +47,7 @@
     this.ending = ending;
     this.drafts = drafts;
     this.calls = calls;
+    this.crashes = crashes;
   }
 
   void received(CallerRequest request, Turn turn) {
@@ -93,6 +96,9 @@
         request.kind().isDraft()
             ? modelError(request, team, current)
             : serviceError(request, team, current);
+    if (error == null) {
+      error = crashes.refusal(team.name(), request, RunState.NOT_RUN);
+    }
     if (error == null && request.idempotencyKey() != null) {
       error = keyError(team, request.idempotencyKey());
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/RequestPart.java
@@ -34,6 +34,7 @@
   private final DraftRun drafts;
   private final CallRun calls;
   private final Intake intake;
+  private final CrashGuard crashes;
   private boolean stopping;
   private boolean drained;
 
@@ -47,6 +48,7 @@
   public RequestPart(RequestCollaborators parts, RequestSettings settings, long seed) {
     this.parts = parts;
     this.settings = settings;
+    this.crashes = new CrashGuard(parts);
     UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.attempts = new Attempts(requests, parts);
     this.ending = new Ending(requests, parts, attempts);
@@ -64,10 +66,12 @@
             retries,
             new Cascade(requests, parts.quality(), settings),
             new DraftAnswer(requests, parts, planning, sampler, ending),
-            ending);
+            ending,
+            crashes);
     this.calls =
-        new CallRun(requests, parts, settings, attempts, retries, new Hedging(settings), ending);
-    this.intake = new Intake(requests, parts, settings, routes, ending, drafts, calls);
+        new CallRun(
+            requests, parts, settings, attempts, retries, new Hedging(settings), ending, crashes);
+    this.intake = new Intake(requests, parts, settings, routes, ending, drafts, calls, crashes);
   }
 
   /** Returns how many requests are held and not yet ended. */
@@ -170,6 +174,8 @@
       }
     } else if (event instanceof UpstreamEvent.AttemptFailed failed) {
       attemptFailed(failed, turn);
+    } else if (event instanceof UpstreamEvent.UpstreamProbed probed) {
+      crashes.probed(probed, turn);
     } else if (event instanceof UpstreamEvent.Rated rated) {
       rated(rated.requestId(), rated.attemptId(), rated.score(), turn);
     } else if (event instanceof UpstreamEvent.RatingMissing missing) {
@@ -218,6 +224,7 @@
       ActiveRequest active, Attempt attempt, Moment moment, String detail, Turn turn) {
     turn.timeline("attempt.failed", active, attempt, moment + ": " + detail);
     turn.count("attempts_failed", moment.name());
+    crashes.lost(active, attempt, moment, turn);
     if (active.request.kind().isDraft()) {
       drafts.failed(active, attempt, moment, detail, turn);
     } else {
@@ -239,6 +246,7 @@
     } else if (event instanceof LifecycleEvent.Ending) {
       turn.effect(new LifecycleEffect.EndProcess());
     } else if (event instanceof LifecycleEvent.Tick) {
+      crashes.tick(turn);
       int forgotten = requests.forgetDeliveries(turn.now().minus(settings.deliveryWait()));
       if (forgotten > 0) {
         turn.count("deliveries_unknown", "");
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ChangeApplier.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ChangeApplier.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** Applies a change to a configuration; the result still has to be validated as a whole. */
 final class ChangeApplier {
@@ -25,6 +26,7 @@
     ConfigurationDraft draft = new ConfigurationDraft(present);
     if (change instanceof ConfigurationChange.ReplaceAll replace) {
       draft = new ConfigurationDraft(replace.configuration()).sort();
+      draft.quarantined = present.quarantined();
     } else if (change instanceof ConfigurationChange.RestoreRevision restore) {
       draft = new RevisionRestorer(history).restore(present, restore.revision());
     } else if (!changeTeam(draft, change)
@@ -168,11 +170,24 @@
       draft.operatorKeys = remove(draft.operatorKeys, remove.id(), OperatorKey::id, "operator key");
     } else if (change instanceof ConfigurationChange.PutVersionPolicy put) {
       draft.versionPolicy = put.policy();
+    } else if (change instanceof ConfigurationChange.QuarantineRequest quarantine) {
+      draft.quarantined =
+          ConfigurationDraft.with(draft.quarantined, quarantine.request(), Function.identity());
+    } else if (change instanceof ConfigurationChange.LiftQuarantine lift) {
+      draft.quarantined = lifted(draft.quarantined, lift.request());
     } else {
       throw new IllegalStateException("no applier for " + change.getClass().getSimpleName());
     }
   }
 
+  private static List<RequestKey> lifted(List<RequestKey> quarantined, RequestKey request)
+      throws InapplicableChangeException {
+    if (!quarantined.contains(request)) {
+      throw notFound("quarantined request", request.toString());
+    }
+    return ConfigurationDraft.without(quarantined, request, Function.identity());
+  }
+
   private static <T> List<T> remove(List<T> list, String name, Function<T, String> key, String what)
       throws InapplicableChangeException {
     present(list, name, key, what);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Configuration.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Configuration.java
@@ -1,7 +1,9 @@
 package org.skylarkfork.core.configuration;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import org.skylarkfork.core.crash.RequestKey;
 
 /**
  * Everything that operators decide, at one revision. All lists but the rules are sorted by name.
@@ -17,6 +19,8 @@
  * @param drainedVms node names of entry VMs that take no new work
  * @param operatorKeys keys for the admin API
  * @param versionPolicy what happens with bad versions
+ * @param quarantined requests that no upstream is sent, since they end those that run them, sorted;
+ *     null is taken for none
  */
 public record Configuration(
     long revision,
@@ -29,7 +33,8 @@
     List<String> drainedUpstreams,
     List<String> drainedVms,
     List<OperatorKey> operatorKeys,
-    VersionPolicy versionPolicy) {
+    VersionPolicy versionPolicy,
+    List<RequestKey> quarantined) {
 
   /** The configuration before the first change. */
   public static final Configuration EMPTY =
@@ -44,7 +49,8 @@
           List.of(),
           List.of(),
           List.of(),
-          VersionPolicy.DEFAULT);
+          VersionPolicy.DEFAULT,
+          List.of());
 
   /** Copies the lists. */
   public Configuration {
@@ -57,6 +63,7 @@
     drainedUpstreams = List.copyOf(drainedUpstreams);
     drainedVms = List.copyOf(drainedVms);
     operatorKeys = List.copyOf(operatorKeys);
+    quarantined = quarantined == null ? List.of() : List.copyOf(quarantined);
   }
 
   /** Returns a team by name. */
@@ -79,6 +86,11 @@
     return rollOuts.stream().filter(rollOut -> rollOut.model().equals(model)).findFirst();
   }
 
+  /** Returns whether a request is refused, since it ends the upstreams that run it. */
+  public boolean isQuarantined(RequestKey key) {
+    return !quarantined.isEmpty() && Collections.binarySearch(quarantined, key) >= 0;
+  }
+
   /** Returns whether a version gets no new work. */
   public boolean isWithdrawn(ModelVersion version) {
     return withdrawn.contains(version);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationChange.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** One change that an operator or the system itself asks for. */
 public sealed interface ConfigurationChange {
@@ -215,6 +216,20 @@
    */
   record PutVersionPolicy(VersionPolicy policy) implements ConfigurationChange {}
 
+  /**
+   * Has a request refused by all entries, since it ends the upstreams that run it.
+   *
+   * @param request the request
+   */
+  record QuarantineRequest(RequestKey request) implements ConfigurationChange {}
+
+  /**
+   * Lets a quarantined request through again.
+   *
+   * @param request the request
+   */
+  record LiftQuarantine(RequestKey request) implements ConfigurationChange {}
+
   /**
    * Makes a new revision with the content of an old one.
    *
@@ -223,9 +238,9 @@
   record RestoreRevision(long revision) implements ConfigurationChange {}
 
   /**
-   * Replaces everything.
+   * Replaces everything but the quarantined requests.
    *
-   * @param configuration the new content; its revision is ignored
+   * @param configuration the new content; its revision and quarantined requests are ignored
    */
   record ReplaceAll(Configuration configuration) implements ConfigurationChange {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationDifference.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationDifference.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.crash.RequestKey;
 
 /**
  * One difference between two configurations, with what was there before, so that it can be applied
@@ -93,6 +94,15 @@
    */
   record VmDrainDiffers(String vm, boolean drained) implements ConfigurationDifference {}
 
+  /**
+   * A request was quarantined or isn't any more.
+   *
+   * @param request the request
+   * @param quarantined whether it is refused afterwards
+   */
+  record QuarantineDiffers(RequestKey request, boolean quarantined)
+      implements ConfigurationDifference {}
+
   /**
    * An operator's key differs.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationDraft.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationDraft.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** A configuration in the making; lists that are not changed stay shared with the original. */
 final class ConfigurationDraft {
@@ -17,6 +18,7 @@
   List<String> drainedVms;
   List<OperatorKey> operatorKeys;
   VersionPolicy versionPolicy;
+  List<RequestKey> quarantined;
 
   ConfigurationDraft(Configuration original) {
     teams = original.teams();
@@ -29,6 +31,7 @@
     drainedVms = original.drainedVms();
     operatorKeys = original.operatorKeys();
     versionPolicy = original.versionPolicy();
+    quarantined = original.quarantined();
   }
 
   Configuration build(long revision) {
@@ -43,7 +46,8 @@
         drainedUpstreams,
         drainedVms,
         operatorKeys,
-        versionPolicy);
+        versionPolicy,
+        quarantined);
   }
 
   /** Sorts every list but the rules, for a configuration that came from outside. */
@@ -56,6 +60,7 @@
     drainedUpstreams = sorted(drainedUpstreams, Function.identity());
     drainedVms = sorted(drainedVms, Function.identity());
     operatorKeys = sorted(operatorKeys, OperatorKey::id);
+    quarantined = sorted(quarantined, Function.identity());
     return this;
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/ConfigurationValidator.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.skylarkfork.core.configuration.ConfigurationProblem.Kind;
+import org.skylarkfork.core.crash.RequestKey;
 
 /** Checks a configuration as a whole before it may replace another. */
 public final class ConfigurationValidator {
@@ -19,6 +20,7 @@
   static final int MOST_RULES = 20_000;
   static final int MOST_DRAINED = 20_000;
   static final int MOST_OPERATOR_KEYS = 1000;
+  static final int MOST_QUARANTINED = 256;
   static final int MOST_STEPS = 100;
   static final int MOST_WEIGHT = 1000;
   static final int LONGEST_METHOD = 20;
@@ -87,7 +89,8 @@
             configuration.withdrawn(), MOST_MODELS * MOST_VERSIONS, "withdrawn versions")
         & problems.size(configuration.drainedUpstreams(), MOST_DRAINED, "drained upstreams")
         & problems.size(configuration.drainedVms(), MOST_DRAINED, "drained VMs")
-        & problems.size(configuration.operatorKeys(), MOST_OPERATOR_KEYS, "operator keys");
+        & problems.size(configuration.operatorKeys(), MOST_OPERATOR_KEYS, "operator keys")
+        & problems.size(configuration.quarantined(), MOST_QUARANTINED, "quarantined requests");
   }
 
   private void check(boolean all, List<ConfigurationDifference> differences) {
@@ -101,6 +104,7 @@
     problems.unique(configuration.rollOuts(), RollOut::model, "roll-out of model");
     configuration.rollOuts().forEach(this::checkRollOut);
     checkPolicy();
+    configuration.quarantined().forEach(this::checkQuarantined);
     if (all || differences.stream().anyMatch(d -> concernsKeys(d))) {
       checkKeys();
     }
@@ -342,6 +346,10 @@
     configuration.drainedVms().forEach(id -> problems.address(id, "drained VM"));
   }
 
+  private void checkQuarantined(RequestKey request) {
+    problems.name(request.team(), "quarantined request " + request);
+  }
+
   private void checkPolicy() {
     VersionPolicy policy = configuration.versionPolicy();
     problems.share(policy.tolerance(), "versionPolicy tolerance");
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Differences.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Differences.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.ConfigurationDifference.ModelDiffers;
 import org.skylarkfork.core.configuration.ConfigurationDifference.OperatorKeyDiffers;
+import org.skylarkfork.core.configuration.ConfigurationDifference.QuarantineDiffers;
 import org.skylarkfork.core.configuration.ConfigurationDifference.RollOutDiffers;
 import org.skylarkfork.core.configuration.ConfigurationDifference.RulesDiffer;
 import org.skylarkfork.core.configuration.ConfigurationDifference.ServiceDiffers;
@@ -48,6 +49,12 @@
         found);
     compare(
         old.operatorKeys(), next.operatorKeys(), OperatorKey::id, OperatorKeyDiffers::new, found);
+    compare(
+        old.quarantined(),
+        next.quarantined(),
+        Function.identity(),
+        (key, before, after) -> new QuarantineDiffers(key, after != null),
+        found);
     if (!old.versionPolicy().equals(next.versionPolicy())) {
       found.add(new VersionPolicyDiffers(old.versionPolicy(), next.versionPolicy()));
     }
@@ -186,6 +193,8 @@
     } else if (difference instanceof OperatorKeyDiffers key) {
       draft.operatorKeys =
           replace(draft.operatorKeys, key.id(), key.before(), key.after(), OperatorKey::id);
+    } else if (difference instanceof QuarantineDiffers quarantine) {
+      draft.quarantined = toggle(draft.quarantined, quarantine.request(), quarantine.quarantined());
     } else if (difference instanceof VersionPolicyDiffers policy) {
       check(draft.versionPolicy.equals(policy.before()), "the policy for bad versions");
       draft.versionPolicy = policy.after();
@@ -257,6 +266,9 @@
     if (difference instanceof OperatorKeyDiffers key) {
       return new OperatorKeyDiffers(key.id(), key.after(), key.before());
     }
+    if (difference instanceof QuarantineDiffers quarantine) {
+      return new QuarantineDiffers(quarantine.request(), !quarantine.quarantined());
+    }
     VersionPolicyDiffers policy = (VersionPolicyDiffers) difference;
     return new VersionPolicyDiffers(policy.after(), policy.before());
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RevisionRestorer.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/RevisionRestorer.java
@@ -10,9 +10,9 @@
  * Makes a draft with the content of an old revision.
  *
  * <p>What protects against harm stays as it is now: withdrawals, drained upstreams and VMs,
- * operator keys and the keys of teams that still exist. Otherwise a return to older rules would
- * give a bad version new work and a revoked key its rights back. Roll-outs that were running come
- * back paused.
+ * operator keys, quarantined requests and the keys of teams that still exist. Otherwise a return to
+ * older rules would give a bad version new work and a revoked key its rights back. Roll-outs that
+ * were running come back paused.
  */
 final class RevisionRestorer {
 
@@ -39,6 +39,7 @@
     draft.drainedUpstreams = present.drainedUpstreams();
     draft.drainedVms = present.drainedVms();
     draft.operatorKeys = present.operatorKeys();
+    draft.quarantined = present.quarantined();
     keepTeamKeys(draft, present);
     TreeSet<ModelVersion> withdrawn = new TreeSet<>(old.get().withdrawn());
     withdrawn.addAll(present.withdrawn());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashJudges.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashJudges.java
@@ -1,11 +1,20 @@
 package org.skylarkfork.core.crash;
 
 import java.util.List;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.message.CrashMessage;
 
 /** The daemons that judge which requests end their upstreams. */
-@FunctionalInterface
 public interface CrashJudges {
 
   /** Returns the peer names of those that are to be told now; empty while none is known. */
   List<String> peers();
+
+  /**
+   * Tells all of them.
+   *
+   * @param message what they are told
+   * @param output takes what is to be done
+   */
+  void tell(CrashMessage message, Output output);
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashWatch.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/crash/CrashWatch.java
@@ -9,9 +9,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
-import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.TraceEffect;
-import org.skylarkfork.core.message.CrashMessage;
 import org.skylarkfork.core.message.CrashMessage.LostRequest;
 import org.skylarkfork.core.message.CrashMessage.RequestServed;
 import org.skylarkfork.core.message.CrashMessage.UpstreamEnded;
@@ -50,15 +48,18 @@
   private static final int MAX_NAMED = 12;
 
   private final CrashJudges judges;
+  private final String counter;
   private final Map<UpstreamRun, Losses> losses = new LinkedHashMap<>();
 
   /**
    * Makes a watch that lost nothing.
    *
    * @param judges those that are told
+   * @param counter name of the metric that counts upstreams that ended, by service
    */
-  public CrashWatch(CrashJudges judges) {
+  public CrashWatch(CrashJudges judges, String counter) {
     this.judges = judges;
+    this.counter = counter;
   }
 
   /** An attempt that reached an upstream and got no whole answer. */
@@ -123,7 +124,7 @@
       return;
     }
     known.endedAt = now;
-    output.effect(new TraceEffect.Count("relay_upstreams_ended", known.upstream.service(), 1));
+    output.effect(new TraceEffect.Count(counter, known.upstream.service(), 1));
     output.effect(new TraceEffect.LogLine(true, "request", describe(known, now)));
     tellAll(known, now, output);
   }
@@ -143,6 +144,11 @@
         + Duration.between(losses.firstAt, now).toMillis();
   }
 
+  /** Returns whether anything is kept that was lost, so that answers matter. */
+  public boolean suspects() {
+    return !losses.isEmpty();
+  }
+
   /** Takes note that a request was answered whole: it has ended no upstream. */
   public void served(RequestKey key, Output output) {
     boolean suspected = false;
@@ -150,7 +156,7 @@
       suspected |= one.byKey.remove(key) != null && one.endedAt != null;
     }
     if (suspected) {
-      send(new RequestServed(key), output);
+      judges.tell(new RequestServed(key), output);
     }
   }
 
@@ -188,11 +194,7 @@
       return;
     }
     List<LostRequest> lost = keys.stream().map(key -> told(key, one.byKey.get(key), now)).toList();
-    send(new UpstreamEnded(one.upstream.run(), lost), output);
-  }
-
-  private void send(CrashMessage message, Output output) {
-    judges.peers().forEach(peer -> output.effect(new SendToPeer(peer, message)));
+    judges.tell(new UpstreamEnded(one.upstream.run(), lost), output);
   }
 
   private static LostRequest told(RequestKey key, @Nullable Lost lost, Instant now) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/UpstreamEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/UpstreamEffect.java
@@ -2,6 +2,7 @@
 
 import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Calls to upstreams and supporting services. */
 public sealed interface UpstreamEffect extends Effect {
@@ -57,6 +58,16 @@
    */
   record CancelAttempt(String attemptId) implements UpstreamEffect {}
 
+  /**
+   * Opens a connection to an upstream and closes it again; {@link
+   * org.skylarkfork.core.event.UpstreamEvent.UpstreamProbed} tells whether it could be opened.
+   *
+   * @param upstream the start of the upstream that is meant
+   * @param host IP number of the upstream
+   * @param port port of the upstream
+   */
+  record ProbeUpstream(UpstreamRun upstream, String host, int port) implements UpstreamEffect {}
+
   /**
    * Asks the rating service for a rating.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/error/ErrorKind.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/error/ErrorKind.java
@@ -4,6 +4,8 @@
 public enum ErrorKind {
   /** The request can't be understood. */
   BAD_REQUEST(400, "invalid_request_error"),
+  /** The request ends the upstreams that run it, and is sent to none any more. */
+  QUARANTINED(400, "invalid_request_error"),
   /** The key is missing or unknown. */
   UNAUTHORIZED(401, "authentication_error"),
   /** The team may not use what it asked for. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/UpstreamEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/UpstreamEvent.java
@@ -6,6 +6,7 @@
 import org.skylarkfork.core.request.Header;
 import org.skylarkfork.core.request.Usage;
 import org.skylarkfork.core.upstream.Announcement;
+import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** What upstreams and supporting services do. */
 public sealed interface UpstreamEvent extends Event {
@@ -92,6 +93,14 @@
     REFUSED_STARTED
   }
 
+  /**
+   * A connection was opened to an upstream to learn whether it still runs, or could not be.
+   *
+   * @param upstream the start of the upstream that was meant
+   * @param reachable whether it takes connections
+   */
+  record UpstreamProbed(UpstreamRun upstream, boolean reachable) implements UpstreamEvent {}
+
   /**
    * The rating service rated an answer.
    *
--- /dev/null
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeaderAsJudge.java
@@ -0,0 +1,28 @@
+package org.skylarkfork.core.relay;
+
+import java.util.List;
+import org.skylarkfork.core.Output;
+import org.skylarkfork.core.crash.CrashJudges;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
+import org.skylarkfork.core.message.CrashMessage;
+
+/** The control VM that leads judges which requests end their upstreams. */
+final class LeaderAsJudge implements CrashJudges {
+
+  private final RelayView view;
+
+  LeaderAsJudge(RelayView view) {
+    this.view = view;
+  }
+
+  @Override
+  public List<String> peers() {
+    String leader = view.leader();
+    return leader == null ? List.of() : List.of(leader);
+  }
+
+  @Override
+  public void tell(CrashMessage message, Output output) {
+    peers().forEach(peer -> output.effect(new SendToPeer(peer, message)));
+  }
+}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -99,7 +99,7 @@
     this.counts = counts;
     this.stopPlan = stopPlan;
     this.trace = new RequestTrace(view);
-    this.crashes = new CrashWatch(view::judges);
+    this.crashes = new CrashWatch(new LeaderAsJudge(view), "relay_upstreams_ended");
     this.schedulers = new SchedulerClient(view);
     this.sender = new AttemptSender(view, zone, picker, schedulers, versions, prompts, trace);
     this.endings = new RequestEndings(active, sender, answerTimes, trace);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -42,12 +42,6 @@
   /** Returns the peer name of the control VM that leads, or null if none is known. */
   @Nullable String leader();
 
-  /** Returns who judges which requests end their upstreams: the control VM that leads. */
-  default List<String> judges() {
-    String leader = leader();
-    return leader == null ? List.of() : List.of(leader);
-  }
-
   /** Returns the entries that place prompts, by group of engines; empty if each places its own. */
   List<String> schedulers();
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/RequestFixture.java
@@ -10,11 +10,13 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.Output;
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.admission.Admission;
 import org.skylarkfork.core.admission.OpenAdmission;
 import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.configuration.ConfigurationChange;
 import org.skylarkfork.core.configuration.ConfigurationView;
 import org.skylarkfork.core.configuration.Limits;
 import org.skylarkfork.core.configuration.Model;
@@ -24,11 +26,13 @@
 import org.skylarkfork.core.configuration.ServiceDefinition;
 import org.skylarkfork.core.configuration.Team;
 import org.skylarkfork.core.configuration.VersionPolicy;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.CallerEffect;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.event.CallerEvent;
+import org.skylarkfork.core.event.ConfigurationEvent;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.UpstreamEvent;
@@ -59,6 +63,7 @@
 
   static final ModelVersion SMALL = new ModelVersion("small", "1");
   static final ModelVersion LARGE = new ModelVersion("large", "1");
+  private static final String SELF = "entry";
   static final RequestSettings SETTINGS = settings(0.1, 20, 0.0);
 
   final FakeLedger ledger = new FakeLedger();
@@ -95,9 +100,15 @@
             pins,
             ledger,
             admission,
-            this);
+            this,
+            new VotersAsJudges(SELF, List.of(SELF)));
     part = new RequestPart(parts, settings, seed);
-    reducer = new Reducer(admission instanceof Part behind ? List.of(part, behind) : List.of(part));
+    Part judge = new CrashJudgePart(this, at -> true);
+    List<Part> all = new ArrayList<>(List.of(part, judge, this::agree));
+    if (admission instanceof Part behind) {
+      all.add(1, behind);
+    }
+    reducer = new Reducer(all);
     for (String id : List.of("e1", "e2", "e3")) {
       upstreams.put(id, announcement(id, UpstreamKind.ENGINE));
     }
@@ -156,7 +167,8 @@
         List.of(),
         List.of(),
         List.of(),
-        VersionPolicy.DEFAULT);
+        VersionPolicy.DEFAULT,
+        List.of());
   }
 
   private static Announcement announcement(String id, UpstreamKind kind) {
@@ -244,9 +256,43 @@
   List<Effect> apply(Event event) {
     List<Effect> fresh = reducer.apply(event, now);
     effects.addAll(fresh);
+    for (UpstreamEffect.ProbeUpstream probe : only(fresh, UpstreamEffect.ProbeUpstream.class)) {
+      boolean runs = upstreams.containsKey(probe.upstream().id());
+      apply(new UpstreamEvent.UpstreamProbed(probe.upstream(), runs));
+    }
     return fresh;
   }
 
+  /** Accepts proposed quarantines at once, as the group of the configuration does. */
+  private void agree(Event event, Instant at, Output output) {
+    if (event instanceof ConfigurationEvent.ChangeProposed proposed) {
+      List<RequestKey> keys = new ArrayList<>(configuration.quarantined());
+      if (proposed.change() instanceof ConfigurationChange.QuarantineRequest added) {
+        keys.add(added.request());
+      } else if (proposed.change() instanceof ConfigurationChange.LiftQuarantine lifted) {
+        keys.remove(lifted.request());
+      }
+      keys.sort(null);
+      configuration = withQuarantined(configuration, keys);
+    }
+  }
+
+  private static Configuration withQuarantined(Configuration before, List<RequestKey> keys) {
+    return new Configuration(
+        before.revision() + 1,
+        before.teams(),
+        before.models(),
+        before.services(),
+        before.rules(),
+        before.rollOuts(),
+        before.withdrawn(),
+        before.drainedUpstreams(),
+        before.drainedVms(),
+        before.operatorKeys(),
+        before.versionPolicy(),
+        keys);
+  }
+
   /** Hands out all that the ledger has to say. */
   List<Effect> settle() {
     List<Effect> fresh = new ArrayList<>();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/Samples.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/Samples.java
@@ -65,7 +65,8 @@
                 List.of(),
                 List.of(),
                 List.of(new OperatorKey("anna", hash("anna")), new OperatorKey("ben", hash("ben"))),
-                VersionPolicy.DEFAULT))
+                VersionPolicy.DEFAULT,
+                List.of()))
         .sort()
         .build(1);
   }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/FixedConfiguration.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/membership/FixedConfiguration.java
@@ -29,7 +29,8 @@
             upstreams,
             vms,
             empty.operatorKeys(),
-            empty.versionPolicy());
+            empty.versionPolicy(),
+            List.of());
   }
 
   /** Gives or takes the configuration lease. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/order/OrderFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/order/OrderFixture.java
@@ -234,7 +234,8 @@
           List.of(),
           List.of(),
           List.of(),
-          VersionPolicy.DEFAULT);
+          VersionPolicy.DEFAULT,
+          List.of());
     }
 
     @Override
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/quality/BookNetwork.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/quality/BookNetwork.java
@@ -86,7 +86,8 @@
         List.of(),
         List.of(),
         List.of(),
-        new VersionPolicy(withdrawAutomatically, 0.01, 0.05));
+        new VersionPolicy(withdrawAutomatically, 0.01, 0.05),
+        List.of());
   }
 
   @Override
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CrashWatchTest.java
@@ -32,14 +32,14 @@
           new RelayEffect.ProbeUpstream(UPSTREAM));
 
   private RelayFixture.FakeView view = new RelayFixture.FakeView();
-  private CrashWatch watch = new CrashWatch(view::judges);
+  private CrashWatch watch = new CrashWatch(new LeaderAsJudge(view), "upstreams_ended");
   private RecordedOutput output = new RecordedOutput();
 
   /** Each test begins anew. */
   @BeforeMethod
   public void setUp() {
     view = new RelayFixture.FakeView();
-    watch = new CrashWatch(view::judges);
+    watch = new CrashWatch(new LeaderAsJudge(view), "upstreams_ended");
     output = new RecordedOutput();
   }
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/RoutingFakes.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/routing/RoutingFakes.java
@@ -122,7 +122,8 @@
           List.of(),
           List.of(),
           List.of(),
-          VersionPolicy.DEFAULT);
+          VersionPolicy.DEFAULT,
+          List.of());
     }
 
     @Override
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleConfiguration.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ExampleConfiguration.java
@@ -58,7 +58,8 @@
         List.of(),
         List.of(),
         List.of(new OperatorKey("quickstart", Sha256.hex(OPERATOR_KEY))),
-        VersionPolicy.DEFAULT);
+        VersionPolicy.DEFAULT,
+        List.of());
   }
 
   private static Team team(String name, String key, List<String> models) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -10,8 +10,10 @@
 import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.UpstreamEvent;
+import org.tinylog.Logger;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.tcp.TcpClient;
 
 /** Calls upstreams and supporting services over HTTP. */
 public final class UpstreamClient implements AutoCloseable {
@@ -80,6 +82,8 @@
       dispatch(call);
     } else if (effect instanceof UpstreamEffect.CancelAttempt cancel) {
       cancel(cancel.attemptId());
+    } else if (effect instanceof UpstreamEffect.ProbeUpstream probe) {
+      probe(probe);
     } else if (effect instanceof UpstreamEffect.RequestRating rating) {
       support.rate(rating);
     } else if (effect instanceof UpstreamEffect.SendOrder order) {
@@ -87,6 +91,24 @@
     }
   }
 
+  /** Opens a connection of its own: a kept one says nothing of an upstream that has ended. */
+  private void probe(UpstreamEffect.ProbeUpstream effect) {
+    TcpClient.newConnection()
+        .host(effect.host())
+        .port(effect.port())
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .connect()
+        .subscribe(
+            connection -> {
+              connection.dispose();
+              events.accept(new UpstreamEvent.UpstreamProbed(effect.upstream(), true));
+            },
+            failure -> {
+              Logger.debug("upstream: {} takes no connection: {}", effect, failure.getMessage());
+              events.accept(new UpstreamEvent.UpstreamProbed(effect.upstream(), false));
+            });
+  }
+
   /**
    * Uses a new connection for each method that changes something: a kept one may be closed by the
    * upstream at any time, after which nobody can tell whether the request was read.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
@@ -18,6 +18,7 @@
   /** Brings all gauges up to date. */
   void refresh(NodeParts parts, TransportCounts transport, Instant now) {
     metrics.set("configuration_revision", "", parts.configuration().current().revision());
+    metrics.set("requests_quarantined", "", parts.configuration().current().quarantined().size());
     metrics.set("serving", "", parts.entries().acceptsNewWork(now) ? 1 : 0);
     metrics.set("members_live", "", parts.membership().live().size());
     metrics.set("upstreams_known", "", parts.directory().all().size());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeParts.java
@@ -15,9 +15,11 @@
 import org.skylarkfork.core.admission.LeasedShares;
 import org.skylarkfork.core.admission.ShareSettings;
 import org.skylarkfork.core.admission.TeamLoad;
+import org.skylarkfork.core.attempt.CrashJudgePart;
 import org.skylarkfork.core.attempt.RequestCollaborators;
 import org.skylarkfork.core.attempt.RequestPart;
 import org.skylarkfork.core.attempt.RequestSettings;
+import org.skylarkfork.core.attempt.VotersAsJudges;
 import org.skylarkfork.core.command.CompositeMachine;
 import org.skylarkfork.core.command.ConfigurationCommand;
 import org.skylarkfork.core.command.GroupId;
@@ -273,7 +275,8 @@
             sessions,
             ledger,
             admission,
-            entries),
+            entries,
+            new VotersAsJudges(settings.node(), settings.voters())),
         RequestSettings.DEFAULT,
         seed);
   }
@@ -305,10 +308,15 @@
                 ledger));
     if (settings.isVoter()) {
       parts.add(orders);
+      parts.add(new CrashJudgePart(configuration, this::leadsConfiguration));
     }
     return new Reducer(parts);
   }
 
+  private boolean leadsConfiguration(Instant now) {
+    return consensus.holdsLease(GroupId.CONFIGURATION, now);
+  }
+
   /** Returns the groups whose replicas this daemon hosts. */
   List<GroupId> hostedGroups() {
     return settings.isVoter() ? ALL_GROUPS : List.of();
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/node/GoldenDaemon.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/node/GoldenDaemon.java
@@ -236,7 +236,8 @@
         List.of(),
         List.of(),
         List.of(new OperatorKey("race-control", Sha256.hex(OPERATOR_KEY))),
-        VersionPolicy.DEFAULT);
+        VersionPolicy.DEFAULT,
+        List.of());
   }
 
   private static Model.Version version(String name, long prompt, long completion, double quality) {
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/FixedConfiguration.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/FixedConfiguration.java
@@ -31,7 +31,8 @@
             List.of(),
             List.of(),
             List.of(),
-            VersionPolicy.DEFAULT));
+            VersionPolicy.DEFAULT,
+            List.of()));
   }
 
   @Override
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FakeConfiguration.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/FakeConfiguration.java
@@ -76,7 +76,8 @@
             before.drainedUpstreams(),
             before.drainedVms(),
             before.operatorKeys(),
-            before.versionPolicy());
+            before.versionPolicy(),
+            before.quarantined());
     return new ConfigurationEvent.ConfigurationApplied(before.revision(), current.revision());
   }
 }
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasuredConfiguration.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/measure/daemon/MeasuredConfiguration.java
@@ -44,7 +44,8 @@
         List.of(),
         List.of(),
         new VersionPolicy(
-            true, VersionPolicy.DEFAULT.falseAlarmRate(), VersionPolicy.DEFAULT.tolerance()));
+            true, VersionPolicy.DEFAULT.falseAlarmRate(), VersionPolicy.DEFAULT.tolerance()),
+        List.of());
   }
 
   /** Returns the roll-out of the small model's new version at a share. */
