Soak: a disk is lost only while the group says that it bears it

Cause: the soak took a second disk 9 s after the first as soon as all control VMs' processes ran. The group had one copy left of three and stood still, as docs/operations/CONTROL-VMS.md says. Ruled out: the product.

Mend: the witness asks all control VMs; a majority must name one leader, one term and three voters, agreed on, each with the disk that it says it has now. What was drawn waits until then and takes no other fault's place; those that never came to their turn are counted. A wiped process is killed and emptied under one lock: a start by an earlier fault could come in between.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/ProofCommand.java
@@ -102,10 +102,13 @@
             folder, seed, Units.duration(duration), controls, entries, UPSTREAMS, callers);
     SoakResult result = new SoakRun(settings).run();
     System.out.printf(
-        "seed %d: %d processes, %d faults, %d changes, %d requests, %d whole, %d findings%n",
+        "seed %d: %d processes, %d faults, %d disks lost, %d spared, %d changes, %d requests,"
+            + " %d whole, %d findings%n",
         seed,
         result.processes(),
         result.faults().size(),
+        result.disksLost(),
+        result.disksSpared(),
         result.changes(),
         result.requests(),
         result.whole(),
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
@@ -42,7 +42,11 @@
     return name;
   }
 
-  void start() throws IOException {
+  /** Starts the process, unless it runs. */
+  synchronized void start() throws IOException {
+    if (runs()) {
+      return;
+    }
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(OPTIONS);
@@ -56,11 +60,11 @@
             .start();
   }
 
-  boolean runs() {
+  synchronized boolean runs() {
     return process != null && process.isAlive();
   }
 
-  void kill() throws InterruptedException {
+  synchronized void kill() throws InterruptedException {
     if (process != null) {
       process.destroyForcibly();
       process.waitFor();
@@ -68,7 +72,7 @@
   }
 
   /** Sends a signal, such as {@code STOP}, {@code CONT}, {@code TERM} or {@code HUP}. */
-  void signal(String signal) throws IOException, InterruptedException {
+  synchronized void signal(String signal) throws IOException, InterruptedException {
     if (process != null && process.isAlive()) {
       new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
     }
@@ -76,11 +80,20 @@
 
   /** Waits until the process has ended by itself. */
   boolean awaitEnd(long seconds) throws InterruptedException {
-    return process == null || process.waitFor(seconds, TimeUnit.SECONDS);
+    Process ending;
+    synchronized (this) {
+      ending = process;
+    }
+    return ending == null || ending.waitFor(seconds, TimeUnit.SECONDS);
   }
 
-  /** Empties the disk; only while it doesn't run. */
-  void wipe() throws IOException {
+  /**
+   * Kills the process and empties its disk before anyone starts it again.
+   *
+   * <p>A process that was started in between would go on with files that are gone.
+   */
+  synchronized void loseDisk() throws IOException, InterruptedException {
+    kill();
     try (var files = Files.walk(data)) {
       List<Path> all = new ArrayList<>(files.toList());
       all.remove(data);
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
@@ -3,19 +3,25 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.runtime.relay.RelayAdmin;
 
 /** Strikes processes, connections and upstreams from outside, in an order drawn from the seed. */
 final class SoakFaults {
 
   private static final int KINDS = 11;
 
-  /** Time after the loss of a disk in which no other one is lost. */
-  private static final Duration REPAIR = Duration.ofSeconds(9);
+  /** Longest wait, once all that was struck is back, until the group bears the loss of a disk. */
+  private static final Duration LONGEST_REPAIR = Duration.ofSeconds(20);
+
+  private static final long REPAIR_POLL_MILLIS = 150;
 
   private static final long LONGEST_STOP_SECONDS = 20;
 
@@ -25,7 +31,12 @@
   private final List<String> told = new CopyOnWriteArrayList<>();
   private final List<String> findings;
   private final SoakOperator operator;
-  private Instant wipedAt = Instant.EPOCH;
+  private final GroupWitness witness;
+
+  /** Losses of disks that were drawn and wait until the group bears them. */
+  private final Deque<DiskLoss> losses = new ArrayDeque<>();
+
+  private int disksLost;
 
   SoakFaults(
       SoakSystem system,
@@ -36,14 +47,29 @@
     this.random = random;
     this.operator = operator;
     this.findings = findings;
+    this.witness = new GroupWitness(system.controls().size());
   }
 
+  /** A control VM that is to lose its disk, and how long it is down then. */
+  private record DiskLoss(int control, long millis) {}
+
   List<String> told() {
     return List.copyOf(told);
   }
 
+  /** Returns how many disks were lost. */
+  int disksLost() {
+    return disksLost;
+  }
+
+  /** Returns how many disks were to be lost at a time at which the group never bore it. */
+  int disksSpared() {
+    return losses.size();
+  }
+
   /** Carries one fault out, which may go on beside later ones. */
   void strike() throws IOException, InterruptedException {
+    loseDiskIfBorne();
     long millis = 200 + random.nextLong(2300);
     switch (random.nextInt(KINDS)) {
       case 0 -> kill(List.of(pick(system.controls())), millis);
@@ -53,7 +79,10 @@
       case 4 -> pause(pick(system.controls()), millis);
       case 5 -> pause(pick(system.entries()), millis);
       case 6 -> stop(pick(system.entries()));
-      case 7 -> wipe(pick(system.controls()), millis);
+      case 7 -> {
+        losses.add(new DiskLoss(random.nextInt(system.controls().size()), millis));
+        loseDiskIfBorne();
+      }
       case 8 -> disturb(system.callerProxies(), millis);
       case 9 -> disturb(system.upstreamProxies(), millis);
       default -> upstream(millis);
@@ -129,15 +158,22 @@
     }
   }
 
-  private void wipe(RelayProcess process, long millis) throws IOException, InterruptedException {
-    if (Instant.now().isBefore(wipedAt.plus(REPAIR)) || !system.wholeGroup()) {
+  private void loseDiskIfBorne() throws IOException, InterruptedException {
+    DiskLoss loss = losses.peekFirst();
+    if (loss == null) {
+      return;
+    }
+    List<RelayAdmin.@Nullable Group> said = operator.groups();
+    if (!witness.bearsLoss(said)) {
       return;
     }
-    wipedAt = Instant.now();
-    tell("wipe " + process.name() + " for " + millis + " ms;" + operator.groups());
-    process.kill();
-    process.wipe();
-    later(millis, () -> system.startAll(List.of(process)));
+    losses.removeFirst();
+    disksLost++;
+    RelayProcess process = system.controls().get(loss.control);
+    tell("wipe " + process.name() + " for " + loss.millis + " ms; the control VMs said " + said);
+    witness.lost(loss.control);
+    process.loseDisk();
+    later(loss.millis, () -> system.startAll(List.of(process)));
   }
 
   private void disturb(List<LoopbackProxy> proxies, long millis) {
@@ -171,8 +207,18 @@
     later(millis, () -> upstream.full(false));
   }
 
-  /** Waits until all that was struck is back, and starts what isn't. */
+  /** Waits until all that was struck is back, starts what isn't, and has all disks lost. */
   void settle() throws IOException, InterruptedException {
+    restore();
+    Instant end = Instant.now().plus(LONGEST_REPAIR);
+    while (!losses.isEmpty() && Instant.now().isBefore(end)) {
+      loseDiskIfBorne();
+      TimeUnit.MILLISECONDS.sleep(REPAIR_POLL_MILLIS);
+    }
+    restore();
+  }
+
+  private void restore() throws IOException, InterruptedException {
     for (Thread restart : restarts) {
       restart.join();
     }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.RelayConfiguration;
@@ -20,6 +21,7 @@
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.WeightedService;
 import org.skylarkfork.runtime.codec.Codec;
+import org.skylarkfork.runtime.relay.RelayAdmin;
 
 /** Operators and upstreams at the control VMs' calls. */
 final class SoakOperator {
@@ -28,6 +30,10 @@
   static final String LASTING_KEY = "lasting";
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  /** Time after which a control VM is silent that is asked for its group. */
+  private static final Duration SILENT = Duration.ofMillis(500);
+
   private static final String SERVICE = "service";
   private static final int OK = 200;
 
@@ -101,15 +107,21 @@
     return found;
   }
 
-  /** Returns what each control VM says of the group, for whoever reads a finding. */
-  String groups() throws InterruptedException {
-    StringBuilder told = new StringBuilder();
+  /** Returns what each control VM says of the group, in their order; null where one is silent. */
+  List<RelayAdmin.@Nullable Group> groups() {
+    List<CompletableFuture<RelayAdmin.@Nullable Group>> asked = new ArrayList<>();
     for (int control = 0; control < ports.size(); control++) {
-      String group = call("GET", control, "group", "");
-      told.append(" control-").append(control + 1).append(' ');
-      told.append(group == null ? "silent" : group);
+      HttpRequest request = request("GET", control, "group", "", SILENT);
+      asked.add(
+          client
+              .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+              .handle((answer, failure) -> failure == null ? group(answer) : null));
     }
-    return told.toString();
+    return asked.stream().<RelayAdmin.@Nullable Group>map(CompletableFuture::join).toList();
+  }
+
+  private RelayAdmin.@Nullable Group group(HttpResponse<String> answer) {
+    return answer.statusCode() == OK ? codec.fromJson(answer.body(), RelayAdmin.Group.class) : null;
   }
 
   /** Announces an upstream at the first control VM that takes it. */
@@ -124,14 +136,18 @@
     }
   }
 
+  private HttpRequest request(
+      String method, int control, String path, String body, Duration timeout) {
+    URI uri = URI.create("http://127.0.0.1:" + ports.get(control) + "/relay/v1/" + path);
+    return HttpRequest.newBuilder(uri)
+        .timeout(timeout)
+        .method(method, HttpRequest.BodyPublishers.ofString(body))
+        .build();
+  }
+
   private @Nullable String call(String method, int control, String path, String body)
       throws InterruptedException {
-    URI uri = URI.create("http://127.0.0.1:" + ports.get(control) + "/relay/v1/" + path);
-    HttpRequest request =
-        HttpRequest.newBuilder(uri)
-            .timeout(TIMEOUT)
-            .method(method, HttpRequest.BodyPublishers.ofString(body))
-            .build();
+    HttpRequest request = request(method, control, path, body, TIMEOUT);
     try {
       HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
       return answer.statusCode() == OK ? answer.body() : null;
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakResult.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakResult.java
@@ -9,6 +9,8 @@
  * @param whole those that got their whole answer
  * @param processes processes that took part
  * @param faults the faults, with their times
+ * @param disksLost control VMs' disks that were lost, each while the group bore it
+ * @param disksSpared disks that were to be lost while the group never bore it
  * @param changes configurations that were accepted
  * @param findings what must not be; empty if every promise was kept
  */
@@ -17,6 +19,8 @@
     int whole,
     int processes,
     List<String> faults,
+    int disksLost,
+    int disksSpared,
     int changes,
     List<String> findings) {
 
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
@@ -71,6 +71,8 @@
           (int) answers.stream().filter(SoakAnswer::whole).count(),
           system.size(),
           faults.told(),
+          faults.disksLost(),
+          faults.disksSpared(),
           operator.accepted().size(),
           broken);
     }
