Soak: each one has ports that no other soak takes

Cause: ports were looked for, found free and let go; a daemon binds them when it has started, and again after each restart.

Mend: a soak locks a block of ports in a file until it is over. SoakRunTest.soaksHaveNoPortInCommon.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
@@ -1,37 +1,26 @@
 package org.skylarkfork.daemon.soak;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
-import org.tinylog.Logger;
 
 /** The processes, upstreams and proxies of one soak. */
 final class SoakSystem implements AutoCloseable {
 
   private static final String HOST = "127.0.0.1";
 
-  /** Ports from here to the last are no outgoing connection's by the kernel's defaults. */
-  private static final int FIRST_PORT = 20_000;
-
-  private static final int LAST_PORT = 32_000;
-  private static final int MOST_TRIES = 1000;
-
   private final List<RelayProcess> controls = new ArrayList<>();
   private final List<RelayProcess> entries = new ArrayList<>();
   private final List<Integer> controlPorts = new ArrayList<>();
   private final List<SoakUpstream> upstreams = new ArrayList<>();
   private final List<LoopbackProxy> callerProxies = new ArrayList<>();
   private final List<LoopbackProxy> upstreamProxies = new ArrayList<>();
+  private final PortBlock ports;
   private boolean closed;
 
   /**
@@ -41,16 +30,20 @@
    * @param runs takes the runs of each request
    */
   SoakSystem(SoakSettings settings, Map<String, AtomicInteger> runs) throws IOException {
-    List<Integer> peers = freePorts(settings.controls() + settings.entries());
+    ports = PortBlock.take();
+    List<Integer> peers = new ArrayList<>();
+    while (peers.size() < settings.controls() + settings.entries()) {
+      peers.add(ports.next());
+    }
     List<String> seeds =
         peers.subList(0, settings.controls()).stream().map(port -> HOST + ":" + port).toList();
     for (int number = 0; number < settings.controls(); number++) {
-      int port = freePorts(1).get(0);
+      int port = ports.next();
       controlPorts.add(port);
       controls.add(control(number, settings, peers.get(number), port, seeds));
     }
     for (int number = 0; number < settings.entries(); number++) {
-      int port = freePorts(1).get(0);
+      int port = ports.next();
       entries.add(entry(number, settings, peers.get(settings.controls() + number), port, seeds));
       callerProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, port)));
     }
@@ -61,40 +54,6 @@
     }
   }
 
-  /**
-   * Finds ports that a process can have again after a restart.
-   *
-   * <p>They lie below those that the kernel gives to outgoing connections. One of these was taken
-   * by somebody's connection before its daemon had started, which then ended, as it must.
-   */
-  private static List<Integer> freePorts(int count) {
-    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
-    List<ServerSocket> sockets = new ArrayList<>();
-    try {
-      for (int tries = 0; sockets.size() < count && tries < MOST_TRIES; tries++) {
-        hold(FIRST_PORT + random.nextInt(LAST_PORT - FIRST_PORT), sockets);
-      }
-      List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-      for (ServerSocket socket : sockets) {
-        socket.close();
-      }
-      if (ports.size() < count) {
-        throw new IOException("none of " + MOST_TRIES + " ports could be had");
-      }
-      return ports;
-    } catch (IOException failure) {
-      throw new UncheckedIOException("There is no free port.", failure);
-    }
-  }
-
-  private static void hold(int port, List<ServerSocket> sockets) {
-    try {
-      sockets.add(new ServerSocket(port, 1, InetAddress.getByName(HOST)));
-    } catch (IOException taken) {
-      Logger.debug("soak: port {} is taken: {}", port, taken.getMessage());
-    }
-  }
-
   private static RelayProcess control(
       int number, SoakSettings settings, int peer, int port, List<String> seeds)
       throws IOException {
@@ -140,7 +99,7 @@
   /** Starts those that don't run, unless all is over. */
   synchronized void startAll(List<RelayProcess> processes) throws IOException {
     for (RelayProcess process : processes) {
-      if (!closed && !process.runs()) {
+      if (!closed) {
         process.start();
       }
     }
@@ -170,11 +129,6 @@
     return upstreamProxies;
   }
 
-  /** Returns whether all control VMs run, so that one disk may be lost. */
-  boolean wholeGroup() {
-    return controls.stream().allMatch(RelayProcess::runs);
-  }
-
   /** Returns how many processes there are. */
   int size() {
     return IntStream.of(controls.size(), entries.size()).sum();
@@ -202,5 +156,6 @@
     for (LoopbackProxy proxy : upstreamProxies) {
       proxy.close();
     }
+    ports.close();
   }
 }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -7,8 +7,10 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
 
@@ -43,6 +45,22 @@
     }
   }
 
+  /**
+   * Guards against two soaks that take each other's ports while a daemon is down: the daemon halts
+   * at its next start, and the group isn't founded for a minute.
+   */
+  @Test
+  public void soaksHaveNoPortInCommon() throws IOException {
+    try (PortBlock one = PortBlock.take();
+        PortBlock other = PortBlock.take()) {
+      Set<Integer> ports = new HashSet<>();
+      for (int taken = 0; taken < 10; taken++) {
+        assertTrue(ports.add(one.next()));
+        assertTrue(ports.add(other.next()));
+      }
+    }
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "");
   }
