Tests: drafts that end their engines, over several entries and by each way to a further engine

CrashingDraftSimulation has three voters and four entries with the configuration's real group, engines that end under a draft, crashes of leaders, entries and all voters, lost messages.

--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/attempt/CrashingDraftSimulation.java
@@ -0,0 +1,440 @@
+package org.skylarkfork.core.attempt;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.skylarkfork.core.Part;
+import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.admission.OpenAdmission;
+import org.skylarkfork.core.command.Command;
+import org.skylarkfork.core.command.GroupId;
+import org.skylarkfork.core.command.Snapshot;
+import org.skylarkfork.core.configuration.Configuration;
+import org.skylarkfork.core.configuration.ConfigurationChange;
+import org.skylarkfork.core.configuration.ConfigurationMachine;
+import org.skylarkfork.core.configuration.ConfigurationPart;
+import org.skylarkfork.core.configuration.ConfigurationSettings;
+import org.skylarkfork.core.configuration.Limits;
+import org.skylarkfork.core.configuration.LocalReplica;
+import org.skylarkfork.core.configuration.OperatorKey;
+import org.skylarkfork.core.configuration.Sha256;
+import org.skylarkfork.core.configuration.Team;
+import org.skylarkfork.core.configuration.ZoneTree;
+import org.skylarkfork.core.consensus.ConsensusPart;
+import org.skylarkfork.core.consensus.GroupCodec;
+import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.core.effect.CallerEffect;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.UpstreamEffect;
+import org.skylarkfork.core.error.ErrorKind;
+import org.skylarkfork.core.error.RoutingError;
+import org.skylarkfork.core.event.CallerEvent;
+import org.skylarkfork.core.event.Event;
+import org.skylarkfork.core.event.OperatorEvent;
+import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.event.UpstreamEvent.Moment;
+import org.skylarkfork.core.request.Bytes;
+import org.skylarkfork.core.request.CallerRequest;
+import org.skylarkfork.core.request.RequestKind;
+import org.skylarkfork.core.request.RunState;
+import org.skylarkfork.core.request.Usage;
+import org.skylarkfork.core.routing.Plan;
+import org.skylarkfork.core.routing.UpstreamChooser;
+import org.skylarkfork.core.testing.MiniNetwork;
+import org.skylarkfork.core.upstream.Announcement;
+
+/** Three voters, four entries and engines in virtual time, with drafts that end their engines. */
+final class CrashingDraftSimulation {
+
+  /** Engines that end under a draft until it is known what it does. */
+  static final int ENDS_THAT_TELL = 3;
+
+  /** Time in which all entries in touch can know it. */
+  private static final Duration KNOWN = Duration.ofSeconds(3);
+
+  private static final GroupId GROUP = GroupId.CONFIGURATION;
+  private static final String OPERATOR = Sha256.hex("operator");
+  private static final String TEAM_KEY = Sha256.hex("team");
+  private static final String DEADLY = "deadly";
+  private static final Duration STEP = Duration.ofMillis(10);
+
+  final List<String> voters = List.of("v1", "v2", "v3");
+  final List<String> entries = List.of("e1", "e2", "e3", "e4");
+  final MiniNetwork network;
+  final UniformRandomProvider random;
+
+  /** Engines that ended under each deadly prompt. */
+  final Map<String, List<Instant>> endsByPrompt = new LinkedHashMap<>();
+
+  /** Sends of deadly prompts later than all entries could know. */
+  int lateSends;
+
+  int goodAnswered;
+  final Map<ErrorKind, Integer> goodRefused = new HashMap<>();
+  final Map<ErrorKind, Integer> deadlyRefused = new HashMap<>();
+
+  /** Good drafts that were taken for deadly ones though they lost fewer engines. */
+  int refusedUnsuspected;
+
+  /** Refusals that said "not run" of a request that an engine had begun. */
+  int falseNotRun;
+
+  private final Map<String, ConsensusPart> groups = new HashMap<>();
+  private final Map<String, RequestFixture> fakes = new HashMap<>();
+  private final Map<String, Attempt> running = new LinkedHashMap<>();
+  private final Set<String> engines = new LinkedHashSet<>();
+  private final Set<String> begun = new LinkedHashSet<>();
+  private final Map<String, String> prompts = new HashMap<>();
+  private final Map<String, Integer> enginesLost = new HashMap<>();
+  private final List<Snapshot> snapshots = new ArrayList<>();
+  private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
+  private int lastRequest;
+  private int lastEngine;
+
+  private record Due(Instant at, Runnable action) {}
+
+  private record Attempt(String entry, String engine, String prompt) {}
+
+  CrashingDraftSimulation(long seed, int engineCount) {
+    network = new MiniNetwork(seed);
+    random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    network.listen(this::carryOut);
+    for (int engine = 0; engine < engineCount; engine++) {
+      startEngine();
+    }
+    List<String> all = new ArrayList<>(voters);
+    all.addAll(entries);
+    for (String name : all) {
+      List<GroupId> hosted = voters.contains(name) ? List.of(GROUP) : List.of();
+      network.add(name, hosted, start -> boot(name, all, start));
+    }
+    all.forEach(network::start);
+    run(Duration.ofSeconds(3));
+    network.inject(
+        "e1",
+        new OperatorEvent.ChangeRequested(
+            "load", OPERATOR, "load", null, new ConfigurationChange.ReplaceAll(configuration())));
+    run(Duration.ofSeconds(4));
+  }
+
+  private static Configuration configuration() {
+    Configuration base = RequestFixture.configuration(1, List.of());
+    Team team = base.teams().get(0);
+    Team keyed =
+        new Team(
+            team.name(),
+            List.of(new Team.Key("k", TEAM_KEY)),
+            team.allowedModels(),
+            team.allowedServices(),
+            Limits.NONE,
+            1);
+    return new Configuration(
+        1,
+        List.of(keyed),
+        base.models().subList(0, 2),
+        base.services(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(new OperatorKey("operator", OPERATOR)),
+        base.versionPolicy(),
+        List.of());
+  }
+
+  private Reducer boot(String name, List<String> all, long seed) {
+    boolean votes = voters.contains(name);
+    ConfigurationMachine machine = votes ? new ConfigurationMachine() : null;
+    ConsensusPart consensus =
+        new ConsensusPart(
+            name,
+            List.of(new GroupSetup(GROUP, voters, machine)),
+            RaftSettings.defaults(),
+            new MemoryCodec(),
+            seed);
+    LocalReplica replica =
+        machine == null ? null : new LocalReplica(machine, now -> consensus.holdsLease(GROUP, now));
+    ConfigurationPart configuration =
+        new ConfigurationPart(
+            name,
+            ConfigurationSettings.defaults(OPERATOR),
+            new ZoneTree(name, () -> voters, () -> all),
+            voters,
+            consensus.submitter(),
+            replica);
+    groups.put(name, consensus);
+    List<Part> parts = new ArrayList<>(List.of(consensus, configuration));
+    if (votes) {
+      parts.add(new CrashJudgePart(configuration, now -> consensus.holdsLease(GROUP, now)));
+    } else {
+      parts.add(requestPart(name, configuration, seed));
+    }
+    return new Reducer(parts);
+  }
+
+  private RequestPart requestPart(String name, ConfigurationPart configuration, long seed) {
+    RequestFixture fake = new RequestFixture();
+    fakes.put(name, fake);
+    fake.upstreams.keySet().removeIf(id -> !id.startsWith("s"));
+    engines.forEach(fake::restart);
+    return new RequestPart(
+        new RequestCollaborators(
+            configuration,
+            current -> fake,
+            (query, at) -> Optional.of(new Plan(fake.steps, 0.8, 0, "as the test says")),
+            fake,
+            new RandomChooser(),
+            fake,
+            fake.pins,
+            fake.ledger,
+            new OpenAdmission(),
+            fake,
+            new VotersAsJudges(name, voters)),
+        RequestFixture.SETTINGS,
+        seed);
+  }
+
+  /** Lets time pass. */
+  void run(Duration time) {
+    Instant end = network.now().plus(time);
+    while (network.now().isBefore(end)) {
+      network.run(STEP);
+      while (!due.isEmpty() && !due.peek().at.isAfter(network.now())) {
+        due.remove().action.run();
+      }
+      settleBills();
+    }
+  }
+
+  private void settleBills() {
+    for (String entry : entries) {
+      RequestFixture fake = fakes.get(entry);
+      while (fake != null && network.isUp(entry) && !fake.ledger.answers.isEmpty()) {
+        network.inject(entry, fake.ledger.answers.removeFirst());
+      }
+    }
+  }
+
+  private void later(long millis, Runnable action) {
+    due.add(new Due(network.now().plusMillis(millis), action));
+  }
+
+  /** Sends good drafts, each another one, from now on. */
+  void load(int pauseMillis) {
+    ask("good-" + lastRequest);
+    later(pauseMillis, () -> load(pauseMillis));
+  }
+
+  /** Sends one and the same draft that ends its engines, to any entry, from now on. */
+  void deadly(String name, int pauseMillis) {
+    ask(DEADLY + name);
+    later(pauseMillis, () -> deadly(name, pauseMillis));
+  }
+
+  private void ask(String prompt) {
+    String id = "r" + ++lastRequest;
+    String entry = entries.get(random.nextInt(entries.size()));
+    prompts.put(id, prompt);
+    if (!network.isUp(entry) || network.isFrozen(entry)) {
+      return;
+    }
+    CallerRequest request =
+        new CallerRequest(
+            id,
+            TEAM_KEY,
+            RequestKind.CHAT,
+            CallerRequest.AUTO,
+            "",
+            "POST",
+            "",
+            List.of(),
+            prompt,
+            Bytes.ofText("{\"prompt\":\"" + prompt + "\"}"),
+            10,
+            100,
+            random.nextBoolean(),
+            5,
+            null,
+            null,
+            null,
+            network.timeOf(entry).plusSeconds(20),
+            null);
+    network.inject(entry, new CallerEvent.RequestReceived(request));
+  }
+
+  private void carryOut(String entry, Effect effect) {
+    if (effect instanceof UpstreamEffect.DispatchDraft draft) {
+      sent(entry, draft);
+    } else if (effect instanceof UpstreamEffect.CancelAttempt cancel) {
+      running.remove(entry + cancel.attemptId());
+    } else if (effect instanceof UpstreamEffect.ProbeUpstream probe) {
+      later(
+          2,
+          () ->
+              inject(
+                  entry,
+                  new UpstreamEvent.UpstreamProbed(
+                      probe.upstream(), engines.contains(probe.upstream().id()))));
+    } else if (effect instanceof CallerEffect.Refuse refuse) {
+      refused(refuse.requestId(), refuse.error());
+    } else if (effect instanceof CallerEffect.BreakStream broken) {
+      refused(broken.requestId(), broken.error());
+    }
+  }
+
+  private void refused(String id, RoutingError error) {
+    boolean good = !prompts.get(id).startsWith(DEADLY);
+    (good ? goodRefused : deadlyRefused).merge(error.kind(), 1, Integer::sum);
+    int lost = enginesLost.getOrDefault(prompts.get(id), 0);
+    if (good && error.kind() == ErrorKind.QUARANTINED && lost < ENDS_THAT_TELL) {
+      refusedUnsuspected++;
+    }
+    if (error.runState() == RunState.NOT_RUN && begun.contains(id)) {
+      falseNotRun++;
+    }
+  }
+
+  private void sent(String entry, UpstreamEffect.DispatchDraft draft) {
+    String prompt = draft.request().prompt();
+    String attempt = draft.attemptId();
+    if (!engines.contains(draft.upstream())) {
+      later(1, () -> inject(entry, failed(attempt, Moment.BEFORE_CONNECT)));
+      return;
+    }
+    begun.add(draft.request().requestId());
+    running.put(entry + attempt, new Attempt(entry, draft.upstream(), prompt));
+    if (prompt.startsWith(DEADLY)) {
+      countLate(prompt);
+      later(1 + random.nextInt(120), () -> end(draft.upstream(), entry + attempt));
+    } else {
+      later(100 + random.nextInt(200), () -> answer(entry, attempt, draft.request().requestId()));
+    }
+  }
+
+  private void countLate(String prompt) {
+    List<Instant> ends = endsByPrompt.getOrDefault(prompt, List.of());
+    boolean known =
+        ends.size() >= ENDS_THAT_TELL
+            && network.now().isAfter(ends.get(ENDS_THAT_TELL - 1).plus(KNOWN));
+    lateSends += known ? 1 : 0;
+  }
+
+  /** An engine ends under an attempt, if that still runs, with all that it runs. */
+  private void end(String engine, String under) {
+    Attempt attempt = running.get(under);
+    if (attempt == null || !engines.contains(engine)) {
+      return;
+    }
+    endsByPrompt.computeIfAbsent(attempt.prompt, none -> new ArrayList<>()).add(network.now());
+    endEngine(engine);
+  }
+
+  private void endEngine(String engine) {
+    engines.remove(engine);
+    fakes.values().forEach(fake -> fake.upstreams.remove(engine));
+    for (Map.Entry<String, Attempt> lost : List.copyOf(running.entrySet())) {
+      if (lost.getValue().engine.equals(engine)) {
+        running.remove(lost.getKey());
+        enginesLost.merge(lost.getValue().prompt, 1, Integer::sum);
+        String entry = lost.getValue().entry;
+        String attempt = lost.getKey().substring(entry.length());
+        inject(entry, failed(attempt, Moment.ANSWER_BEGUN));
+      }
+    }
+    later(1000 + random.nextInt(2000), this::startEngine);
+  }
+
+  /** Ends a share of the engines by themselves. */
+  void endEngines(double share) {
+    for (String engine : List.copyOf(engines)) {
+      if (random.nextDouble() < share) {
+        endEngine(engine);
+      }
+    }
+  }
+
+  private static Event failed(String attempt, Moment moment) {
+    return new UpstreamEvent.AttemptFailed(attempt, moment, "the connection was cut");
+  }
+
+  private void answer(String entry, String attempt, String request) {
+    if (running.remove(entry + attempt) == null) {
+      return;
+    }
+    goodAnswered++;
+    inject(entry, new UpstreamEvent.TokensArrived(attempt, request, 0, 2, "a b "));
+    inject(entry, new UpstreamEvent.DraftFinished(attempt, request, "stop", new Usage(10, 2, 0)));
+  }
+
+  private void inject(String entry, Event event) {
+    if (network.isUp(entry) && !network.isFrozen(entry)) {
+      network.inject(entry, event);
+    }
+  }
+
+  private void startEngine() {
+    String id = "engine-" + ++lastEngine;
+    engines.add(id);
+    fakes.values().forEach(fake -> fake.restart(id));
+  }
+
+  /** Returns the voter that leads, or the first one. */
+  String leader() {
+    return voters.stream()
+        .filter(network::isUp)
+        .filter(name -> groups.get(name).holdsLease(GROUP, network.now()))
+        .findFirst()
+        .orElse(voters.get(0));
+  }
+
+  private final class RandomChooser implements UpstreamChooser {
+
+    @Override
+    public Optional<Announcement> choose(
+        List<Announcement> candidates, CallerRequest request, Set<String> excluded, Instant at) {
+      List<Announcement> free =
+          candidates.stream().filter(each -> !excluded.contains(each.id())).toList();
+      return free.isEmpty() ? Optional.empty() : Optional.of(free.get(random.nextInt(free.size())));
+    }
+
+    @Override
+    public void dispatched(String upstream, CallerRequest request, Instant at) {}
+
+    @Override
+    public void ended(String upstream, CallerRequest request, boolean healthy, Instant at) {}
+  }
+
+  /** Keeps snapshots in memory under their number. */
+  private final class MemoryCodec implements GroupCodec {
+
+    @Override
+    public byte[] encode(Snapshot snapshot) {
+      snapshots.add(snapshot);
+      return ByteBuffer.allocate(Integer.BYTES).putInt(snapshots.size() - 1).array();
+    }
+
+    @Override
+    public Snapshot decode(byte[] bytes) {
+      return snapshots.get(ByteBuffer.wrap(bytes).getInt());
+    }
+
+    @Override
+    public int sizeOf(Command command) {
+      return 100;
+    }
+  }
+}
