--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Configuration.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/configuration/Configuration.java
@@ -19,8 +19,7 @@
  * @param drainedVms node names of entry VMs that take no new work
  * @param operatorKeys keys for the admin API
  * @param versionPolicy what happens with bad versions
- * @param quarantined requests that no upstream is sent, since they end those that run them, sorted;
- *     null is taken for none
+ * @param quarantined requests that no upstream is sent, since they end those that run them
  */
 public record Configuration(
     long revision,
@@ -63,7 +62,7 @@
     drainedUpstreams = List.copyOf(drainedUpstreams);
     drainedVms = List.copyOf(drainedVms);
     operatorKeys = List.copyOf(operatorKeys);
-    quarantined = quarantined == null ? List.of() : List.copyOf(quarantined);
+    quarantined = List.copyOf(quarantined);
   }
 
   /** Returns a team by name. */
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/UpstreamClientTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/UpstreamClientTest.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.runtime.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -20,6 +21,7 @@
 import org.skylarkfork.core.request.Bytes;
 import org.skylarkfork.core.request.CallerRequest;
 import org.skylarkfork.core.request.RequestKind;
+import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.netty.DisposableServer;
@@ -49,6 +51,28 @@
     assertEquals(failed.moment(), UpstreamEvent.Moment.ANSWER_BEGUN);
   }
 
+  /** Guards against an engine that goes on being taken for one that has ended, and the reverse. */
+  @Test
+  public void probeTellsWhetherAnEngineTakesConnections() throws Exception {
+    DisposableServer server = HttpServer.create().host("127.0.0.1").port(0).bindNow();
+    assertTrue(probe(server.port()).reachable());
+    server.disposeNow();
+    assertFalse(probe(server.port()).reachable());
+  }
+
+  private static UpstreamEvent.UpstreamProbed probe(int port) throws Exception {
+    CompletableFuture<Event> end = new CompletableFuture<>();
+    UpstreamRun run = new UpstreamRun("e1", 7);
+    try (UpstreamClient client =
+        new UpstreamClient(new ObjectMapper(), null, event -> take(event, end))) {
+      client.carryOut(new UpstreamEffect.ProbeUpstream(run, "127.0.0.1", port));
+      UpstreamEvent.UpstreamProbed probed =
+          (UpstreamEvent.UpstreamProbed) end.get(30, TimeUnit.SECONDS);
+      assertEquals(probed.upstream(), run);
+      return probed;
+    }
+  }
+
   private static Event outcome(Publisher<String> answer) throws Exception {
     DisposableServer server =
         HttpServer.create()
