--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequest.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/ActiveRequest.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.configuration.ModelVersion;
 import org.skylarkfork.core.configuration.Rule;
+import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.CallerEffect;
 import org.skylarkfork.core.ledger.Bill;
 import org.skylarkfork.core.quality.AttemptOutcome;
@@ -119,6 +120,7 @@
   /** Whether the answer is rated afterwards, for what is known of its version. */
   boolean sampled;
 
+  private @Nullable RequestKey content;
   @Nullable String sessionToken;
   @Nullable String notice;
   @Nullable Bill bill;
@@ -143,6 +145,16 @@
     return key == null ? request.requestId() : key;
   }
 
+  /** Returns what it has in common with the same request sent again, at whatever entry. */
+  RequestKey content() {
+    RequestKey known = content;
+    if (known == null) {
+      known = CrashGuard.keyOf(team, request);
+      content = known;
+    }
+    return known;
+  }
+
   /** Takes over the decision of a rule. */
   void take(Rule.Decision.Route decision) {
     route = decision;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CrashGuard.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CrashGuard.java
@@ -50,20 +50,25 @@
             new String(request.body().value(), StandardCharsets.ISO_8859_1)));
   }
 
-  /** Returns why a request goes to no upstream, or null if it may; no time to come back is told. */
-  @Nullable RoutingError refusal(String team, CallerRequest request, RunState state) {
-    if (parts.configuration().current().quarantined().isEmpty()) {
-      return null;
-    }
-    RequestKey key = keyOf(team, request);
-    return parts.configuration().current().isQuarantined(key)
-        ? new RoutingError(ErrorKind.QUARANTINED, REMEDY + key + ".", state, null)
-        : null;
+  /** Returns why a request that has just come goes to no upstream, or null if it may. */
+  @Nullable RoutingError refusal(String team, CallerRequest request) {
+    return isAnyRefused() ? findRefusal(keyOf(team, request), RunState.NOT_RUN) : null;
   }
 
   /** Returns why an open request is sent to no further upstream, or null if it may be. */
   @Nullable RoutingError refusal(ActiveRequest active) {
-    return refusal(active.team, active.request, active.runState());
+    return isAnyRefused() ? findRefusal(active.content(), active.runState()) : null;
+  }
+
+  private boolean isAnyRefused() {
+    return !parts.configuration().current().quarantined().isEmpty();
+  }
+
+  /** No time to come back is told: nobody will run it then either. */
+  private @Nullable RoutingError findRefusal(RequestKey key, RunState state) {
+    return parts.configuration().current().isQuarantined(key)
+        ? new RoutingError(ErrorKind.QUARANTINED, REMEDY + key + ".", state, null)
+        : null;
   }
 
   /**
@@ -85,7 +90,7 @@
             service,
             version,
             new UpstreamEffect.ProbeUpstream(run, target.host(), target.port())),
-        keyOf(active.team, active.request),
+        active.content(),
         attempt.dispatchedAt,
         turn.now(),
         turn.output());
@@ -106,7 +111,7 @@
   /** Takes note that the last upstream that a request was sent to answered it whole. */
   void served(ActiveRequest active, Turn turn) {
     if (watch.suspects()) {
-      watch.served(keyOf(active.team, active.request), turn.output());
+      watch.served(active.content(), turn.output());
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/Intake.java
@@ -97,7 +97,7 @@
             ? modelError(request, team, current)
             : serviceError(request, team, current);
     if (error == null) {
-      error = crashes.refusal(team.name(), request, RunState.NOT_RUN);
+      error = crashes.refusal(team.name(), request);
     }
     if (error == null && request.idempotencyKey() != null) {
       error = keyError(team, request.idempotencyKey());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Founding.java
@@ -54,7 +54,7 @@
     }
   }
 
-  /** A leader that has just been heard of is asked at once: who asked before it was in vain. */
+  /** A leader that has just been heard of is asked at once; what was asked before it is lost. */
   private boolean isDue(Instant now) {
     String leader = replica.leader();
     boolean newLeader = leader != null && !leader.equals(askedUnder);
@@ -94,7 +94,7 @@
     }
   }
 
-  /** A voter that waits for a leader asks as well; only one that isn't a member is told of. */
+  /** Voters without a leader ask as well, and again and again; operators need the newcomer's. */
   private void logFirstRequest(Set<String> nodes, Turn turn) {
     if (!askedToJoin && !replica.members.latest().all().contains(replica.self())) {
       askedToJoin = true;
