Soak: a stop is awaited of the process that was told to stop

Cause: the entry had been killed 6 s before and its start was not through; the signal found no process, and the soak then waited for the one started meanwhile, which was never told. Its log has no stop, and goes on serving. SoakRunTest.processThatDoesNotRunIsNotToldToStop.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.daemon.Skylarkfork;
 
@@ -78,13 +77,19 @@
     }
   }
 
-  /** Waits until the process has ended by itself. */
-  boolean awaitEnd(long seconds) throws InterruptedException {
-    Process ending;
-    synchronized (this) {
-      ending = process;
+  /**
+   * Tells the process to stop.
+   *
+   * @return what was told so, or null if nothing ran: a later start isn't told
+   */
+  synchronized @Nullable Process terminate() throws IOException, InterruptedException {
+    Process told = process;
+    if (told == null || !told.isAlive()) {
+      return null;
     }
-    return ending == null || ending.waitFor(seconds, TimeUnit.SECONDS);
+    signal("CONT");
+    signal("TERM");
+    return told;
   }
 
   /**
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
@@ -142,14 +142,13 @@
 
   private void stop(RelayProcess process) throws IOException, InterruptedException {
     tell("stop " + process.name());
-    process.signal("CONT");
-    process.signal("TERM");
-    later(0, () -> awaitStop(process));
+    Process told = process.terminate();
+    later(0, () -> awaitStop(process, told));
   }
 
-  private void awaitStop(RelayProcess process) throws IOException {
+  private void awaitStop(RelayProcess process, @Nullable Process told) throws IOException {
     try {
-      if (!process.awaitEnd(LONGEST_STOP_SECONDS)) {
+      if (told != null && !told.waitFor(LONGEST_STOP_SECONDS, TimeUnit.SECONDS)) {
         findings.add(process.name() + " didn't end after SIGTERM");
       }
       system.startAll(List.of(process));
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.daemon.soak;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -61,6 +62,16 @@
     }
   }
 
+  /**
+   * Guards against a wait for the end of a process that was started after the signal had found none
+   * to tell, and so goes on.
+   */
+  @Test
+  public void processThatDoesNotRunIsNotToldToStop() throws IOException, InterruptedException {
+    RelayProcess process = new RelayProcess("one", Files.createTempDirectory("soak"), "node: one");
+    assertNull(process.terminate());
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "");
   }
