--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/announce/AnnouncerTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/announce/AnnouncerTest.java
@@ -28,6 +28,9 @@
 /** Tests of announcements against a hand-written entry. */
 public class AnnouncerTest {
 
+  /** Wait for an announcement; a first one that its sender gives up isn't sent again for a day. */
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+
   private static final LoadedModel SMALL = new LoadedModel("ruling-small", "2", List.of("penalty"));
 
   /** Takes announcements and answers each with a status. */
@@ -56,7 +59,7 @@
     private record Next(long nextMillis) {}
 
     private JsonNode next() throws InterruptedException {
-      JsonNode announcement = received.poll(30, TimeUnit.SECONDS);
+      JsonNode announcement = received.poll(LIMIT.toSeconds(), TimeUnit.SECONDS);
       assertTrue(announcement != null, "no announcement came");
       return announcement;
     }
@@ -76,7 +79,7 @@
   }
 
   private static AnnouncerSettings often(List<String> entries) {
-    return new AnnouncerSettings(entries, Duration.ofDays(1), Duration.ofSeconds(5));
+    return new AnnouncerSettings(entries, Duration.ofDays(1), LIMIT);
   }
 
   @Test
