--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -63,12 +63,13 @@
       EventLoop eventLoop,
       RelayDialect dialect,
       EventLoopReducer loop,
+      UpstreamConnector connector,
       Supplier<RelayLimits> limits) {
     this.eventLoop = eventLoop;
     this.dialect = dialect;
     this.loop = loop;
     this.limits = limits;
-    this.pools = new UpstreamPools(eventLoop, dialect, CONNECT_TIMEOUT);
+    this.pools = new UpstreamPools(eventLoop, dialect, connector, CONNECT_TIMEOUT);
   }
 
   /**
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.runtime.relay;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
@@ -86,6 +87,7 @@
 
   private final RelaySettings settings;
   private final EarlyListeners earlyListeners;
+  private final UpstreamConnector upstreamConnector;
   private final RelayDialect dialect;
   private final ControlDialect controlDialect;
   private final BinaryCodec codec = codec();
@@ -139,7 +141,20 @@
       RelayDialect dialect,
       ControlDialect controlDialect,
       Consumer<Throwable> onFailure) {
+    this(settings, earlyListeners, clock, Bootstrap::connect, dialect, controlDialect, onFailure);
+  }
+
+  /** Creates a daemon that connects to upstreams by the given connector. */
+  RelayNode(
+      RelaySettings settings,
+      EarlyListeners earlyListeners,
+      InstantSource clock,
+      UpstreamConnector upstreamConnector,
+      RelayDialect dialect,
+      ControlDialect controlDialect,
+      Consumer<Throwable> onFailure) {
     this.settings = settings;
+    this.upstreamConnector = upstreamConnector;
     this.earlyListeners = earlyListeners;
     this.onFailure = onFailure;
     this.dialect = dialect;
@@ -322,7 +337,11 @@
     parts.add(slotScheduler);
     RelayCallerServer started =
         new RelayCallerServer(
-            eventLoop, dialect, loop, () -> entryPart.table().configuration().limits());
+            eventLoop,
+            dialect,
+            loop,
+            upstreamConnector,
+            () -> entryPart.table().configuration().limits());
     callerServer = started;
     gauges = new EntryGauges(entryPart, requests, slotScheduler, started);
     callerAddress = started.start(caller, earlyListeners.take(caller));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -33,6 +32,7 @@
   private static final long STALE_RETENTION_NANOS = 20_000_000_000L;
 
   private final Bootstrap bootstrap;
+  private final UpstreamConnector connector;
   private final @Nullable InetSocketAddress address;
   private final RelayDialect dialect;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -46,12 +46,18 @@
   /**
    * Creates an empty pool.
    *
-   * @param bootstrap opens connections
+   * @param bootstrap options of connections
+   * @param connector opens connections
    * @param address address of the upstream, or null if it is invalid
    * @param dialect mapping of the headers
    */
-  UpstreamPool(Bootstrap bootstrap, @Nullable InetSocketAddress address, RelayDialect dialect) {
+  UpstreamPool(
+      Bootstrap bootstrap,
+      UpstreamConnector connector,
+      @Nullable InetSocketAddress address,
+      RelayDialect dialect) {
     this.bootstrap = bootstrap;
+    this.connector = connector;
     this.address = address;
     this.dialect = dialect;
   }
@@ -171,7 +177,7 @@
     }
     openConnections++;
     UpstreamConnection connection = new UpstreamConnection(this, dialect, DEFAULT_IDLE_NANOS);
-    ChannelFuture connecting =
+    Bootstrap handled =
         bootstrap
             .clone()
             .handler(
@@ -185,18 +191,19 @@
                             new HttpResponseDecoder(HttpDecoderLimits.decoderConfig()),
                             connection);
                   }
-                })
-            .connect(address);
-    connecting.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            receiver.accept(connection);
-          } else {
-            openConnections--;
-            receiver.accept(null);
-            serveNextPending();
-          }
-        });
+                });
+    connector
+        .connect(handled, address)
+        .addListener(
+            done -> {
+              if (done.isSuccess()) {
+                receiver.accept(connection);
+              } else {
+                openConnections--;
+                receiver.accept(null);
+                serveNextPending();
+              }
+            });
   }
 
   /**
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
@@ -16,10 +16,13 @@
   private static final Duration UNUSED_RETENTION = Duration.ofSeconds(20);
 
   private final Bootstrap bootstrap;
+  private final UpstreamConnector connector;
   private final RelayDialect dialect;
   private final Map<String, UpstreamPool> pools = new HashMap<>();
 
-  UpstreamPools(EventLoop loop, RelayDialect dialect, Duration connectTimeout) {
+  UpstreamPools(
+      EventLoop loop, RelayDialect dialect, UpstreamConnector connector, Duration connectTimeout) {
+    this.connector = connector;
     this.dialect = dialect;
     this.bootstrap =
         new Bootstrap()
@@ -32,7 +35,9 @@
   UpstreamPool pool(UpstreamInstance upstream) {
     return pools.computeIfAbsent(
         upstream.id(),
-        id -> new UpstreamPool(bootstrap, UpstreamAddress.parse(upstream.address()), dialect));
+        id ->
+            new UpstreamPool(
+                bootstrap, connector, UpstreamAddress.parse(upstream.address()), dialect));
   }
 
   /** Recalls the attempts that wait for a connection to an upstream. */
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -47,6 +47,7 @@
   final Codec codec = new Codec();
   final List<ScriptedUpstream> upstreams = new ArrayList<>();
   private @Nullable RelayNode node;
+  private String peerName = "";
 
   /** Starts a daemon with an empty data folder. */
   @BeforeMethod
@@ -56,6 +57,7 @@
     try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
       peer = new InetSocketAddress(LOOPBACK, socket.getLocalPort());
     }
+    peerName = "127.0.0.1:" + peer.getPort();
     InetSocketAddress anyPort = new InetSocketAddress(LOOPBACK, 0);
     RelaySettings settings =
         new RelaySettings(
@@ -63,7 +65,7 @@
             "a",
             List.of("a"),
             peer,
-            List.of("127.0.0.1:" + peer.getPort()),
+            List.of(peerName),
             anyPort,
             null,
             anyPort,
@@ -101,6 +103,11 @@
     upstreams.clear();
   }
 
+  /** Returns the daemon's peer name. */
+  String peerName() {
+    return peerName;
+  }
+
   RelayNode node() {
     assertNotNull(node);
     return node;
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -31,7 +31,10 @@
   public void staleConnectionLowersMaxIdleTime() {
     UpstreamPool pool =
         new UpstreamPool(
-            new Bootstrap(), new InetSocketAddress("127.0.0.1", 1), new RelayHeaders());
+            new Bootstrap(),
+            Bootstrap::connect,
+            new InetSocketAddress("127.0.0.1", 1),
+            new RelayHeaders());
     long now = System.nanoTime();
     assertEquals(pool.maxIdleNanos(now), Long.MAX_VALUE);
     pool.recordStale(TimeUnit.MILLISECONDS.toNanos(400));
@@ -46,7 +49,8 @@
    */
   @Test
   public void upstreamWithoutAddressProvidesNoConnection() {
-    UpstreamPool pool = new UpstreamPool(new Bootstrap(), null, new RelayHeaders());
+    UpstreamPool pool =
+        new UpstreamPool(new Bootstrap(), Bootstrap::connect, null, new RelayHeaders());
     List<Boolean> connected = new ArrayList<>();
     pool.acquire(false, 2, connection -> connected.add(connection != null));
     pool.probe(connected::add);
@@ -80,7 +84,8 @@
       InetSocketAddress address =
           new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
       Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
-      UpstreamPool pool = new UpstreamPool(bootstrap, address, new RelayHeaders());
+      UpstreamPool pool =
+          new UpstreamPool(bootstrap, Bootstrap::connect, address, new RelayHeaders());
       CountingReceiver opening = new CountingReceiver();
       CountingReceiver waiting = new CountingReceiver();
       CompletableFuture<Boolean> later = new CompletableFuture<>();
