Scheduler: one entry that can't connect doesn't make an engine count as gone

An entry whose links are cut reported each engine that it tried as unreachable, and the scheduler avoided them for all entries from the first failure on. The engine counts as gone only if it has answered nobody for half a second; else failures count from the third in a row on, as others do.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/SchedulerPart.java
@@ -40,6 +40,12 @@
    */
   private static final Duration EXPIRY_MARGIN = Duration.ofSeconds(1);
 
+  /**
+   * Time within which an answer to any entry shows that an upstream isn't gone, although one entry
+   * couldn't connect to it: that entry's links may be cut.
+   */
+  private static final Duration ANSWERS_TO_OTHERS = Duration.ofMillis(500);
+
   /** Interval at which expired reservations and engines that are gone are removed. */
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
@@ -237,7 +243,8 @@
           upstream.recordFailure(false, now);
         }
       }
-      case UNREACHABLE -> upstream.recordFailure(true, now);
+      case UNREACHABLE ->
+          upstream.recordFailure(upstream.isSilentSince(now.minus(ANSWERS_TO_OTHERS)), now);
       case SILENT -> upstream.recordFailure(upstream.isSilentSince(reservation.grantedAt), now);
       default -> throw new IllegalArgumentException("unknown progress " + report.progress());
     }
