--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/RelayEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/RelayEffect.java
@@ -67,7 +67,17 @@
   record Forget(long request) implements RelayEffect {}
 
   /**
-   * Probes whether an upstream still accepts connections; {@link
+   * Opens a connection to an upstream; {@link
+   * org.skylarkfork.core.event.RelayEvent.UpstreamConnected} reports the result.
+   *
+   * @param upstream the upstream to connect to
+   * @param forwarder peer name of the entry that opens the connection, or null to use this entry's
+   *     own links
+   */
+  record ProbePath(UpstreamInstance upstream, @Nullable String forwarder) implements RelayEffect {}
+
+  /**
+   * Probes whether an upstream still accepts connections, of this entry or of another one; {@link
    * org.skylarkfork.core.event.RelayEvent.UpstreamProbed} reports the result.
    *
    * @param upstream the upstream to probe
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/entrylist/EntryLists.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/entrylist/EntryLists.java
@@ -32,6 +32,12 @@
    */
   private static final int MIN_GROUP_SIZE = 16;
 
+  /** Maximum number of entries that forward connections of one entry. */
+  private static final int MAX_FORWARDERS = 4;
+
+  /** Number of available entries of a zone from which on they alone forward for the zone. */
+  private static final int MIN_ZONE_FORWARDERS = 3;
+
   private final List<ListedEntry> entries;
   private final int[] weights;
   private final boolean even;
@@ -188,6 +194,28 @@
     return others;
   }
 
+  /**
+   * Returns the entries that may open connections to upstreams for another one, at most {@link
+   * #MAX_FORWARDERS}: available entries of its zone, and others only if its zone has too few.
+   *
+   * @param index index of the other entry in the order of names
+   */
+  public List<String> forwarders(int index) {
+    List<String> sameZone = new ArrayList<>();
+    List<String> otherZones = new ArrayList<>();
+    String zone = entries.get(index).zone();
+    for (int step = 1; step < entries.size() && sameZone.size() < MAX_FORWARDERS; step++) {
+      ListedEntry entry = entries.get((index + step) % entries.size());
+      if (entry.serving() && !entry.busy()) {
+        (entry.zone().equals(zone) ? sameZone : otherZones).add(entry.node());
+      }
+    }
+    if (sameZone.size() < MIN_ZONE_FORWARDERS) {
+      sameZone.addAll(otherZones);
+    }
+    return sameZone.subList(0, Math.min(MAX_FORWARDERS, sameZone.size()));
+  }
+
   /**
    * Returns the offered entries in the order of names, from an index on if not all can be named.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.RelayCommand;
+import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.AttemptFailure;
 import org.skylarkfork.core.relay.RateLimit;
 import org.skylarkfork.core.relay.RelayRequest;
@@ -123,6 +124,18 @@
    */
   record UpstreamProbed(UpstreamRun upstream, boolean reachable) implements RelayEvent {}
 
+  /**
+   * A connection to an upstream was opened, or couldn't be opened.
+   *
+   * @param upstream the upstream
+   * @param forwarder peer name of the entry that was to open the connection for this one, or null
+   *     for a connection over this entry's own links
+   * @param outcome the outcome
+   */
+  record UpstreamConnected(
+      UpstreamInstance upstream, @Nullable String forwarder, ConnectOutcome outcome)
+      implements RelayEvent {}
+
   /**
    * The answer of an attempt was read to its end.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -33,8 +33,8 @@
    * @param directoryEpoch epoch of the entry's directory of upstreams; 0 for none
    * @param directorySequence sequence number of the newest change in the entry's directory
    * @param searching whether the entry knows no leader
-   * @param busy whether the entry's processor is overloaded, so that callers should prefer other
-   *     entries
+   * @param busy whether callers should prefer other entries, since the entry's processor is
+   *     overloaded or it reaches upstreams through other entries only
    * @param neighbourhoodVersion version of the entry's {@link Neighbourhood}; 0 for none
    * @param counts results of each version since the start of the entry's process; empty in polls to
    *     others than the leader
@@ -126,6 +126,8 @@
    * @param place ordinal of the entry among all entries
    * @param selectable entries from which the entry selects a list for each caller; empty if {@code
    *     callerAddresses} is the list of all callers
+   * @param forwarders node names of the entries that open connections to upstreams for this one if
+   *     it can't reach them itself; empty from older leaders
    */
   record Neighbourhood(
       long version,
@@ -133,18 +135,31 @@
       List<String> peers,
       List<String> schedulers,
       EntryOrdinal place,
-      List<NamedEntry> selectable) {
+      List<NamedEntry> selectable,
+      List<String> forwarders) {
 
     /** Value before the first report of the leader. */
     public static final Neighbourhood NONE =
         new Neighbourhood(0, List.of(), List.of(), List.of(), EntryOrdinal.UNKNOWN, List.of());
 
+    /** Creates a neighbourhood without forwarders. */
+    public Neighbourhood(
+        long version,
+        List<String> callerAddresses,
+        List<String> peers,
+        List<String> schedulers,
+        EntryOrdinal place,
+        List<NamedEntry> selectable) {
+      this(version, callerAddresses, peers, schedulers, place, selectable, List.of());
+    }
+
     /** Copies the lists. */
     public Neighbourhood {
       callerAddresses = List.copyOf(callerAddresses);
       peers = List.copyOf(peers);
       schedulers = List.copyOf(schedulers);
       selectable = List.copyOf(selectable);
+      forwarders = List.copyOf(forwarders);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -35,6 +35,9 @@
   /** Number of attempts that reached, or may have reached, an upstream. */
   int sentAttempts;
 
+  /** Ids of the upstreams that this entry couldn't connect to. */
+  final Set<String> unreachedUpstreams = new HashSet<>();
+
   /** Number of attempts that failed before anything was sent. */
   int unsentAttempts;
 
@@ -53,6 +56,9 @@
   /** Placement of the attempt in progress, or null if there is none. */
   @Nullable Placement placement;
 
+  /** Entry that opened the connection of the newest attempt, or null if this one did. */
+  @Nullable String forwarder;
+
   /** Grant of the scheduler that placed the newest attempt, or null if this entry placed it. */
   @Nullable SchedulerGrant grant;
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
@@ -9,6 +9,11 @@
    * more requests; nothing was sent.
    */
   RECALLED(false, false),
+  /**
+   * The entry that was to open the connection didn't try to; nothing was sent, and nothing is known
+   * about the upstream.
+   */
+  NOT_FORWARDED(false, false),
   /** The connection was lost after the request was sent and before an answer came. */
   NO_ANSWER(true, true),
   /**
@@ -31,7 +36,7 @@
 
   /** Returns whether nothing was sent to the upstream. */
   public boolean isUnsent() {
-    return this == NOT_SENT || this == RECALLED;
+    return this == NOT_SENT || this == RECALLED || this == NOT_FORWARDED;
   }
 
   /** Returns whether the upstream may have run the request. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -112,7 +112,10 @@
     if (upstream == null) {
       return;
     }
-    recordFailure(relay, failed.failure(), now, output);
+    boolean ownPathFailed = isOwnPathFailure(relay, failed.failure(), now);
+    if (!ownPathFailed) {
+      recordFailure(relay, failed.failure(), now, output);
+    }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
       crashes.recordLoss(
@@ -127,16 +130,35 @@
     sender.releaseAttempt(relay, output);
     if (failed.failure().isUnsent()) {
       relay.refusingUpstreams.add(upstream.instance().id());
+      relay.unreachedUpstreams.add(upstream.instance().id());
+      if (ownPathFailed) {
+        forgetUnreached(relay);
+      }
       onUnreachable(relay, now, output);
     } else {
       starter.retryOrEnd(relay, now, output);
     }
   }
 
+  /** Returns whether a failure to connect says nothing about the upstream. */
+  private boolean isOwnPathFailure(ActiveRelay relay, AttemptFailure failure, Instant now) {
+    return failure == AttemptFailure.NOT_FORWARDED
+        || failure == AttemptFailure.NOT_SENT
+            && sender.isForwarded(relay, now)
+            && (relay.forwarder == null || sender.isSuspected(relay));
+  }
+
+  /** Lets the request be sent to upstreams that it couldn't reach over this entry's links. */
+  private static void forgetUnreached(ActiveRelay relay) {
+    relay.triedUpstreams.removeAll(relay.unreachedUpstreams);
+    relay.refusingUpstreams.removeAll(relay.unreachedUpstreams);
+    relay.unreachedUpstreams.clear();
+  }
+
   private void recordFailure(
       ActiveRelay relay, AttemptFailure failure, Instant now, Output output) {
     switch (failure) {
-      case STALE_CONNECTION, RECALLED -> {}
+      case STALE_CONNECTION, RECALLED, NOT_FORWARDED -> {}
       case NOT_SENT -> sender.recordFailure(relay, AttemptProgress.UNREACHABLE, now, output);
       default -> sender.recordFailure(relay, AttemptProgress.FAILED, now, output);
     }
@@ -177,7 +199,8 @@
       return;
     }
     double pause = relay.route.pauseMillis();
-    boolean certainlySilent = silent.silentMillis() >= CERTAIN_SILENCE_PAUSES * pause;
+    boolean certainlySilent =
+        silent.silentMillis() >= CERTAIN_SILENCE_PAUSES * pause || sender.isOnCutLinks(relay);
     double maxFirstByteMillis = certainlySilent ? Double.MAX_VALUE : pause - silent.silentMillis();
     failOver(relay, maxFirstByteMillis, "silent_stream", now, output);
   }
@@ -206,6 +229,13 @@
     }
   }
 
+  /** Fails a request over that was sent over links which turn out to be cut. */
+  void checkOwnLinks(ActiveRelay relay, Instant now, Output output) {
+    if (sender.checkUnanswered(relay, now)) {
+      failOver(relay, Double.MAX_VALUE, "path_cut", now, output);
+    }
+  }
+
   /**
    * Fails over from a silent upstream to another one, at most once per request.
    *
@@ -227,11 +257,16 @@
     }
     relay.failedOver = true;
     relay.mayHaveRun = true;
-    sender.recordFailure(relay, AttemptProgress.SILENT, now, output);
-    recordAbandonedWait(relay, silent, now);
+    boolean upstreamSilent = !sender.isOnCutLinks(relay);
+    if (upstreamSilent) {
+      sender.recordFailure(relay, AttemptProgress.SILENT, now, output);
+      recordAbandonedWait(relay, silent, now);
+    }
     trace.attemptEnded(why, relay, "after_event=" + relay.lastEventId, now, output);
     sender.cancelAttempt(relay, output);
-    crashes.recordLoss(suspected(silent.instance()), relay.requestKey, relay.sentAt, now, output);
+    if (upstreamSilent) {
+      crashes.recordLoss(suspected(silent.instance()), relay.requestKey, relay.sentAt, now, output);
+    }
     starter.startNext(relay, now, output);
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
 import org.skylarkfork.core.placement.PromptPrefixes;
+import org.skylarkfork.core.reachability.PathState;
 
 /** Places and sends attempts to upstreams and tracks the attempts in progress. */
 final class AttemptSender {
@@ -23,6 +24,9 @@
   /** Fraction of an upstream's connection limit that all entries together may use. */
   private static final double CONNECTION_FRACTION = 0.8;
 
+  /** Time without any answer of a service after which the links to it are probed. */
+  private static final Duration UNANSWERED_DURATION = Duration.ofMillis(600);
+
   private final RelayView view;
   private final String zone;
   private final UpstreamPicker picker;
@@ -243,6 +247,7 @@
     relay.sentAttempts++;
     relay.placement = placement;
     relay.grant = grant;
+    relay.forwarder = view.paths().forwarder(relay.service.name(), now);
     relay.sentAt = now;
     relay.backoffRequested = false;
     relay.pendingWorkMillis = placement.workMillis();
@@ -277,7 +282,8 @@
         relay.lastEventId,
         relay.forwarding,
         relay.route.kind() == RouteKind.NON_IDEMPOTENT,
-        relay.route.retryable() ? (int) (relay.route.pauseMillis() * SILENCE_FRACTION) : 0);
+        relay.route.retryable() ? (int) (relay.route.pauseMillis() * SILENCE_FRACTION) : 0,
+        relay.forwarder);
   }
 
   /** Records the first byte of the answer to the attempt in progress. */
@@ -288,6 +294,9 @@
     }
     placement.upstream().recordBegun(relay.pendingWorkMillis);
     relay.pendingWorkMillis = 0;
+    if (relay.forwarder == null) {
+      view.paths().recordAnswer(relay.service.name(), now);
+    }
     double millis = Duration.between(relay.sentAt, now).toMillis();
     picker.recordFirstByte(relay.service, relay.modelName(), placement, millis, now);
     slots.recordFirstByte(relay, (long) millis);
@@ -328,6 +337,39 @@
     }
   }
 
+  /**
+   * Returns whether it isn't known yet if the links or the upstreams of the service have failed.
+   */
+  boolean isSuspected(ActiveRelay relay) {
+    return view.paths().state(relay.service.name()) == PathState.SUSPECTED;
+  }
+
+  /** Returns whether the request's next attempt is sent through another entry. */
+  boolean isForwarded(ActiveRelay relay, Instant now) {
+    return view.paths().isForwarded(relay.service.name(), now);
+  }
+
+  /**
+   * Reports an attempt without a first byte whose service has sent no answer for long; returns
+   * whether the attempt is lost because this entry's links to the service are cut.
+   */
+  boolean checkUnanswered(ActiveRelay relay, Instant now) {
+    boolean unanswered =
+        relay.placement != null
+            && !relay.forwarding
+            && !now.isBefore(relay.sentAt.plus(UNANSWERED_DURATION));
+    if (unanswered && relay.forwarder == null) {
+      view.paths().recordUnanswered(relay.service.name(), relay.sentAt);
+    }
+    return unanswered && isOnCutLinks(relay);
+  }
+
+  /** Returns whether the attempt in progress was sent over links that are cut and silent. */
+  boolean isOnCutLinks(ActiveRelay relay) {
+    return relay.forwarder == null
+        && view.paths().isSilentSince(relay.service.name(), relay.sentAt);
+  }
+
   /** Cancels the attempt in progress, if there is one, so that its upstream stops working on it. */
   void cancelAttempt(ActiveRelay relay, Output output) {
     if (relay.placement != null) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptTarget.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptTarget.java
@@ -19,6 +19,8 @@
  * @param fresh whether the attempt requires a new connection
  * @param silenceMillis time without a byte after which a stream that has begun is reported as
  *     silent, in milliseconds; 0 for never
+ * @param forwarder peer name of the entry that opens the connection for this one, or null to use
+ *     this entry's own links
  */
 public record AttemptTarget(
     UpstreamInstance upstream,
@@ -31,4 +33,5 @@
     @Nullable String lastEventId,
     boolean continues,
     boolean fresh,
-    int silenceMillis) {}
+    int silenceMillis,
+    @Nullable String forwarder) {}
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -146,6 +146,7 @@
     List<String> peers = few ? present.othersInOrder(own) : List.of();
     List<String> groupSchedulers = few ? List.of() : schedulers(present, engines);
     List<NamedEntry> selectable = present.selectable();
+    List<String> forwarders = present.forwarders(own);
     EntryOrdinal ordinal = new EntryOrdinal(own, entries.size());
     long version =
         StableHash.of(
@@ -153,9 +154,11 @@
                 String.join(",", peers),
                 String.join(",", groupSchedulers),
                 ordinal.toString(),
-                present.selectableHash())
+                present.selectableHash(),
+                String.join(",", forwarders))
             | 1;
-    return new Neighbourhood(version, addresses, peers, groupSchedulers, ordinal, selectable);
+    return new Neighbourhood(
+        version, addresses, peers, groupSchedulers, ordinal, selectable, forwarders);
   }
 
   private List<String> schedulers(EntryLists present, int engines) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
+import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.entrylist.NamedEntry;
 import org.skylarkfork.core.entrylist.WeightedSelection;
@@ -25,6 +26,8 @@
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
+import org.skylarkfork.core.reachability.PathState;
+import org.skylarkfork.core.reachability.UpstreamPaths;
 
 /**
  * An entry's side of the control plane: polls the control VMs and keeps the entry's view of the
@@ -57,6 +60,8 @@
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private int entries = 1;
   private Neighbourhood neighbourhood = Neighbourhood.NONE;
+  private final UpstreamPaths paths = new UpstreamPaths();
+  private int probes;
   private final TickLag lag;
   private boolean wasBusy;
   private boolean stopping;
@@ -212,6 +217,42 @@
     return new BackedOffUpstream(instance.id(), instance.service(), instance.address(), until);
   }
 
+  @Override
+  public UpstreamPaths paths() {
+    return paths;
+  }
+
+  /** Returns the entries that open connections to upstreams for this one if it can't itself. */
+  public List<String> forwarders() {
+    return neighbourhood.forwarders();
+  }
+
+  /**
+   * Returns whether this entry opens a connection to an upstream for another entry.
+   *
+   * @param address address of the upstream
+   * @param now the present time
+   */
+  public ForwardDecision decideForward(String address, Instant now) {
+    TrackedUpstream upstream = directory.upstreamAt(address);
+    if (upstream == null) {
+      return ForwardDecision.REJECTED;
+    }
+    boolean reachesService = paths.state(upstream.instance().service()) == PathState.DIRECT;
+    if (stopping || !reachesService) {
+      return ForwardDecision.UNUSABLE;
+    }
+    boolean acceptsWork =
+        !upstream.condition().rejectsNewWork() && !upstream.backoff().isActive(now);
+    return acceptsWork ? ForwardDecision.ALLOWED : ForwardDecision.REJECTED;
+  }
+
+  /** Returns the upstream at an address, or null if none is known. */
+  public @Nullable UpstreamInstance instanceAt(String address) {
+    TrackedUpstream upstream = directory.upstreamAt(address);
+    return upstream == null ? null : upstream.instance();
+  }
+
   @Override
   public @Nullable String leader() {
     return leader;
@@ -247,6 +288,8 @@
     } else if (event instanceof PeerEvent.MessageReceived received
         && received.message() instanceof EntryUpdate update) {
       onUpdate(received.node(), update, now, output);
+    } else if (event instanceof RelayEvent.UpstreamConnected connected) {
+      onConnected(connected, now, output);
     } else if (event instanceof RelayEvent.SeedsChanged changed) {
       seeds = changed.nodes();
     } else if (event instanceof LifecycleEvent.StopRequested) {
@@ -261,6 +304,7 @@
       wasBusy = lag.busy();
       log(wasBusy, wasBusy ? "event=busy" : "event=busy_no_more", output);
     }
+    probePaths(now, output);
     if (wasProven && !proven(now)) {
       wasProven = false;
       log(true, "event=lease_lost configuration=" + table.configuration().version(), output);
@@ -278,6 +322,61 @@
     }
   }
 
+  private void onConnected(RelayEvent.UpstreamConnected connected, Instant now, Output output) {
+    UpstreamInstance upstream = connected.upstream();
+    String service = upstream.service();
+    List<TrackedUpstream> all = directory.upstreams(service);
+    boolean changed =
+        paths.recordConnect(
+            service, upstream.id(), connected.forwarder(), connected.outcome(), all.size(), now);
+    if (changed) {
+      all.forEach(TrackedUpstream::forgetFailures);
+      logPath(connected, output);
+    }
+    if (changed && paths.state(service) == PathState.SUSPECTED) {
+      String forwarder = paths.forwarder(service, now);
+      if (forwarder != null) {
+        output.effect(new RelayEffect.ProbePath(upstream, forwarder));
+      }
+    }
+  }
+
+  private void logPath(RelayEvent.UpstreamConnected connected, Output output) {
+    String service = connected.upstream().service();
+    PathState state = paths.state(service);
+    String facts =
+        "event=upstream_path_changed service="
+            + service
+            + " state="
+            + state
+            + " upstream="
+            + connected.upstream().id()
+            + " outcome="
+            + connected.outcome()
+            + " forwarder="
+            + (connected.forwarder() == null ? "-" : connected.forwarder())
+            + " forwarders="
+            + neighbourhood.forwarders().size();
+    log(state != PathState.DIRECT, facts, output);
+    output.effect(new TraceEffect.Count("relay_path_changes", state.name(), 1));
+  }
+
+  private void probePaths(Instant now, Output output) {
+    paths
+        .takeProbes(now)
+        .forEach(
+            (service, count) -> {
+              List<TrackedUpstream> ready =
+                  directory.upstreams(service).stream()
+                      .filter(upstream -> upstream.condition() == UpstreamCondition.READY)
+                      .toList();
+              for (int probe = 0; probe < Math.min(count, ready.size()); probe++) {
+                UpstreamInstance upstream = ready.get(probes++ % ready.size()).instance();
+                output.effect(new RelayEffect.ProbePath(upstream, null));
+              }
+            });
+  }
+
   private Duration pollIntervalOf(String node) {
     if (leader == null) {
       return LEADERLESS_POLL_INTERVAL;
@@ -310,7 +409,7 @@
                 directory.epoch(),
                 directory.sequence(),
                 leader == null,
-                lag.busy(),
+                lag.busy() || !paths.cutServices().isEmpty(),
                 neighbourhood.version(),
                 node.equals(leader) ? counts.allCounts() : List.of(),
                 node.equals(leader) ? directory.limitsUnknownToLeader(now) : List.of(),
@@ -337,6 +436,7 @@
     Neighbourhood newNeighbourhood = update.neighbourhood();
     if (newNeighbourhood != null) {
       neighbourhood = newNeighbourhood;
+      paths.updateForwarders(newNeighbourhood.forwarders());
     }
     // Entries that are partitioned from the leader keep their connections, so the count that
     // divides an upstream's connections never decreases.
@@ -369,6 +469,7 @@
               + table.configuration().version(),
           output);
       table = new RouteTable(newConfiguration);
+      paths.retain(newConfiguration.services().stream().map(RelayService::name).toList());
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -350,6 +350,7 @@
     slots.takeTimedOut(now, output).forEach(decision -> onSlotDecision(decision, now, output));
     for (ActiveRelay relay : active.all()) {
       if (now.isBefore(relay.deadline)) {
+        failures.checkOwnLinks(relay, now, output);
         failures.checkFirstByteTimeout(relay, now, output);
       } else if (!relay.forwarding) {
         Refusal refusal = relay.sentAttempts > 0 ? Refusal.TIME_OUT : Refusal.TOO_LATE;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.reachability.UpstreamPaths;
 
 /** An entry's view of the deployment: its configuration, upstreams and other entries. */
 interface RelayView extends UpstreamSource {
@@ -44,6 +45,9 @@
   /** Returns whether a request is quarantined because it crashes the upstreams that run it. */
   boolean isQuarantined(RequestKey key);
 
+  /** Returns the paths from this entry to the upstreams. */
+  UpstreamPaths paths();
+
   /** Returns the peer name of the control VMs' leader, or null if none is known. */
   @Nullable String leader();
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -60,6 +60,8 @@
             + (relay.grant == null ? "-" : relay.grant.scheduler())
             + " model="
             + relay.modelIndex
+            + " forwarder="
+            + (relay.forwarder == null ? "-" : relay.forwarder)
             + " team="
             + (relay.team == null ? "-" : relay.team.name())
             + " shift="
@@ -74,6 +76,9 @@
       ActiveRelay relay, TrackedUpstream tracked, Instant now, Output output) {
     String placedBy = relay.grant == null ? "entry" : "scheduler";
     output.effect(new TraceEffect.Count("relay_placements", placedBy, 1));
+    if (relay.forwarder != null) {
+      output.effect(new TraceEffect.Count("relay_forwarded_sends", relay.service.name(), 1));
+    }
     if (tracked.rateLimit().isBounded()) {
       output.effect(new TraceEffect.Count("relay_limited_sends", relay.service.name(), 1));
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/TrackedUpstream.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/TrackedUpstream.java
@@ -181,6 +181,16 @@
     return now.isBefore(avoidedUntil);
   }
 
+  /**
+   * Forgets failures that say nothing about the upstream, since this entry's links to all upstreams
+   * of the service have failed.
+   */
+  void forgetFailures() {
+    failuresInRow = 0;
+    failureShare = 0;
+    avoidedUntil = Instant.EPOCH;
+  }
+
   /** Prefers other upstreams for a time, unless this one succeeds before. */
   void avoid(Duration time, Instant now) {
     Instant until = now.plus(time);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamDirectory.java
@@ -69,6 +69,19 @@
     return byId.get(id);
   }
 
+  /** Returns the newest known upstream at an address, or null if there is none. */
+  @Nullable TrackedUpstream upstreamAt(String address) {
+    TrackedUpstream newest = null;
+    for (TrackedUpstream upstream : byId.values()) {
+      UpstreamInstance instance = upstream.instance();
+      boolean isNewer = newest == null || instance.bornMillis() >= newest.instance().bornMillis();
+      if (instance.address().equals(address) && isNewer) {
+        newest = upstream;
+      }
+    }
+    return newest;
+  }
+
   /**
    * Returns the stable version of a service, which serves outside of roll-outs, or null if unknown.
    */
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/reachability/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the paths to upstreams. */
+@NullMarked
+package org.skylarkfork.core.reachability;
+
+import org.jspecify.annotations.NullMarked;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.reachability.UpstreamPaths;
 import org.skylarkfork.core.returning.ReturnSchedules;
 
 /** An entry's request processing with a view that the tests set directly. */
@@ -178,6 +179,8 @@
     final Set<RequestKey> quarantined = new HashSet<>();
     @Nullable String leader = "control-1";
 
+    private final UpstreamPaths paths = new UpstreamPaths();
+
     FakeView() {
       for (String id : List.of("up-1", "up-2", "up-3")) {
         add(id, "v1");
@@ -249,6 +252,11 @@
       return quarantined.contains(key);
     }
 
+    @Override
+    public UpstreamPaths paths() {
+      return paths;
+    }
+
     @Override
     public @Nullable String leader() {
       return leader;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -282,14 +282,15 @@
   }
 
   private static void writeNeighbourhood(Neighbourhood neighbourhood, PackedWriter out) {
-    out.record(7)
+    out.record(8)
         .number(neighbourhood.version())
         .list(neighbourhood.callerAddresses(), (address, to) -> to.text(address))
         .list(neighbourhood.peers(), (peer, to) -> to.text(peer))
         .list(neighbourhood.schedulers(), (peer, to) -> to.text(peer))
         .number(neighbourhood.place().number())
         .number(neighbourhood.place().of())
-        .list(neighbourhood.selectable(), RelayMessages::writeNamedEntry);
+        .list(neighbourhood.selectable(), RelayMessages::writeNamedEntry)
+        .list(neighbourhood.forwarders(), (peer, to) -> to.text(peer));
   }
 
   private static void writeNamedEntry(NamedEntry entry, PackedWriter out) {
@@ -310,9 +311,8 @@
                 from.list(PackedReader::text),
                 remaining.consumeIfPresent() ? from.list(PackedReader::text) : List.of(),
                 remaining.consumeIfPresent() ? readOrdinal(from, remaining) : EntryOrdinal.UNKNOWN,
-                remaining.consumeIfPresent()
-                    ? from.list(RelayMessages::readNamedEntry)
-                    : List.of()));
+                remaining.consumeIfPresent() ? from.list(RelayMessages::readNamedEntry) : List.of(),
+                remaining.consumeIfPresent() ? from.list(PackedReader::text) : List.of()));
   }
 
   private static EntryOrdinal readOrdinal(PackedReader in, PackedReader.Components remaining) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/AddressedPeers.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/AddressedPeers.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.runtime.relay;
 
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
 import org.skylarkfork.core.effect.PeerEffect;
@@ -17,12 +18,18 @@
     this.transport = transport;
   }
 
+  /** Returns the address of a peer by its name. */
+  static InetSocketAddress addressOf(String node) {
+    int colon = node.lastIndexOf(':');
+    int port = Integer.parseInt(node.substring(colon + 1));
+    return new InetSocketAddress(node.substring(0, colon), port);
+  }
+
   void execute(PeerEffect effect) {
     if (effect instanceof PeerEffect.SendToPeer send && known.add(send.node())) {
-      int colon = send.node().lastIndexOf(':');
-      String host = send.node().substring(0, colon);
-      int port = Integer.parseInt(send.node().substring(colon + 1));
-      transport.execute(new PeerEffect.LearnPeer(send.node(), host, port));
+      InetSocketAddress address = addressOf(send.node());
+      transport.execute(
+          new PeerEffect.LearnPeer(send.node(), address.getHostString(), address.getPort()));
     }
     transport.execute(effect);
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EntryGauges.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EntryGauges.java
@@ -46,6 +46,8 @@
     metrics.set("relay_quarantined_requests", "", entry.quarantinedCount());
     metrics.set("relay_limited_upstreams", "", entry.limitedUpstreamCount());
     metrics.set("relay_backed_off_upstreams", "", entry.backedOffUpstreams(now).size());
+    metrics.set("relay_forwarders", "", entry.forwarders().size());
+    metrics.set("relay_cut_services", "", entry.paths().cutServices().size());
     metrics.set("relay_ready", "", entry.ready(now) ? 1 : 0);
     metrics.set("relay_entry_weight", "", entry.weight() / MAX_WEIGHT);
     metrics.set("relay_requests_under_way", "", server.activeRequests());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -49,12 +50,14 @@
   private final EventLoop eventLoop;
   private final RelayDialect dialect;
   private final EventLoopReducer loop;
+  private final Supplier<List<String>> forwarders;
   private final Supplier<RelayLimits> limits;
   private final UpstreamPools pools;
   private final Map<Long, RelayExchange> exchanges = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
   private long lastRequestNumber;
+  private int probes;
   private long lastStallCheckAt = System.nanoTime();
   private long lastSweepAt = System.nanoTime();
   private boolean stopping;
@@ -63,13 +66,17 @@
       EventLoop eventLoop,
       RelayDialect dialect,
       EventLoopReducer loop,
-      UpstreamConnector connector,
+      UpstreamConnector ownLinks,
+      ForwardingConnector forwarding,
+      Supplier<List<String>> forwarders,
       Supplier<RelayLimits> limits) {
     this.eventLoop = eventLoop;
     this.dialect = dialect;
     this.loop = loop;
     this.limits = limits;
-    this.pools = new UpstreamPools(eventLoop, dialect, connector, CONNECT_TIMEOUT);
+    this.forwarders = forwarders;
+    this.pools =
+        new UpstreamPools(eventLoop, dialect, ownLinks, forwarding, CONNECT_TIMEOUT, loop::submit);
   }
 
   /**
@@ -208,6 +215,8 @@
       withExchange(drop.request(), RelayExchange::abandonAttempt);
     } else if (effect instanceof RelayEffect.ProbeUpstream probe) {
       probe(probe.upstream());
+    } else if (effect instanceof RelayEffect.ProbePath probe) {
+      pools.pool(probe.upstream(), probe.forwarder()).probe(isReachable -> {});
     } else if (effect instanceof RelayEffect.RecallUnsent recall) {
       pools.recallUnsent(recall.upstream());
     } else if (effect instanceof RelayEffect.Refuse refuse) {
@@ -225,9 +234,30 @@
 
   private void probe(UpstreamInstance upstream) {
     pools
-        .pool(upstream)
+        .pool(upstream, null)
         .probe(
-            isReachable -> loop.submit(new RelayEvent.UpstreamProbed(upstream.run(), isReachable)));
+            isReachable -> {
+              if (isReachable) {
+                reportProbed(upstream, true);
+              } else {
+                probeThroughAnother(upstream);
+              }
+            });
+  }
+
+  /** Probes through another entry, since this one's own links may be cut. */
+  private void probeThroughAnother(UpstreamInstance upstream) {
+    List<String> others = forwarders.get();
+    if (others.isEmpty()) {
+      reportProbed(upstream, false);
+      return;
+    }
+    String forwarder = others.get(probes++ % others.size());
+    pools.pool(upstream, forwarder).probe(isReachable -> reportProbed(upstream, isReachable));
+  }
+
+  private void reportProbed(UpstreamInstance upstream, boolean isReachable) {
+    loop.submit(new RelayEvent.UpstreamProbed(upstream.run(), isReachable));
   }
 
   private void withExchange(long number, Consumer<RelayExchange> action) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -87,7 +87,9 @@
     UpstreamAttempt startedAttempt = new UpstreamAttempt(this, attemptNumber, target, dialect);
     attempt = startedAttempt;
     sentAt = loop.now();
-    pools.pool(target.upstream()).acquire(target.fresh(), target.maxConnections(), startedAttempt);
+    pools
+        .pool(target.upstream(), target.forwarder())
+        .acquire(target.fresh(), target.maxConnections(), startedAttempt);
   }
 
   void sendOver(UpstreamConnection connection, UpstreamAttempt sender) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -35,9 +35,11 @@
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.fairshare.FairShares;
+import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.BackedOffUpstream;
 import org.skylarkfork.core.relay.CallServiceDirectory;
 import org.skylarkfork.core.relay.EntryIdentity;
+import org.skylarkfork.core.relay.ForwardDecision;
 import org.skylarkfork.core.relay.LoadExchangePart;
 import org.skylarkfork.core.relay.RelayControlPart;
 import org.skylarkfork.core.relay.RelayEntryPart;
@@ -47,6 +49,7 @@
 import org.skylarkfork.core.relay.RelayTimings;
 import org.skylarkfork.core.relay.RollOutSettings;
 import org.skylarkfork.core.relay.SchedulerPart;
+import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.VersionStatistics;
 import org.skylarkfork.core.routing.StableHash;
 import org.skylarkfork.core.waiting.SlotSchedulerPart;
@@ -208,6 +211,9 @@
   /** Opens the listeners, recovers the stored state and starts the event loop. */
   public void start() {
     final int early = earlyListeners.count();
+    transport.forwardTo(
+        new UpstreamForwarding(
+            eventLoop, upstreamConnector, this::decideForward, this::onForwarded));
     transport.start(earlyListeners.take(settings.peer()));
     List<Part> parts = new ArrayList<>();
     if (settings.dataFolder() != null) {
@@ -341,6 +347,8 @@
             dialect,
             loop,
             upstreamConnector,
+            new ForwardingConnector(transport),
+            entryPart::forwarders,
             () -> entryPart.table().configuration().limits());
     callerServer = started;
     gauges = new EntryGauges(entryPart, requests, slotScheduler, started);
@@ -354,6 +362,22 @@
     }
   }
 
+  private ForwardDecision decideForward(String address) {
+    RelayEntryPart entryPart = entry;
+    return entryPart == null
+        ? ForwardDecision.UNUSABLE
+        : entryPart.decideForward(address, loop.now());
+  }
+
+  /** Reports a connection for another entry, which tells about this entry's own links as well. */
+  private void onForwarded(String address, ConnectOutcome outcome) {
+    RelayEntryPart entryPart = entry;
+    UpstreamInstance upstream = entryPart == null ? null : entryPart.instanceAt(address);
+    if (upstream != null) {
+      loop.submit(new RelayEvent.UpstreamConnected(upstream, null, outcome));
+    }
+  }
+
   private HttpReply readiness(RelayEntryPart entryPart) {
     boolean ready = !stopping && entryPart.ready(loop.now());
     return text(ready ? 200 : 503, ready ? "ready" : "not ready");
@@ -386,6 +410,7 @@
     }
     Runtime memory = Runtime.getRuntime();
     metrics.set("relay_heap_bytes", "", memory.totalMemory() - memory.freeMemory());
+    metrics.set("relay_forwarded_connections", "", transport.forwardedConnections());
     metrics.set("relay_peer_messages", "sent", transport.counts().sent());
     metrics.set("relay_peer_messages", "received", transport.counts().received());
     metrics.set("relay_peer_messages", "dropped", transport.counts().dropped());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -68,6 +68,11 @@
     exchange.sendOver(opened, this);
   }
 
+  @Override
+  public void notForwarded() {
+    onFailure(AttemptFailure.NOT_FORWARDED);
+  }
+
   @Override
   public void recalled() {
     onFailure(AttemptFailure.RECALLED);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnector.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnector.java
@@ -1,10 +1,10 @@
 package org.skylarkfork.runtime.relay;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 
-/** Connects to upstreams over the VM's own network. */
+/** Connects to upstreams. */
 interface UpstreamConnector {
 
   /**
@@ -14,5 +14,5 @@
    * @param address address of the upstream
    * @return completes when the connection is open or has failed
    */
-  ChannelFuture connect(Bootstrap bootstrap, InetSocketAddress address);
+  Future<Void> connect(Bootstrap bootstrap, InetSocketAddress address);
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,8 +13,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.reachability.ConnectOutcome;
+import org.skylarkfork.runtime.transport.ForwardException;
+import org.skylarkfork.runtime.transport.ForwardResult;
 
 /** A pool of connections to one upstream; confined to one thread. */
 final class UpstreamPool {
@@ -35,6 +40,8 @@
   private final UpstreamConnector connector;
   private final @Nullable InetSocketAddress address;
   private final RelayDialect dialect;
+  private final boolean reuses;
+  private final Consumer<ConnectOutcome> observer;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private final Deque<Acquisition> pending = new ArrayDeque<>();
   private final Set<Acquisition> connecting = new LinkedHashSet<>();
@@ -50,12 +57,18 @@
    * @param connector opens connections
    * @param address address of the upstream, or null if it is invalid
    * @param dialect mapping of the headers
+   * @param reuses whether a connection is used for more than one request
+   * @param observer receives the outcome of each opening of a connection
    */
   UpstreamPool(
       Bootstrap bootstrap,
       UpstreamConnector connector,
       @Nullable InetSocketAddress address,
-      RelayDialect dialect) {
+      RelayDialect dialect,
+      boolean reuses,
+      Consumer<ConnectOutcome> observer) {
+    this.reuses = reuses;
+    this.observer = observer;
     this.bootstrap = bootstrap;
     this.connector = connector;
     this.address = address;
@@ -66,6 +79,11 @@
   interface ConnectionReceiver {
     void receive(@Nullable UpstreamConnection connection);
 
+    /** Reports, in place of a connection, that the forwarding entry didn't try to open one. */
+    default void notForwarded() {
+      receive(null);
+    }
+
     /** Reports, in place of a connection, that the acquisition was recalled. */
     default void recalled() {
       receive(null);
@@ -109,7 +127,7 @@
   /** Reports whether the upstream accepts a connection; an opened connection stays in the pool. */
   void probe(Consumer<Boolean> result) {
     open(
-        opened -> {
+        (opened, outcome) -> {
           if (opened != null) {
             release(opened);
           }
@@ -157,22 +175,29 @@
 
   private void connect(Acquisition acquisition) {
     connecting.add(acquisition);
-    open(opened -> onOpened(acquisition, opened));
+    open((opened, outcome) -> onOpened(acquisition, opened, outcome));
   }
 
-  private void onOpened(Acquisition acquisition, @Nullable UpstreamConnection opened) {
+  private void onOpened(
+      Acquisition acquisition, @Nullable UpstreamConnection opened, ConnectOutcome outcome) {
     connecting.remove(acquisition);
-    if (!acquisition.recalled) {
+    boolean notForwarded =
+        outcome == ConnectOutcome.FORWARDER_UNUSABLE || outcome == ConnectOutcome.REJECTED;
+    if (acquisition.recalled) {
+      if (opened != null) {
+        release(opened);
+      }
+    } else if (notForwarded) {
+      acquisition.receiver.notForwarded();
+    } else {
       acquisition.receiver.receive(opened);
-    } else if (opened != null) {
-      release(opened);
     }
   }
 
-  private void open(Consumer<@Nullable UpstreamConnection> receiver) {
+  private void open(BiConsumer<@Nullable UpstreamConnection, ConnectOutcome> receiver) {
     if (address == null) {
       // An exception here would halt every entry that sends to this one faulty upstream.
-      receiver.accept(null);
+      receiver.accept(null, ConnectOutcome.UPSTREAM_UNREACHABLE);
       return;
     }
     openConnections++;
@@ -196,16 +221,36 @@
         .connect(handled, address)
         .addListener(
             done -> {
+              ConnectOutcome outcome = outcomeOf(done);
+              observer.accept(outcome);
               if (done.isSuccess()) {
-                receiver.accept(connection);
+                receiver.accept(connection, outcome);
               } else {
                 openConnections--;
-                receiver.accept(null);
+                receiver.accept(null, outcome);
                 serveNextPending();
               }
             });
   }
 
+  private static ConnectOutcome outcomeOf(Future<? super Void> connecting) {
+    if (connecting.isSuccess()) {
+      return ConnectOutcome.OPENED;
+    }
+    return connecting.cause() instanceof ForwardException failure
+        ? outcomeOf(failure.result())
+        : ConnectOutcome.UPSTREAM_UNREACHABLE;
+  }
+
+  private static ConnectOutcome outcomeOf(ForwardResult result) {
+    return switch (result) {
+      case OPENED -> ConnectOutcome.OPENED;
+      case UNREACHABLE -> ConnectOutcome.UPSTREAM_UNREACHABLE;
+      case UNUSABLE -> ConnectOutcome.FORWARDER_UNUSABLE;
+      case REJECTED -> ConnectOutcome.REJECTED;
+    };
+  }
+
   /**
    * Records that the upstream had dropped an idle connection.
    *
@@ -229,6 +274,10 @@
   }
 
   void release(UpstreamConnection connection) {
+    if (!reuses) {
+      connection.close();
+      return;
+    }
     connection.markIdle(System.nanoTime());
     idle.addLast(connection);
     serveNextPending();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
@@ -8,6 +8,10 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.UpstreamInstance;
 
 /** Pools of connections to all upstreams; confined to one thread. */
@@ -16,13 +20,32 @@
   private static final Duration UNUSED_RETENTION = Duration.ofSeconds(20);
 
   private final Bootstrap bootstrap;
-  private final UpstreamConnector connector;
+  private final UpstreamConnector ownLinks;
+  private final ForwardingConnector forwarding;
   private final RelayDialect dialect;
-  private final Map<String, UpstreamPool> pools = new HashMap<>();
+  private final Consumer<RelayEvent> events;
+  private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
 
+  /**
+   * Creates pools without connections.
+   *
+   * @param loop event loop of the connections
+   * @param dialect mapping of the headers
+   * @param ownLinks opens connections over the VM's own links
+   * @param forwarding opens connections through other entries
+   * @param connectTimeout timeout of opening a connection
+   * @param events receives an event for each opening of a connection
+   */
   UpstreamPools(
-      EventLoop loop, RelayDialect dialect, UpstreamConnector connector, Duration connectTimeout) {
-    this.connector = connector;
+      EventLoop loop,
+      RelayDialect dialect,
+      UpstreamConnector ownLinks,
+      ForwardingConnector forwarding,
+      Duration connectTimeout,
+      Consumer<RelayEvent> events) {
+    this.ownLinks = ownLinks;
+    this.forwarding = forwarding;
+    this.events = events;
     this.dialect = dialect;
     this.bootstrap =
         new Bootstrap()
@@ -32,20 +55,44 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
   }
 
-  UpstreamPool pool(UpstreamInstance upstream) {
+  private record PoolKey(String upstream, @Nullable String forwarder) {}
+
+  /**
+   * Returns the pool of connections to an upstream.
+   *
+   * @param upstream the upstream
+   * @param forwarder peer name of the entry that opens the connections, or null for the own links
+   */
+  UpstreamPool pool(UpstreamInstance upstream, @Nullable String forwarder) {
     return pools.computeIfAbsent(
-        upstream.id(),
-        id ->
-            new UpstreamPool(
-                bootstrap, connector, UpstreamAddress.parse(upstream.address()), dialect));
+        new PoolKey(upstream.id(), forwarder), key -> createPool(upstream, forwarder));
+  }
+
+  /**
+   * A connection through another entry carries one request only, so that the other entry checks
+   * before each one whether the upstream may receive it.
+   */
+  private UpstreamPool createPool(UpstreamInstance upstream, @Nullable String forwarder) {
+    UpstreamConnector connector = forwarder == null ? ownLinks : forwarding.through(forwarder);
+    Consumer<ConnectOutcome> observer =
+        outcome -> events.accept(new RelayEvent.UpstreamConnected(upstream, forwarder, outcome));
+    return new UpstreamPool(
+        bootstrap,
+        connector,
+        UpstreamAddress.parse(upstream.address()),
+        dialect,
+        forwarder == null,
+        observer);
   }
 
   /** Recalls the attempts that wait for a connection to an upstream. */
   void recallUnsent(UpstreamInstance upstream) {
-    UpstreamPool pool = pools.get(upstream.id());
-    if (pool != null) {
-      pool.recallUnsent();
-    }
+    pools.forEach(
+        (key, pool) -> {
+          if (key.upstream().equals(upstream.id())) {
+            pool.recallUnsent();
+          }
+        });
   }
 
   /** Removes the pools of upstreams that had no request for a while. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/Frame.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/Frame.java
@@ -23,7 +23,12 @@
     /** No payload; requests a keep-alive frame from the acceptor, or responds to one. */
     KEEP_ALIVE,
     /** No payload; the sender closes normally and the connection isn't reported as lost. */
-    GOODBYE
+    GOODBYE,
+    /**
+     * As the first frame, the address to which the acceptor is to open a connection; as the
+     * response, a byte with the {@link ForwardResult}.
+     */
+    FORWARD
   }
 
   /** Returns the frame as encoded on the wire. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/IncomingPeer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/IncomingPeer.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -20,6 +22,7 @@
   private final Channel channel;
   private final Consumer<IncomingPeer> onGreeted;
   private final Consumer<IncomingPeer> onEnded;
+  private final BiConsumer<IncomingPeer, String> onForward;
   private final long openedAt = System.nanoTime();
   private volatile long lastReadAt = openedAt;
   private volatile @Nullable String node;
@@ -31,11 +34,13 @@
       PeerContext context,
       Channel channel,
       Consumer<IncomingPeer> onGreeted,
-      Consumer<IncomingPeer> onEnded) {
+      Consumer<IncomingPeer> onEnded,
+      BiConsumer<IncomingPeer, String> onForward) {
     this.context = context;
     this.channel = channel;
     this.onGreeted = onGreeted;
     this.onEnded = onEnded;
+    this.onForward = onForward;
   }
 
   @Override
@@ -89,6 +94,11 @@
     return closed;
   }
 
+  /** Returns the connection. */
+  Channel channel() {
+    return channel;
+  }
+
   /** Closes the connection without reporting it as lost. */
   void closeNormally() {
     closedNormally = true;
@@ -117,6 +127,10 @@
   private void receive(ByteBuf buffer) {
     Frame frame = Frame.read(buffer);
     String peer = node;
+    if (peer == null && frame.kind() == Frame.Kind.FORWARD) {
+      onForward.accept(this, new String(frame.payload(), StandardCharsets.UTF_8));
+      return;
+    }
     if (peer == null) {
       acceptGreeting(context.readHandshake(frame));
       return;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerContext.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerContext.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.runtime.transport;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.handler.ssl.NotSslRecordException;
 import io.netty.handler.ssl.SslHandler;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,17 @@
     }
   }
 
+  /** Adds a handler that receives frames ahead of the handlers that are already installed. */
+  void addAfterFrames(Channel channel, ChannelHandler handler) {
+    channel.pipeline().addAfter(ERROR_HANDLER, null, handler);
+  }
+
+  /** Removes the handlers of frames; the channel then carries plain bytes. */
+  void removeFrameHandlers(Channel channel) {
+    channel.pipeline().remove(ERROR_HANDLER);
+    channel.pipeline().remove(FRAME_HANDLER);
+  }
+
   /** Returns whether the peer's certificate has the node's name; always true without TLS. */
   boolean hasCertificateOf(Channel channel, String node) {
     if (tls == null) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
@@ -11,6 +11,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
@@ -53,6 +55,7 @@
   private final Map<String, IncomingPeer> greetedPeers = new ConcurrentHashMap<>();
   private final Set<IncomingPeer> incoming = ConcurrentHashMap.newKeySet();
   private final Bootstrap client;
+  private ForwardedConnections forwarded = new ForwardedConnections(ForwardTargets.NONE);
   private @Nullable Channel server;
 
   /**
@@ -173,6 +176,44 @@
     }
   }
 
+  /**
+   * Accepts requests of peers for connections; must be called before {@link #start}.
+   *
+   * @param targets opens the connections
+   */
+  public void forwardTo(ForwardTargets targets) {
+    forwarded = new ForwardedConnections(targets);
+  }
+
+  /** Returns the number of connections that are open for peers. */
+  public int forwardedConnections() {
+    return forwarded.count();
+  }
+
+  /**
+   * Opens a connection to a target through a peer.
+   *
+   * @param bootstrap options and handlers of the connection
+   * @param peer address of the peer
+   * @param target address to which the peer connects
+   * @return completes when the connection is open, or fails with a {@link ForwardException}
+   */
+  public Future<Void> openForwarded(Bootstrap bootstrap, InetSocketAddress peer, String target) {
+    Promise<Void> opened = loops.next().newPromise();
+    ChannelFuture connecting = bootstrap.connect(peer);
+    Channel channel = connecting.channel();
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            context.prepare(channel, false);
+            context.addAfterFrames(channel, new ForwardRequest(context, target, opened));
+          } else {
+            opened.tryFailure(new ForwardException(ForwardResult.UNUSABLE));
+          }
+        });
+    return opened;
+  }
+
   /**
    * Reloads the certificate files; new connections use them if they changed.
    *
@@ -298,13 +339,26 @@
       }
       IncomingPeer peer =
           new IncomingPeer(
-              context, channel, PeerTransport.this::onGreeted, PeerTransport.this::onEnded);
+              context,
+              channel,
+              PeerTransport.this::onGreeted,
+              PeerTransport.this::onEnded,
+              PeerTransport.this::onForward);
       incoming.add(peer);
       context.prepare(channel, true);
       channel.pipeline().addLast(peer);
     }
   }
 
+  /** Opens a connection for a peer, whose channel from then on only carries its bytes. */
+  private void onForward(IncomingPeer peer, String target) {
+    incoming.remove(peer);
+    Channel channel = peer.channel();
+    channel.config().setAutoRead(false);
+    channel.pipeline().remove(peer);
+    forwarded.open(context, channel, target);
+  }
+
   private void onGreeted(IncomingPeer peer) {
     String node = peer.node();
     if (node == null) {
@@ -335,6 +389,7 @@
     try {
       outgoing.values().forEach(peer -> peer.check(now));
       incoming.forEach(peer -> peer.check(now));
+      forwarded.closeIdle(now);
     } catch (RuntimeException e) {
       // An exception would cancel the periodic check, and silent connections would never be closed.
       Logger.error(e, "peer: the check of the connections failed");
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -237,10 +237,19 @@
     return metricsPage("/metrics");
   }
 
+  /** Returns the metrics of a daemon. */
+  String metricsOf(RelayNode daemon) throws Exception {
+    return page(daemon, "/metrics");
+  }
+
   /** Returns a page at the daemon's metrics address. */
   String metricsPage(String path) throws Exception {
-    assertNotNull(node().metricsAddress());
-    URI uri = URI.create("http://127.0.0.1:" + node().metricsAddress().getPort() + path);
+    return page(node(), path);
+  }
+
+  private String page(RelayNode daemon, String path) throws Exception {
+    assertNotNull(daemon.metricsAddress());
+    URI uri = URI.create("http://127.0.0.1:" + daemon.metricsAddress().getPort() + path);
     HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
     return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPartitionNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPartitionNodeTest.java
@@ -131,6 +131,7 @@
         };
     serveWith(script, script, script);
     awaitServed(path);
+    awaitOtherEntry();
     network().cut(cut);
     sendUntilServed(path, "noticing", MAX_LOST);
     List<String> ids = IntStream.range(0, REQUESTS).mapToObj(index -> "cut-" + index).toList();
@@ -150,6 +151,17 @@
         .count();
   }
 
+  private void awaitOtherEntry() throws Exception {
+    String served = "";
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      served = metricsOf(cutEntry());
+      if (served.contains("relay_forwarders{kind=\"\"} 1.0")) {
+        return;
+      }
+    }
+    throw new AssertionError("the other entry isn't known: " + served);
+  }
+
   private void awaitServed(String path) throws IOException {
     sendUntilServed(path, "first", MAX_TRIES);
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -34,7 +34,9 @@
             new Bootstrap(),
             Bootstrap::connect,
             new InetSocketAddress("127.0.0.1", 1),
-            new RelayHeaders());
+            new RelayHeaders(),
+            true,
+            outcome -> {});
     long now = System.nanoTime();
     assertEquals(pool.maxIdleNanos(now), Long.MAX_VALUE);
     pool.recordStale(TimeUnit.MILLISECONDS.toNanos(400));
@@ -50,7 +52,8 @@
   @Test
   public void upstreamWithoutAddressProvidesNoConnection() {
     UpstreamPool pool =
-        new UpstreamPool(new Bootstrap(), Bootstrap::connect, null, new RelayHeaders());
+        new UpstreamPool(
+            new Bootstrap(), Bootstrap::connect, null, new RelayHeaders(), true, outcome -> {});
     List<Boolean> connected = new ArrayList<>();
     pool.acquire(false, 2, connection -> connected.add(connection != null));
     pool.probe(connected::add);
@@ -85,7 +88,8 @@
           new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
       Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
       UpstreamPool pool =
-          new UpstreamPool(bootstrap, Bootstrap::connect, address, new RelayHeaders());
+          new UpstreamPool(
+              bootstrap, Bootstrap::connect, address, new RelayHeaders(), true, outcome -> {});
       CountingReceiver opening = new CountingReceiver();
       CountingReceiver waiting = new CountingReceiver();
       CompletableFuture<Boolean> later = new CompletableFuture<>();
