Upstreams that bear few rejections get fewer; backoffs are told to the forwarding entry

A rejection makes an entry leave the upstream alone for so long that all entries together stay below the limit, by the backoffs that are there (RejectionLimits). Unless there is a free slot for each entry, an upstream's slots are divided among the entries, since a call is shorter than the word of the others' load takes (BrittleUpstreamRooms).

An upstream that asks for a backoff over a forwarded connection means the entry that opened it, which couldn't know: it is told now, and decides again once a connection is open.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -366,6 +366,15 @@
     }
   }
 
+  /**
+   * Tells an entry that an upstream asked for a backoff over a connection that the entry had opened
+   * for the sender.
+   *
+   * @param upstream the run of the upstream
+   * @param backoffMillis remaining time of the backoff, in milliseconds
+   */
+  record ForwardedBackoff(UpstreamRun upstream, int backoffMillis) implements RelayMessage {}
+
   /**
    * Forwards an upstream's heartbeat from the control VM that received it to the leader.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -7,8 +7,10 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
+import org.skylarkfork.core.message.RelayMessage.ForwardedBackoff;
 import org.skylarkfork.core.placement.PromptPrefixes;
 import org.skylarkfork.core.reachability.PathState;
 
@@ -112,6 +114,17 @@
     }
   }
 
+  /** Tells the entry that opened the connection that the upstream asked for a backoff over it. */
+  void reportForwardedBackoff(ActiveRelay relay, Instant now, Output output) {
+    TrackedUpstream upstream = relay.upstream();
+    if (relay.backoffRequested && relay.forwarder != null && upstream != null) {
+      int backoffMillis = (int) upstream.backoff().remaining(now).toMillis();
+      output.effect(
+          new SendToPeer(
+              relay.forwarder, new ForwardedBackoff(upstream.instance().run(), backoffMillis)));
+    }
+  }
+
   private static Duration requestedBackoff(
       ActiveRelay relay, TrackedUpstream upstream, Instant now) {
     return relay.backoffRequested ? upstream.backoff().remaining(now) : Duration.ZERO;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/LeastTimePicker.java
@@ -53,6 +53,7 @@
   private final UniformRandomProvider random;
   private final EngineLatencyModel engineTimes;
   private final CallLatencyModel callTimes;
+  private final BrittleUpstreamRooms rooms;
 
   LeastTimePicker(
       UpstreamSource upstreams,
@@ -65,6 +66,7 @@
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.engineTimes = new EngineLatencyModel(upstreams);
     this.callTimes = new CallLatencyModel();
+    this.rooms = new BrittleUpstreamRooms(upstreams);
   }
 
   @Override
@@ -109,7 +111,7 @@
     for (TrackedUpstream upstream : upstreams.upstreams(service.name())) {
       boolean fits =
           upstream.condition() == condition && query.eligible().test(upstream.instance());
-      if (fits && isAllowed(service, upstream, now)) {
+      if (fits && rooms.hasRoom(upstream, now) && isAllowed(service, upstream, now)) {
         matching.add(upstream);
       }
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -24,8 +24,10 @@
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
+import org.skylarkfork.core.message.RelayMessage.ForwardedBackoff;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
+import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.reachability.PathState;
 import org.skylarkfork.core.reachability.UpstreamPaths;
 
@@ -61,6 +63,7 @@
   private int entries = 1;
   private Neighbourhood neighbourhood = Neighbourhood.NONE;
   private final UpstreamPaths paths = new UpstreamPaths();
+  private final RejectionLimits rejectionLimits = new RejectionLimits();
   private int probes;
   private final TickLag lag;
   private boolean wasBusy;
@@ -217,6 +220,11 @@
     return new BackedOffUpstream(instance.id(), instance.service(), instance.address(), until);
   }
 
+  @Override
+  public RejectionLimits rejectionLimits() {
+    return rejectionLimits;
+  }
+
   @Override
   public UpstreamPaths paths() {
     return paths;
@@ -288,6 +296,9 @@
     } else if (event instanceof PeerEvent.MessageReceived received
         && received.message() instanceof EntryUpdate update) {
       onUpdate(received.node(), update, now, output);
+    } else if (event instanceof PeerEvent.MessageReceived received
+        && received.message() instanceof ForwardedBackoff backoff) {
+      onForwardedBackoff(backoff, now, output);
     } else if (event instanceof RelayEvent.UpstreamConnected connected) {
       onConnected(connected, now, output);
     } else if (event instanceof RelayEvent.SeedsChanged changed) {
@@ -341,6 +352,18 @@
     }
   }
 
+  /**
+   * Applies a backoff that an upstream asked for over a connection of this entry, which the
+   * upstream can't tell from this entry's own requests.
+   */
+  private void onForwardedBackoff(ForwardedBackoff requested, Instant now, Output output) {
+    TrackedUpstream upstream = directory.upstream(requested.upstream().id());
+    if (upstream != null && upstream.instance().run().equals(requested.upstream())) {
+      upstream.backoff().extend(Duration.ofMillis(requested.backoffMillis()), now);
+      output.effect(new RelayEffect.RecallUnsent(upstream.instance()));
+    }
+  }
+
   private void logPath(RelayEvent.UpstreamConnected connected, Output output) {
     String service = connected.upstream().service();
     PathState state = paths.state(service);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -137,7 +137,7 @@
     this.counts = counts;
     this.shutdownPolicy = shutdownPolicy;
     this.trace = new RequestTrace(view);
-    this.notices = new UpstreamNoticeRecorder(seed);
+    this.notices = new UpstreamNoticeRecorder(view, seed);
     this.crashes = new CrashDetector(new LeaderCrashReviewers(view), "relay_upstreams_ended");
     this.schedulers = new SchedulerClient(view);
     this.slots = new CallSlots(view, zone, picker, callSlots);
@@ -231,6 +231,7 @@
     if (upstream != null) {
       relay.backoffRequested =
           notices.recordNotice(upstream, received, relay.request.id(), now, output);
+      sender.reportForwardedBackoff(relay, now, output);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -36,9 +36,6 @@
    */
   @Nullable String stableVersion(String service);
 
-  /** Returns this entry's ordinal among all entries. */
-  EntryOrdinal entryOrdinal();
-
   /** Returns the number of serving entries, at least 1. */
   int entries();
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ScheduledEngines.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
@@ -17,6 +18,8 @@
  */
 final class ScheduledEngines implements UpstreamSource {
 
+  private static final EntryOrdinal ONLY_ENTRY = new EntryOrdinal(0, 1);
+
   private final RelayView view;
   private final Map<UpstreamRun, TrackedUpstream> trackedUpstreams = new HashMap<>();
 
@@ -24,6 +27,17 @@
     this.view = view;
   }
 
+  /** Returns that of a single entry: the scheduler places the requests of all entries. */
+  @Override
+  public EntryOrdinal entryOrdinal() {
+    return ONLY_ENTRY;
+  }
+
+  @Override
+  public RejectionLimits rejectionLimits() {
+    return view.rejectionLimits();
+  }
+
   @Override
   public List<TrackedUpstream> upstreams(String service) {
     List<TrackedUpstream> engines = new ArrayList<>();
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamNoticeRecorder.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/UpstreamNoticeRecorder.java
@@ -8,6 +8,7 @@
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.overload.RejectionLimits;
 
 /** Records what upstreams state in their answers about the requests that they accept. */
 final class UpstreamNoticeRecorder {
@@ -25,14 +26,17 @@
   /** Maximum time by which an entry waits longer than requested, in milliseconds. */
   private static final long MAX_SPREAD_MILLIS = 500;
 
+  private final RelayView view;
   private final UniformRandomProvider random;
 
   /**
    * Creates a recorder.
    *
+   * @param view the entry's view of the deployment
    * @param seed seed of random choices
    */
-  UpstreamNoticeRecorder(long seed) {
+  UpstreamNoticeRecorder(RelayView view, long seed) {
+    this.view = view;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
   }
 
@@ -60,15 +64,46 @@
     if (received.notice().leaving()) {
       recordLeaving(upstream, request, output);
     }
-    boolean requestsBackoff =
-        mayRequestBackoff(received.status()) && received.notice().backoffMillis() > 0;
+    recordRejectionLimit(upstream, received.notice(), request, now, output);
+    long backoffMillis =
+        mayRequestBackoff(received.status()) ? backoffMillis(upstream, received, now) : 0;
+    boolean requestsBackoff = backoffMillis > 0;
     if (requestsBackoff) {
-      recordBackoff(upstream, received, request, now, output);
+      recordBackoff(upstream, received.status(), backoffMillis, request, now, output);
       output.effect(new RelayEffect.RecallUnsent(upstream.instance()));
     }
     return requestsBackoff;
   }
 
+  private void recordRejectionLimit(
+      TrackedUpstream upstream, UpstreamNotice notice, String request, Instant now, Output output) {
+    String service = upstream.instance().service();
+    boolean changed =
+        notice.rejectionLimit() != RejectionLimits.NONE
+            && view.rejectionLimits().record(service, notice.rejectionLimit(), now);
+    if (changed) {
+      String facts =
+          "event=rejection_limit_stated service="
+              + service
+              + " per_second="
+              + notice.rejectionLimit()
+              + " id="
+              + upstream.instance().id()
+              + " request="
+              + request;
+      log(facts, output);
+    }
+  }
+
+  /** Returns the time for which a refusing upstream receives nothing, in milliseconds. */
+  private long backoffMillis(
+      TrackedUpstream upstream, RelayEvent.NoticeReceived received, Instant now) {
+    String service = upstream.instance().service();
+    long pauseMillis =
+        view.rejectionLimits().pauseAfterRejection(service, view.entries(), now).toMillis();
+    return Math.max(received.notice().backoffMillis(), pauseMillis);
+  }
+
   private static boolean mayRequestBackoff(int status) {
     return status == UNAVAILABLE || status == TOO_MANY_REQUESTS;
   }
@@ -84,22 +119,23 @@
 
   private void recordBackoff(
       TrackedUpstream upstream,
-      RelayEvent.NoticeReceived received,
+      int status,
+      long requestedMillis,
       String request,
       Instant now,
       Output output) {
     RequestedBackoff backoff = upstream.backoff();
     long beforeMillis = backoff.remaining(now).toMillis();
-    backoff.extend(spread(received.notice().backoffMillis()), now);
+    backoff.extend(spread(requestedMillis), now);
     String service = upstream.instance().service();
     output.effect(new TraceEffect.Count("relay_backoffs_requested", service, 1));
     String facts =
         "event=backoff_requested id="
             + upstream.instance().id()
             + " status="
-            + received.status()
+            + status
             + " requested_ms="
-            + received.notice().backoffMillis()
+            + requestedMillis
             + " remaining_ms="
             + backoff.remaining(now).toMillis()
             + " before_ms="
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.reachability.UpstreamPaths;
 import org.skylarkfork.core.returning.ReturnSchedules;
 
@@ -180,6 +181,7 @@
     @Nullable String leader = "control-1";
 
     private final UpstreamPaths paths = new UpstreamPaths();
+    private final RejectionLimits rejectionLimits = new RejectionLimits();
 
     FakeView() {
       for (String id : List.of("up-1", "up-2", "up-3")) {
@@ -252,6 +254,11 @@
       return quarantined.contains(key);
     }
 
+    @Override
+    public RejectionLimits rejectionLimits() {
+      return rejectionLimits;
+    }
+
     @Override
     public UpstreamPaths paths() {
       return paths;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamNoticeSimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/UpstreamNoticeSimulation.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -18,8 +20,9 @@
  * Control VMs, entries, upstreams and callers in virtual time. Upstreams ask single entries for
  * backoffs, and some state in their answers that they are leaving without announcing it.
  */
-final class UpstreamNoticeSimulation extends LoadedDeployment {
+class UpstreamNoticeSimulation extends LoadedDeployment {
 
+  private static final int SLOTS = 64;
   private static final int FIRST_BYTE_MILLIS = 150;
   private static final int ANSWER_MILLIS = 500;
   private static final int MAX_BACKOFF_MILLIS = 4000;
@@ -31,13 +34,14 @@
   /** Sends and arrivals that an upstream had asked not to get. */
   final List<String> violations = new ArrayList<>();
 
+  private final int slots;
   int served;
   int refused;
   int backoffs;
   int recalls;
 
   private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
-  private final Map<AttemptId, Connecting> connecting = new HashMap<>();
+  final Map<AttemptId, Connecting> connecting = new HashMap<>();
 
   /** Attempts whose connection the entry has closed, so that it receives no answer to them. */
   private final Set<AttemptId> dropped = new HashSet<>();
@@ -54,7 +58,13 @@
 
     int arrivals;
 
-    private boolean up = true;
+    /** Rejections in a second above which the upstream falls over; none if negative. */
+    int rejectionLimit = -1;
+
+    /** When the upstream rejected requests within the last second. */
+    final Deque<Instant> rejections = new ArrayDeque<>();
+
+    boolean up = true;
     private int running;
 
     /** When each entry's backoff ends, as the entry has received it. */
@@ -68,9 +78,9 @@
     }
   }
 
-  private record AttemptId(String entry, long request, int attempt) {}
+  record AttemptId(String entry, long request, int attempt) {}
 
-  private record Connecting(Upstream upstream, RelayEffect.SendAttempt sent) {}
+  record Connecting(Upstream upstream, RelayEffect.SendAttempt sent) {}
 
   /**
    * Creates and starts all nodes; the configuration is in force and every upstream known
@@ -83,7 +93,14 @@
    *     services
    */
   UpstreamNoticeSimulation(long seed, int entryCount, int upstreamCount, boolean engines) {
+    this(seed, entryCount, upstreamCount, engines, SLOTS);
+  }
+
+  /** Creates and starts all nodes with upstreams that announce a number of slots. */
+  UpstreamNoticeSimulation(
+      long seed, int entryCount, int upstreamCount, boolean engines, int slots) {
     super(seed, entryCount, engines);
+    this.slots = slots;
     run(Duration.ofSeconds(3));
     put(configuration());
     for (int number = 1; number <= upstreamCount; number++) {
@@ -94,12 +111,16 @@
 
   private void startUpstream(String id, String address, long bornMillis) {
     UpstreamInstance instance =
-        new UpstreamInstance(id, "service", address, "a", "v1", 64, 1, bornMillis);
+        new UpstreamInstance(id, "service", address, "a", "v1", slots, 1, bornMillis);
     Upstream upstream = new Upstream(instance);
     upstreams.put(id, upstream);
+    onStarted(upstream);
     announce(instance, () -> upstream.up);
   }
 
+  /** Records the start of an upstream. */
+  void onStarted(Upstream upstream) {}
+
   /** Returns the upstreams that are up. */
   List<Upstream> running() {
     return upstreams.values().stream().filter(upstream -> upstream.up).toList();
@@ -149,10 +170,31 @@
     check("sent", upstream, entry);
     AttemptId id = new AttemptId(entry, sent.request(), sent.attempt());
     connecting.put(id, new Connecting(upstream, sent));
+    connect(id);
+  }
+
+  /** Connects to the upstream of an attempt and delivers it. */
+  void connect(AttemptId id) {
     boolean slow = random.nextDouble() < SLOW_CONNECT_SHARE;
     schedule(slow ? randomMillis(SLOW_CONNECT_MILLIS) : 1, () -> deliver(id));
   }
 
+  /** Returns the entry from which an attempt reaches its upstream. */
+  String sender(String entry, RelayEffect.SendAttempt sent) {
+    return sent.target().forwarder() == null ? entry : sent.target().forwarder();
+  }
+
+  /** Records an attempt that reaches an upstream from an entry. */
+  void onReached(Upstream upstream, String sender) {}
+
+  /** Records a rejection; subclasses decide what follows from it. */
+  void onRejected(Upstream upstream) {}
+
+  /** Returns the upstream with an id, or null if there is none. */
+  @Nullable Upstream upstream(String id) {
+    return upstreams.get(id);
+  }
+
   private void recall(String entry, UpstreamInstance upstream) {
     List<AttemptId> unsent = new ArrayList<>();
     connecting.forEach(
@@ -190,7 +232,7 @@
         .anyMatch(told -> told.getValue().isBefore(since) && isSettled(told.getKey()));
   }
 
-  private void deliver(AttemptId id) {
+  void deliver(AttemptId id) {
     Connecting waiting = connecting.remove(id);
     if (waiting == null) {
       return;
@@ -201,9 +243,11 @@
       return;
     }
     check("reached", upstream, id.entry());
+    onReached(upstream, sender(id.entry(), waiting.sent));
     upstream.arrivals++;
     if (upstream.running >= upstream.capacity) {
-      long backoffMillis = randomMillis(MAX_BACKOFF_MILLIS);
+      long backoffMillis = upstream.rejectionLimit < 0 ? randomMillis(MAX_BACKOFF_MILLIS) : 0;
+      onRejected(upstream);
       schedule(randomMillis(5), () -> reject(upstream, id.entry(), waiting.sent, backoffMillis));
     } else {
       upstream.running++;
@@ -212,7 +256,7 @@
     }
   }
 
-  private void fail(String entry, RelayEffect.SendAttempt sent, AttemptFailure failure) {
+  void fail(String entry, RelayEffect.SendAttempt sent, AttemptFailure failure) {
     inject(entry, new RelayEvent.AttemptFailed(sent.request(), sent.attempt(), failure, null));
   }
 
@@ -233,10 +277,14 @@
       backoffs++;
       Instant until = network.now().plusMillis(notice.backoffMillis());
       upstream.backoffUntil.merge(entry, until, (one, other) -> one.isAfter(other) ? one : other);
+      onBackoff(upstream, sender(entry, sent), until);
     }
     inject(entry, new RelayEvent.NoticeReceived(sent.request(), sent.attempt(), status, notice));
   }
 
+  /** Records a backoff that an upstream asked for over a connection of an entry. */
+  void onBackoff(Upstream upstream, String sender, Instant until) {}
+
   /** Answers an attempt that the upstream has no room for. */
   private void reject(
       Upstream upstream, String entry, RelayEffect.SendAttempt sent, long backoffMillis) {
@@ -244,7 +292,12 @@
       fail(entry, sent, AttemptFailure.NO_ANSWER);
       return;
     }
-    notice(upstream, entry, sent, 503, new UpstreamNotice(backoffMillis, upstream.leaving));
+    notice(
+        upstream,
+        entry,
+        sent,
+        503,
+        new UpstreamNotice(backoffMillis, upstream.leaving, upstream.rejectionLimit));
     answerBegan(entry, sent, 503, true);
   }
 
@@ -261,7 +314,12 @@
       return;
     }
     int status = random.nextDouble() < ERROR_SHARE ? 500 : 200;
-    notice(upstream, entry, sent, status, new UpstreamNotice(0, upstream.leaving));
+    notice(
+        upstream,
+        entry,
+        sent,
+        status,
+        new UpstreamNotice(0, upstream.leaving, upstream.rejectionLimit));
     answerBegan(entry, sent, status, false);
     boolean broken = engines && random.nextDouble() < BROKEN_SHARE;
     schedule(
@@ -279,9 +337,13 @@
   private void end(String entry, RelayEffect.SendAttempt sent, int status) {
     boolean inProgress = entryByRequest.remove(sent.request()) != null;
     served += inProgress && status == 200 ? 1 : 0;
+    onEnded(sent.request(), inProgress && status == 200);
     inject(entry, new RelayEvent.AnswerEnded(sent.request(), sent.attempt()));
   }
 
+  /** Records the end of a request. */
+  void onEnded(long request, boolean isServed) {}
+
   /** Returns the upstream as an entry tracks it, or null if the entry doesn't know it. */
   @Nullable TrackedUpstream tracked(String entry, Upstream upstream) {
     return entryParts.get(entry).upstream(upstream.instance.id());
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/SimulatedNetwork.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/SimulatedNetwork.java
@@ -213,6 +213,11 @@
     }
   }
 
+  /** Returns whether messages from one daemon reach another one. */
+  public boolean isReachable(String from, String to) {
+    return !blockedLinks.contains(from + ">" + to);
+  }
+
   /** Reconnects all disconnected daemons. */
   public void reconnectAll() {
     blockedLinks.clear();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/HttpNames.java
@@ -72,6 +72,9 @@
   /** Set to {@code 1} by an upstream in each answer while it is leaving. */
   public static final String LEAVING = "X-Leaving";
 
+  /** Rejections in a second above which an upstream falls over, set in each of its answers. */
+  public static final String REJECTION_LIMIT = "X-Rejection-Limit";
+
   /** Operator's id of a change; a resend with the same id gets the first answer. */
   public static final String CHANGE_ID = "Skylarkfork-Change-Id";
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -15,6 +15,7 @@
 import org.skylarkfork.core.message.RelayMessage.EntryLoads;
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.EntryUpdate;
+import org.skylarkfork.core.message.RelayMessage.ForwardedBackoff;
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.PlacementAnswer;
 import org.skylarkfork.core.message.RelayMessage.PlacementAsk;
@@ -44,6 +45,7 @@
   private static final int PLACEMENT_NEWS = 38;
   private static final int UPSTREAM_ENDED = 39;
   private static final int REQUEST_SERVED = 40;
+  private static final int FORWARDED_BACKOFF = 41;
 
   private static final int POLL_COMPONENTS = 12;
   private static final int UPDATE_COMPONENTS = 7;
@@ -60,6 +62,9 @@
       writeUpdate(update, out);
     } else if (message instanceof UpstreamHeard heard) {
       RelayValues.writeInstance(heard.instance(), out.tagged(UPSTREAM_HEARD, 1));
+    } else if (message instanceof ForwardedBackoff backoff) {
+      RelayValues.writeRun(backoff.upstream(), out.tagged(FORWARDED_BACKOFF, 2));
+      out.number(backoff.backoffMillis());
     } else if (message instanceof EntryLoads loads) {
       out.tagged(ENTRY_LOADS, 2)
           .list(loads.loads(), RelayMessages::writeLoad)
@@ -129,6 +134,9 @@
       case REQUEST_SERVED:
         components.consume(1);
         return new RequestServed(RelayValues.readKey(in));
+      case FORWARDED_BACKOFF:
+        components.consume(2);
+        return new ForwardedBackoff(RelayValues.readRun(in), in.smallNumber());
       default:
         throw PackedReader.unknown("message", tag);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HeaderValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HeaderValues.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.Date;
 import java.util.List;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.placement.PromptPart;
 import org.skylarkfork.core.relay.RateLimit;
 
@@ -167,6 +169,19 @@
             value -> !value.isEmpty() && !value.equals("0") && !value.equalsIgnoreCase("false"));
   }
 
+  /**
+   * Returns the rejections in a second above which an upstream falls over, the least of several
+   * values, or {@link RejectionLimits#NONE} if no value is a number from 0.
+   */
+  public static int rejectionLimit(List<String> values) {
+    return values.stream()
+        .map(HeaderValues::parseFinite)
+        .filter(Objects::nonNull)
+        .mapToInt(Double::intValue)
+        .min()
+        .orElse(RejectionLimits.NONE);
+  }
+
   /** Returns the value of a finite number from 0, or null if the text is anything else. */
   private static @Nullable Double parseFinite(String word) {
     try {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayHeaders.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayHeaders.java
@@ -92,7 +92,8 @@
     return new UpstreamNotice(
         HeaderValues.retryAfterMillis(
             headers.getAll(HttpHeaderNames.RETRY_AFTER), headers.get(HttpHeaderNames.DATE), now),
-        HeaderValues.flag(headers.getAll(HttpNames.LEAVING)));
+        HeaderValues.flag(headers.getAll(HttpNames.LEAVING)),
+        HeaderValues.rejectionLimit(headers.getAll(HttpNames.REJECTION_LIMIT)));
   }
 
   @Override
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamForwarding.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamForwarding.java
@@ -77,13 +77,25 @@
                   target,
                   done.isSuccess() ? ConnectOutcome.OPENED : ConnectOutcome.UPSTREAM_UNREACHABLE);
               Channel channel = holder.channel;
-              receiver.accept(
-                  done.isSuccess() && channel != null
-                      ? new Opened(ForwardResult.OPENED, channel)
-                      : Opened.failed(ForwardResult.UNREACHABLE));
+              if (done.isSuccess() && channel != null) {
+                onOpened(target, channel, receiver);
+              } else {
+                receiver.accept(Opened.failed(ForwardResult.UNREACHABLE));
+              }
             });
   }
 
+  /** Decides again, since the upstream may have asked for a backoff while the connection opened. */
+  private void onOpened(String target, Channel channel, Consumer<Opened> receiver) {
+    ForwardDecision decision = decisions.apply(target);
+    if (decision == ForwardDecision.ALLOWED) {
+      receiver.accept(new Opened(ForwardResult.OPENED, channel));
+    } else {
+      channel.close();
+      receiver.accept(Opened.failed(resultOf(decision)));
+    }
+  }
+
   /** Keeps the channel of a connection that is being opened. */
   private static final class ChannelHolder extends ChannelInitializer<Channel> {
     private @Nullable Channel channel;
