--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/entrylist/EntryLists.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/entrylist/EntryLists.java
@@ -32,12 +32,9 @@
    */
   private static final int MIN_GROUP_SIZE = 16;
 
-  /** Maximum number of entries that forward connections of one entry. */
+  /** Maximum number of entries of its zone, and of others, that forward connections of an entry. */
   private static final int MAX_FORWARDERS = 4;
 
-  /** Number of available entries of a zone from which on they alone forward for the zone. */
-  private static final int MIN_ZONE_FORWARDERS = 3;
-
   private final List<ListedEntry> entries;
   private final int[] weights;
   private final boolean even;
@@ -195,8 +192,9 @@
   }
 
   /**
-   * Returns the entries that may open connections to upstreams for another one, at most {@link
-   * #MAX_FORWARDERS}: available entries of its zone, and others only if its zone has too few.
+   * Returns the entries that may open connections to upstreams for another one: up to {@link
+   * #MAX_FORWARDERS} available entries of its zone, then as many of other zones, which serve if the
+   * links of a whole zone fail.
    *
    * @param index index of the other entry in the order of names
    */
@@ -204,16 +202,15 @@
     List<String> sameZone = new ArrayList<>();
     List<String> otherZones = new ArrayList<>();
     String zone = entries.get(index).zone();
-    for (int step = 1; step < entries.size() && sameZone.size() < MAX_FORWARDERS; step++) {
+    for (int step = 1; step < entries.size(); step++) {
       ListedEntry entry = entries.get((index + step) % entries.size());
-      if (entry.serving() && !entry.busy()) {
-        (entry.zone().equals(zone) ? sameZone : otherZones).add(entry.node());
+      List<String> chosen = entry.zone().equals(zone) ? sameZone : otherZones;
+      if (entry.serving() && !entry.busy() && chosen.size() < MAX_FORWARDERS) {
+        chosen.add(entry.node());
       }
     }
-    if (sameZone.size() < MIN_ZONE_FORWARDERS) {
-      sameZone.addAll(otherZones);
-    }
-    return sameZone.subList(0, Math.min(MAX_FORWARDERS, sameZone.size()));
+    sameZone.addAll(otherZones);
+    return sameZone;
   }
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
@@ -10,10 +10,15 @@
    */
   RECALLED(false, false),
   /**
-   * The entry that was to open the connection didn't try to; nothing was sent, and nothing is known
-   * about the upstream.
+   * The entry that was to open the connection can't; nothing was sent, and nothing is known about
+   * the upstream.
    */
   NOT_FORWARDED(false, false),
+  /**
+   * The entry that was to open the connection may send nothing to the upstream for now; nothing was
+   * sent.
+   */
+  FORWARD_REJECTED(false, false),
   /** The connection was lost after the request was sent and before an answer came. */
   NO_ANSWER(true, true),
   /**
@@ -36,7 +41,10 @@
 
   /** Returns whether nothing was sent to the upstream. */
   public boolean isUnsent() {
-    return this == NOT_SENT || this == RECALLED || this == NOT_FORWARDED;
+    return switch (this) {
+      case NOT_SENT, RECALLED, NOT_FORWARDED, FORWARD_REJECTED -> true;
+      case NO_ANSWER, STALE_CONNECTION, NOT_AN_ANSWER, BROKEN_OFF -> false;
+    };
   }
 
   /** Returns whether the upstream may have run the request. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -130,7 +130,9 @@
     sender.releaseAttempt(relay, output);
     if (failed.failure().isUnsent()) {
       relay.refusingUpstreams.add(upstream.instance().id());
-      relay.unreachedUpstreams.add(upstream.instance().id());
+      if (failed.failure() != AttemptFailure.FORWARD_REJECTED) {
+        relay.unreachedUpstreams.add(upstream.instance().id());
+      }
       if (ownPathFailed) {
         forgetUnreached(relay);
       }
@@ -158,7 +160,7 @@
   private void recordFailure(
       ActiveRelay relay, AttemptFailure failure, Instant now, Output output) {
     switch (failure) {
-      case STALE_CONNECTION, RECALLED, NOT_FORWARDED -> {}
+      case STALE_CONNECTION, RECALLED, NOT_FORWARDED, FORWARD_REJECTED -> {}
       case NOT_SENT -> sender.recordFailure(relay, AttemptProgress.UNREACHABLE, now, output);
       default -> sender.recordFailure(relay, AttemptProgress.FAILED, now, output);
     }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/reachability/UpstreamPathsTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/reachability/UpstreamPathsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
@@ -126,6 +127,17 @@
     assertNotNull(paths.forwarder(SERVICE, at(1060)));
   }
 
+  /** Guards against asking only entries of the same zone, whose links may all be cut. */
+  @Test
+  public void furtherForwardersAreUsedIfThePreferredOnesAreUnusable() {
+    UpstreamPaths paths = cutPaths("b", "c", "d", "e", "x");
+    for (String node : List.of("b", "c", "d", "e")) {
+      assertNotEquals(paths.forwarder(SERVICE, at(30)), "x");
+      connect(paths, "up-1", node, ConnectOutcome.FORWARDER_UNUSABLE, 30);
+    }
+    assertEquals(paths.forwarder(SERVICE, at(40)), "x");
+  }
+
   @Test
   public void forwardersAreUsedInTurn() {
     UpstreamPaths paths = cutPaths("b", "c");
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CutLinksSimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/CutLinksSimulation.java
@@ -190,11 +190,13 @@
           @Override
           void failed(ConnectOutcome outcome) {
             if (connecting.remove(id) != null) {
-              boolean unreachable = outcome == ConnectOutcome.UPSTREAM_UNREACHABLE;
-              fail(
-                  id.entry(),
-                  waiting.sent(),
-                  unreachable ? AttemptFailure.NOT_SENT : AttemptFailure.NOT_FORWARDED);
+              AttemptFailure failure =
+                  switch (outcome) {
+                    case FORWARDER_UNUSABLE -> AttemptFailure.NOT_FORWARDED;
+                    case REJECTED -> AttemptFailure.FORWARD_REJECTED;
+                    default -> AttemptFailure.NOT_SENT;
+                  };
+              fail(id.entry(), waiting.sent(), failure);
             }
           }
         });
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -73,6 +73,11 @@
     onFailure(AttemptFailure.NOT_FORWARDED);
   }
 
+  @Override
+  public void forwardRejected() {
+    onFailure(AttemptFailure.FORWARD_REJECTED);
+  }
+
   @Override
   public void recalled() {
     onFailure(AttemptFailure.RECALLED);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -79,11 +79,16 @@
   interface ConnectionReceiver {
     void receive(@Nullable UpstreamConnection connection);
 
-    /** Reports, in place of a connection, that the forwarding entry didn't try to open one. */
+    /** Reports, in place of a connection, that the forwarding entry can't open one. */
     default void notForwarded() {
       receive(null);
     }
 
+    /** Reports, in place of a connection, that the forwarding entry may send nothing for now. */
+    default void forwardRejected() {
+      receive(null);
+    }
+
     /** Reports, in place of a connection, that the acquisition was recalled. */
     default void recalled() {
       receive(null);
@@ -181,16 +186,17 @@
   private void onOpened(
       Acquisition acquisition, @Nullable UpstreamConnection opened, ConnectOutcome outcome) {
     connecting.remove(acquisition);
-    boolean notForwarded =
-        outcome == ConnectOutcome.FORWARDER_UNUSABLE || outcome == ConnectOutcome.REJECTED;
     if (acquisition.recalled) {
       if (opened != null) {
         release(opened);
       }
-    } else if (notForwarded) {
-      acquisition.receiver.notForwarded();
     } else {
-      acquisition.receiver.receive(opened);
+      switch (outcome) {
+        case OPENED, UPSTREAM_UNREACHABLE -> acquisition.receiver.receive(opened);
+        case FORWARDER_UNUSABLE -> acquisition.receiver.notForwarded();
+        case REJECTED -> acquisition.receiver.forwardRejected();
+        default -> throw new IllegalArgumentException("unknown outcome " + outcome);
+      }
     }
   }
 
