Paths to upstreams have a class of their own at an entry

No decision changes; CutLinksTest, UpstreamPathsTest, RelayEntryPartTest, UpstreamNoticeTest and RelayRandomRunTest pass unchanged.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -14,7 +14,6 @@
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
-import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.entrylist.NamedEntry;
 import org.skylarkfork.core.entrylist.WeightedSelection;
@@ -28,7 +27,6 @@
 import org.skylarkfork.core.message.RelayMessage.Neighbourhood;
 import org.skylarkfork.core.message.RelayMessage.SharedState;
 import org.skylarkfork.core.overload.RejectionLimits;
-import org.skylarkfork.core.reachability.PathState;
 import org.skylarkfork.core.reachability.UpstreamPaths;
 
 /**
@@ -63,8 +61,8 @@
   private int entries = 1;
   private Neighbourhood neighbourhood = Neighbourhood.NONE;
   private final UpstreamPaths paths = new UpstreamPaths();
+  private final UpstreamPathMonitor pathMonitor = new UpstreamPathMonitor(paths, directory);
   private final RejectionLimits rejectionLimits = new RejectionLimits();
-  private int probes;
   private final TickLag lag;
   private boolean wasBusy;
   private boolean stopping;
@@ -242,17 +240,7 @@
    * @param now the present time
    */
   public ForwardDecision decideForward(String address, Instant now) {
-    TrackedUpstream upstream = directory.upstreamAt(address);
-    if (upstream == null) {
-      return ForwardDecision.REJECTED;
-    }
-    boolean reachesService = paths.state(upstream.instance().service()) == PathState.DIRECT;
-    if (stopping || !reachesService) {
-      return ForwardDecision.UNUSABLE;
-    }
-    boolean acceptsWork =
-        !upstream.condition().rejectsNewWork() && !upstream.backoff().isActive(now);
-    return acceptsWork ? ForwardDecision.ALLOWED : ForwardDecision.REJECTED;
+    return stopping ? ForwardDecision.UNUSABLE : pathMonitor.decideForward(address, now);
   }
 
   /** Returns the upstream at an address, or null if none is known. */
@@ -298,9 +286,9 @@
       onUpdate(received.node(), update, now, output);
     } else if (event instanceof PeerEvent.MessageReceived received
         && received.message() instanceof ForwardedBackoff backoff) {
-      onForwardedBackoff(backoff, now, output);
+      pathMonitor.onForwardedBackoff(backoff, now, output);
     } else if (event instanceof RelayEvent.UpstreamConnected connected) {
-      onConnected(connected, now, output);
+      pathMonitor.onConnected(connected, forwarders().size(), now, output);
     } else if (event instanceof RelayEvent.SeedsChanged changed) {
       seeds = changed.nodes();
     } else if (event instanceof LifecycleEvent.StopRequested) {
@@ -315,7 +303,7 @@
       wasBusy = lag.busy();
       log(wasBusy, wasBusy ? "event=busy" : "event=busy_no_more", output);
     }
-    probePaths(now, output);
+    pathMonitor.tick(now, output);
     if (wasProven && !proven(now)) {
       wasProven = false;
       log(true, "event=lease_lost configuration=" + table.configuration().version(), output);
@@ -333,73 +321,6 @@
     }
   }
 
-  private void onConnected(RelayEvent.UpstreamConnected connected, Instant now, Output output) {
-    UpstreamInstance upstream = connected.upstream();
-    String service = upstream.service();
-    List<TrackedUpstream> all = directory.upstreams(service);
-    boolean changed =
-        paths.recordConnect(
-            service, upstream.id(), connected.forwarder(), connected.outcome(), all.size(), now);
-    if (changed) {
-      all.forEach(TrackedUpstream::forgetFailures);
-      logPath(connected, output);
-    }
-    if (changed && paths.state(service) == PathState.SUSPECTED) {
-      String forwarder = paths.forwarder(service, now);
-      if (forwarder != null) {
-        output.effect(new RelayEffect.ProbePath(upstream, forwarder));
-      }
-    }
-  }
-
-  /**
-   * Applies a backoff that an upstream asked for over a connection of this entry, which the
-   * upstream can't tell from this entry's own requests.
-   */
-  private void onForwardedBackoff(ForwardedBackoff requested, Instant now, Output output) {
-    TrackedUpstream upstream = directory.upstream(requested.upstream().id());
-    if (upstream != null && upstream.instance().run().equals(requested.upstream())) {
-      upstream.backoff().extend(Duration.ofMillis(requested.backoffMillis()), now);
-      output.effect(new RelayEffect.RecallUnsent(upstream.instance()));
-    }
-  }
-
-  private void logPath(RelayEvent.UpstreamConnected connected, Output output) {
-    String service = connected.upstream().service();
-    PathState state = paths.state(service);
-    String facts =
-        "event=upstream_path_changed service="
-            + service
-            + " state="
-            + state
-            + " upstream="
-            + connected.upstream().id()
-            + " outcome="
-            + connected.outcome()
-            + " forwarder="
-            + (connected.forwarder() == null ? "-" : connected.forwarder())
-            + " forwarders="
-            + neighbourhood.forwarders().size();
-    log(state != PathState.DIRECT, facts, output);
-    output.effect(new TraceEffect.Count("relay_path_changes", state.name(), 1));
-  }
-
-  private void probePaths(Instant now, Output output) {
-    paths
-        .takeProbes(now)
-        .forEach(
-            (service, count) -> {
-              List<TrackedUpstream> ready =
-                  directory.upstreams(service).stream()
-                      .filter(upstream -> upstream.condition() == UpstreamCondition.READY)
-                      .toList();
-              for (int probe = 0; probe < Math.min(count, ready.size()); probe++) {
-                UpstreamInstance upstream = ready.get(probes++ % ready.size()).instance();
-                output.effect(new RelayEffect.ProbePath(upstream, null));
-              }
-            });
-  }
-
   private Duration pollIntervalOf(String node) {
     if (leader == null) {
       return LEADERLESS_POLL_INTERVAL;
