Log how an answer was framed and how its connection ended

A cut answer and a whole one left the same line done, so that the hypotheses of docs/incidents/cut-stream.md couldn't be told apart. The lines done and attempt_failed now give the framing, the bytes received, those of an event without its end, and whether the upstream closed the connection, and a metric counts answers by both. For that the channel reports the upstream's close by an event of its own. No decision reads it.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.AttemptFailure;
@@ -98,10 +99,22 @@
    * @param failure kind of the failure
    * @param lastEventId id of the last stream event that was forwarded to the caller, or null if
    *     none
+   * @param answer what was received of the answer
    */
   record AttemptFailed(
-      long request, int attempt, AttemptFailure failure, @Nullable String lastEventId)
-      implements RelayEvent {}
+      long request,
+      int attempt,
+      AttemptFailure failure,
+      @Nullable String lastEventId,
+      ReceivedAnswer answer)
+      implements RelayEvent {
+
+    /** Creates the event of an attempt that has received nothing. */
+    public AttemptFailed(
+        long request, int attempt, AttemptFailure failure, @Nullable String lastEventId) {
+      this(request, attempt, failure, lastEventId, ReceivedAnswer.NOTHING);
+    }
+  }
 
   /**
    * A stream that has begun has been silent for the silence timeout of its attempt, or for another
@@ -141,8 +154,15 @@
    *
    * @param request number of the request
    * @param attempt number of the attempt
+   * @param answer what was received of the answer
    */
-  record AnswerEnded(long request, int attempt) implements RelayEvent {}
+  record AnswerEnded(long request, int attempt, ReceivedAnswer answer) implements RelayEvent {
+
+    /** Creates the event of an answer of which only the end is known. */
+    public AnswerEnded(long request, int attempt) {
+      this(request, attempt, ReceivedAnswer.NOTHING);
+    }
+  }
 
   /**
    * The caller closed its connection before its answer was complete.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -125,7 +125,14 @@
       counts.recordFailure(upstream.instance());
     }
     updateLastEventId(relay, failed.lastEventId());
-    String facts = "how=" + failed.failure() + " after_event=" + relay.lastEventId;
+    String facts =
+        "how="
+            + failed.failure()
+            + " after_event="
+            + relay.lastEventId
+            + " "
+            + failed.answer().facts();
+    trace.answerEnded(failed.answer(), output);
     trace.attemptEnded("attempt_failed", relay, facts, now, output);
     sender.releaseAttempt(relay, output);
     if (failed.failure().isUnsent()) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -213,7 +213,7 @@
       ActiveRelay relay = active.find(ended.request(), ended.attempt());
       if (relay != null) {
         crashes.recordServed(relay.requestKey, output);
-        completer.complete(relay, now, output);
+        completer.complete(relay, ended.answer(), now, output);
       }
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestCompleter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestCompleter.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.returning.ReturnSchedules;
 
@@ -142,7 +143,7 @@
   }
 
   /** Ends a request whose answer was forwarded completely. */
-  void complete(ActiveRelay relay, Instant now, Output output) {
+  void complete(ActiveRelay relay, ReceivedAnswer answer, Instant now, Output output) {
     recordAnswerTime(relay, true, now);
     recordFreedCapacity(relay, now);
     sender.releaseAttempt(relay, output);
@@ -154,7 +155,10 @@
             + " model="
             + relay.modelIndex
             + " confidence="
-            + relay.confidence;
+            + relay.confidence
+            + " "
+            + answer.facts();
+    trace.answerEnded(answer, output);
     trace.ended("done", relay, facts, now, output);
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HexFormat;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.effect.TraceEffect;
 import org.skylarkfork.core.recovery.Release;
 
@@ -127,6 +128,12 @@
     log(true, event, relay, allFacts, now, output);
   }
 
+  /** Counts the answer of an attempt by its framing and by how its connection ended. */
+  void answerEnded(ReceivedAnswer answer, Output output) {
+    String kind = answer.framing() + "_" + answer.connectionEnd();
+    output.effect(new TraceEffect.Count("relay_answer_ends", kind, 1));
+  }
+
   /** Reports an escalation to a larger model, which replaces the answer received. */
   void escalated(ActiveRelay relay, int model, Placement placement, Instant now, Output output) {
     output.effect(new TraceEffect.Count("relay_larger_models", relay.route.name(), 1));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EventSplitter.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EventSplitter.java
@@ -71,6 +71,11 @@
     return pending.isReadable();
   }
 
+  /** Returns the number of buffered bytes that belong to an incomplete event. */
+  int unfinishedBytes() {
+    return pending.writerIndex() - Math.max(pending.readerIndex(), endOfLastEvent());
+  }
+
   /**
    * Returns the id of the newest event that {@link #takeWholeEvents} returned, or null if there is
    * none.
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -8,6 +8,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.AnswerFraming;
+import org.skylarkfork.core.answer.ConnectionEnd;
+import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.AttemptFailure;
 import org.skylarkfork.core.relay.AttemptTarget;
@@ -26,6 +29,9 @@
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf body;
   private @Nullable EventSplitter events;
+  private AnswerFraming framing = AnswerFraming.NO_HEAD;
+  private long receivedBytes;
+  private ConnectionEnd connectionEnd = ConnectionEnd.OPEN;
   private boolean forwarding;
   private long lastBytesAt;
   private int reportedStalls;
@@ -83,8 +89,9 @@
     onFailure(AttemptFailure.RECALLED);
   }
 
-  void onHead(HttpResponse answer) {
+  void onHead(HttpResponse answer, AnswerFraming answerFraming) {
     head = answer;
+    framing = answerFraming;
     lastBytesAt = System.nanoTime();
     reportNotice(answer);
     boolean stream =
@@ -128,6 +135,7 @@
   void onBytes(ByteBuf bytes) {
     lastBytesAt = System.nanoTime();
     reportedStalls = 0;
+    receivedBytes += bytes.readableBytes();
     EventSplitter splitter = events;
     if (splitter != null) {
       splitter.add(bytes);
@@ -148,7 +156,7 @@
       ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
       body = null;
       exchange.sendResponse(answer, whole);
-      finish();
+      finish(received());
     } else {
       exchange.startStream(answer);
       forwardEvents();
@@ -169,8 +177,9 @@
     }
   }
 
-  void onEnd() {
+  void onEnd(ConnectionEnd end) {
     answerEnded = true;
+    connectionEnd = end;
     connection = null;
     HttpResponse answer = head;
     if (finished || answer == null) {
@@ -185,32 +194,49 @@
 
   private void endStream() {
     EventSplitter splitter = events;
+    ReceivedAnswer answer = received();
     if (splitter != null && splitter.hasPartialEvent()) {
       exchange.forwardEvents(splitter.takeRemainder());
     }
     exchange.endStream();
-    finish();
+    finish(answer);
   }
 
-  private void finish() {
+  private void finish(ReceivedAnswer answer) {
     if (!finished) {
       finished = true;
       releaseBuffers();
-      exchange.submit(new RelayEvent.AnswerEnded(exchange.number(), number));
+      exchange.submit(new RelayEvent.AnswerEnded(exchange.number(), number, answer));
     }
   }
 
-  void onFailure(AttemptFailure failure) {
+  private ReceivedAnswer received() {
+    int unfinishedBytes = events == null ? 0 : events.unfinishedBytes();
+    return new ReceivedAnswer(framing, receivedBytes, unfinishedBytes, connectionEnd);
+  }
+
+  /** Ends the attempt, whose answer is not complete. */
+  void onFailure(AttemptFailure failure, ConnectionEnd end) {
+    connectionEnd = end;
+    onFailure(failure);
+  }
+
+  private void onFailure(AttemptFailure failure) {
     if (finished) {
       return;
     }
+    final ReceivedAnswer answer = received();
     finished = true;
     connection = null;
     String last = events == null ? null : events.lastId();
     releaseBuffers();
     exchange.submit(
         new RelayEvent.AttemptFailed(
-            exchange.number(), number, failure, exchange.lastForwardedEventId(last, forwarding)));
+            exchange.number(),
+            number,
+            failure,
+            exchange.lastForwardedEventId(last, forwarding),
+            answer));
   }
 
   /** Abandons the attempt, which raises no further events. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -4,16 +4,20 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.AnswerFraming;
+import org.skylarkfork.core.answer.ConnectionEnd;
 import org.skylarkfork.core.relay.AttemptFailure;
 import org.tinylog.Logger;
 
@@ -38,6 +42,7 @@
 
   private final UpstreamPool pool;
   private final RelayDialect dialect;
+  private final InputEndObserver inputEnd;
   private @Nullable Channel channel;
   private @Nullable UpstreamAttempt attempt;
   private long idleTimeoutNanos;
@@ -50,9 +55,19 @@
   private boolean answering;
   private boolean skipping;
   private int skippedAnswers;
-  private boolean closeDelimited;
+  private AnswerFraming framing = AnswerFraming.NO_HEAD;
 
-  UpstreamConnection(UpstreamPool pool, RelayDialect dialect, long idleTimeoutNanos) {
+  /**
+   * Creates a connection that isn't open yet.
+   *
+   * @param pool pool of the connection
+   * @param dialect mapping of the headers
+   * @param inputEnd receives the events of the channel before the decoder of answers
+   * @param idleTimeoutNanos idle timeout if the upstream doesn't state one, in nanoseconds
+   */
+  UpstreamConnection(
+      UpstreamPool pool, RelayDialect dialect, InputEndObserver inputEnd, long idleTimeoutNanos) {
+    this.inputEnd = inputEnd;
     this.pool = pool;
     this.dialect = dialect;
     this.idleTimeoutNanos = idleTimeoutNanos;
@@ -167,7 +182,8 @@
     }
     answering = true;
     updateKeepAlive(head);
-    current.onHead(head);
+    framing = framingOf(head);
+    current.onHead(head, framing);
   }
 
   private void skipForeignAnswer() {
@@ -183,8 +199,6 @@
     if (!HttpUtil.isKeepAlive(head)) {
       reusable = false;
     }
-    closeDelimited =
-        !HttpUtil.isTransferEncodingChunked(head) && !HttpUtil.isContentLengthSet(head);
     String keepAlive = head.headers().get("Keep-Alive");
     int index = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
     if (keepAlive != null && index >= 0) {
@@ -195,6 +209,25 @@
     }
   }
 
+  private static AnswerFraming framingOf(HttpResponse head) {
+    int status = head.status().code();
+    if (status == HttpResponseStatus.NO_CONTENT.code()
+        || status == HttpResponseStatus.NOT_MODIFIED.code()) {
+      return AnswerFraming.NO_BODY;
+    }
+    if (HttpUtil.isTransferEncodingChunked(head)) {
+      return AnswerFraming.CHUNKS;
+    }
+    return HttpUtil.isContentLengthSet(head) ? AnswerFraming.LENGTH : AnswerFraming.CONNECTION;
+  }
+
+  private ConnectionEnd connectionEnd() {
+    if (inputEnd.isClosedByUpstream()) {
+      return ConnectionEnd.CLOSED_BY_UPSTREAM;
+    }
+    return channel != null && channel.isActive() ? ConnectionEnd.OPEN : ConnectionEnd.LOST;
+  }
+
   private void onContent(ByteBuf bytes) {
     UpstreamAttempt current = attempt;
     if (!skipping && current != null && bytes.isReadable()) {
@@ -211,28 +244,39 @@
     if (current == null) {
       return;
     }
-    if (closeDelimited && connectionFailed) {
+    if (framing == AnswerFraming.CONNECTION && connectionFailed) {
       fail(AttemptFailure.BROKEN_OFF);
       return;
     }
+    final ConnectionEnd end = connectionEnd();
     attempt = null;
     answering = false;
     // Until the request is completely written, the upstream expects the remainder of its body on
     // this connection and would mistake the next request for it.
-    if (reusable && requestWritten && !closeDelimited) {
+    if (reusable && requestWritten && framing != AnswerFraming.CONNECTION) {
       pool.release(this);
     } else {
       close();
     }
-    current.onEnd();
+    current.onEnd(end);
   }
 
   private void fail(AttemptFailure failure) {
     UpstreamAttempt current = attempt;
+    final ConnectionEnd end = connectionFailed ? ConnectionEnd.LOST : connectionEnd();
     attempt = null;
     close();
     if (current != null) {
-      current.onFailure(failure);
+      current.onFailure(failure, end);
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      context.close();
+    } else {
+      context.fireUserEventTriggered(event);
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -207,7 +207,9 @@
       return;
     }
     openConnections++;
-    UpstreamConnection connection = new UpstreamConnection(this, dialect, DEFAULT_IDLE_NANOS);
+    InputEndObserver inputEnd = new InputEndObserver();
+    UpstreamConnection connection =
+        new UpstreamConnection(this, dialect, inputEnd, DEFAULT_IDLE_NANOS);
     Bootstrap handled =
         bootstrap
             .clone()
@@ -218,6 +220,7 @@
                     channel
                         .pipeline()
                         .addLast(
+                            inputEnd,
                             new HttpRequestEncoder(),
                             new HttpResponseDecoder(HttpDecoderLimits.decoderConfig()),
                             connection);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
@@ -52,6 +52,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
   }
 
