RelayNode.close closes its connections, and decides nothing meanwhile

A test of an answer that the daemon's end cuts hung: its caller's connection stayed open after close(). Besides, what close() does to connections went to the reducer as failures of upstreams, and requests were sent again by a loop that opens no connections; no event is applied now. A daemon of its own process ends without close().

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -75,6 +75,19 @@
         TimeUnit.NANOSECONDS);
   }
 
+  /**
+   * Applies no event from now on; returns once the event in progress is done. Does nothing if the
+   * executor is shutting down.
+   *
+   * <p>Connections that a daemon closes as it ends would count as failures of their upstreams, and
+   * their requests would be sent again by an event loop that opens no connections any more.
+   */
+  public void stop() {
+    if (!executor.isShuttingDown()) {
+      executor.submit(() -> reducer = null).awaitUninterruptibly();
+    }
+  }
+
   /** Returns the present time. */
   public Instant now() {
     return clock.instant();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -76,6 +76,11 @@
 /** A daemon of the relay, which is an entry, a control VM, or both. */
 public final class RelayNode {
 
+  /** Without a quiet period the event loop may end before it has closed its connections. */
+  private static final long CLOSE_QUIET_MILLIS = 50;
+
+  private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+
   private static final String CLUSTER = "relay";
   private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
 
@@ -469,8 +474,11 @@
   /** Closes all connections and the storage immediately, without a graceful shutdown. */
   public void close() {
     earlyListeners.close();
+    loop.stop();
     transport.close();
-    eventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    eventLoop
+        .shutdownGracefully(CLOSE_QUIET_MILLIS, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .syncUninterruptibly();
     if (storage != null) {
       storage.close();
     }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -43,6 +43,9 @@
   static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
   static final int MAX_TRIES = 20_000;
 
+  /** Longest silence of a connection, so that one that is never closed fails its test. */
+  private static final int MAX_SILENCE_MILLIS = 20_000;
+
   final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   final Codec codec = new Codec();
   final List<ScriptedUpstream> upstreams = new ArrayList<>();
@@ -198,6 +201,7 @@
   String exchangeRaw(String request) throws IOException {
     assertNotNull(node().callerAddress());
     try (Socket socket = new Socket(LOOPBACK, node().callerAddress().getPort())) {
+      socket.setSoTimeout(MAX_SILENCE_MILLIS);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
       ByteArrayOutputStream all = new ByteArrayOutputStream();
       InputStream in = socket.getInputStream();
