A forwarded connection ends with its target only if the forwarder says so

Callers got 200 with the length of what had come when the entry in between ended under an answer without length: its end and that of the upstream were the same close. What the upstream sends now comes in blocks, of which an empty one tells that it has closed in order (FORWARD_IN_BLOCKS); any other end of the connection counts as lost.

An older entry answers the new frame by closing, so nothing goes through it; an older entry that asks gets bytes as before, and a reset unless the target closed in order. ForwardedConnectionsTest has each of these, and an end without the empty block; its client counts a close as the target's only if told so, which is stricter than before.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/ForwardRequest.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/ForwardRequest.java
@@ -10,7 +10,7 @@
 
 /**
  * Asks a peer for a connection to a target. Once it is open, this handler and those of the frames
- * are removed, and the channel carries the bytes of that connection.
+ * are replaced by those of the blocks, and the channel carries the bytes of that connection.
  *
  * <p>Until then no event reaches the handlers that use the connection, which is not open for them.
  */
@@ -31,7 +31,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     byte[] payload = target.getBytes(StandardCharsets.UTF_8);
-    byte[] frame = new Frame(Frame.Kind.FORWARD, payload).toBytes();
+    byte[] frame = new Frame(Frame.Kind.FORWARD_IN_BLOCKS, payload).toBytes();
     handlerContext.writeAndFlush(Unpooled.wrappedBuffer(frame));
     handlerContext
         .executor()
@@ -49,14 +49,15 @@
       fail(handlerContext, result);
       return;
     }
+    handlerContext.pipeline().addAfter(handlerContext.name(), null, new ForwardedInput());
+    handlerContext.pipeline().replace(this, null, ForwardedInput.blockDecoder());
     context.removeFrameHandlers(handlerContext.channel());
-    handlerContext.pipeline().remove(this);
     opened.trySuccess(null);
   }
 
   private static ForwardResult resultOf(Frame frame) {
     boolean valid =
-        frame.kind() == Frame.Kind.FORWARD
+        frame.kind() == Frame.Kind.FORWARD_IN_BLOCKS
             && frame.payload().length == 1
             && frame.payload()[0] >= 0
             && frame.payload()[0] < ForwardResult.values().length;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/ForwardedConnections.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/ForwardedConnections.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -34,42 +36,46 @@
    *
    * @param context removes the handlers of frames from the peer's channel
    * @param peer the peer's channel, whose last handler is removed
-   * @param target address that the peer named
+   * @param request names the target
    */
-  void open(PeerContext context, Channel peer, String target) {
+  void open(PeerContext context, Channel peer, Frame request) {
     if (links.size() >= MAX_CONNECTIONS) {
-      refuse(peer, ForwardResult.UNUSABLE);
+      refuse(peer, request.kind(), ForwardResult.UNUSABLE);
       return;
     }
     targets.open(
-        target,
+        new String(request.payload(), StandardCharsets.UTF_8),
         opened -> {
           Channel channel = opened.channel();
           if (channel == null) {
-            refuse(peer, opened.result());
+            refuse(peer, request.kind(), opened.result());
           } else if (peer.isActive()) {
-            connect(context, peer, channel);
+            connect(context, peer, request.kind(), channel);
           } else {
             channel.close();
           }
         });
   }
 
-  private static void refuse(Channel peer, ForwardResult result) {
-    peer.writeAndFlush(Unpooled.wrappedBuffer(reply(result)))
+  private static void refuse(Channel peer, Frame.Kind kind, ForwardResult result) {
+    peer.writeAndFlush(Unpooled.wrappedBuffer(reply(kind, result)))
         .addListener(ChannelFutureListener.CLOSE);
   }
 
-  private static byte[] reply(ForwardResult result) {
-    return new Frame(Frame.Kind.FORWARD, new byte[] {(byte) result.ordinal()}).toBytes();
+  private static byte[] reply(Frame.Kind kind, ForwardResult result) {
+    return new Frame(kind, new byte[] {(byte) result.ordinal()}).toBytes();
   }
 
-  private void connect(PeerContext context, Channel peer, Channel target) {
+  private void connect(PeerContext context, Channel peer, Frame.Kind kind, Channel target) {
     Link link = new Link(peer, target);
     links.add(link);
-    peer.writeAndFlush(Unpooled.wrappedBuffer(reply(ForwardResult.OPENED)));
-    peer.pipeline().addLast(new Copier(link, target));
-    target.pipeline().addLast(new Copier(link, peer));
+    peer.writeAndFlush(Unpooled.wrappedBuffer(reply(kind, ForwardResult.OPENED)));
+    if (kind == Frame.Kind.FORWARD_IN_BLOCKS) {
+      peer.pipeline().addLast(ForwardedInput.blockEncoder());
+    }
+    target.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+    peer.pipeline().addLast(new PeerReader(link));
+    target.pipeline().addLast(new TargetReader(link));
     context.removeFrameHandlers(peer);
     peer.config().setAutoRead(true);
     target.config().setAutoRead(true);
@@ -101,11 +107,18 @@
     }
   }
 
+  private static void reset(Channel channel) {
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+  }
+
   /**
    * Copies what one side sends to the other side, and reads no further while the other side doesn't
    * take it.
    */
-  private final class Copier extends ChannelInboundHandlerAdapter {
+  private abstract class Copier extends ChannelInboundHandlerAdapter {
     private final Link link;
     private final Channel other;
 
@@ -131,20 +144,62 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       links.remove(link);
-      other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      endOther(other);
     }
 
-    /**
-     * Resets the other side if this one was reset: an answer that ends with its connection would
-     * look complete otherwise.
-     */
+    /** Ends the other side after this one has ended. */
+    abstract void endOther(Channel channel);
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable error) {
-      if (other.isActive()) {
-        other.config().setOption(ChannelOption.SO_LINGER, 0);
-        other.close();
-      }
+      reset(other);
       context.close();
     }
   }
+
+  /** Copies the peer's bytes to the target. */
+  private final class PeerReader extends Copier {
+
+    private PeerReader(Link link) {
+      super(link, link.target);
+    }
+
+    @Override
+    void endOther(Channel target) {
+      target.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  /**
+   * Copies the target's bytes to the peer, then its orderly close. After any other end the peer's
+   * channel is reset, since an answer that ends with its connection would look whole otherwise.
+   */
+  private final class TargetReader extends Copier {
+
+    private boolean closedInOrder;
+
+    private TargetReader(Link link) {
+      super(link, link.peer);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        closedInOrder = true;
+        context.close();
+      } else {
+        context.fireUserEventTriggered(event);
+      }
+    }
+
+    /** An empty buffer becomes the block that tells the close, or nothing without blocks. */
+    @Override
+    void endOther(Channel peer) {
+      if (closedInOrder) {
+        peer.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      } else {
+        reset(peer);
+      }
+    }
+  }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/Frame.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/Frame.java
@@ -26,9 +26,20 @@
     GOODBYE,
     /**
      * As the first frame, the address to which the acceptor is to open a connection; as the
-     * response, a byte with the {@link ForwardResult}.
+     * response, a byte with the {@link ForwardResult}. What the target sends then follows as it is,
+     * so that the end of the connection doesn't tell whose end it is.
      */
-    FORWARD
+    FORWARD,
+    /**
+     * As {@link #FORWARD}, but what the target sends follows in blocks, each after its length in
+     * four bytes; an empty block says that the target has closed its connection in order.
+     */
+    FORWARD_IN_BLOCKS
+  }
+
+  /** Returns whether the frame asks the acceptor to open a connection. */
+  boolean requestsForwarding() {
+    return kind == Kind.FORWARD || kind == Kind.FORWARD_IN_BLOCKS;
   }
 
   /** Returns the frame as encoded on the wire. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/IncomingPeer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/IncomingPeer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -22,7 +21,7 @@
   private final Channel channel;
   private final Consumer<IncomingPeer> onGreeted;
   private final Consumer<IncomingPeer> onEnded;
-  private final BiConsumer<IncomingPeer, String> onForward;
+  private final BiConsumer<IncomingPeer, Frame> onForward;
   private final long openedAt = System.nanoTime();
   private volatile long lastReadAt = openedAt;
   private volatile @Nullable String node;
@@ -35,7 +34,7 @@
       Channel channel,
       Consumer<IncomingPeer> onGreeted,
       Consumer<IncomingPeer> onEnded,
-      BiConsumer<IncomingPeer, String> onForward) {
+      BiConsumer<IncomingPeer, Frame> onForward) {
     this.context = context;
     this.channel = channel;
     this.onGreeted = onGreeted;
@@ -127,8 +126,8 @@
   private void receive(ByteBuf buffer) {
     Frame frame = Frame.read(buffer);
     String peer = node;
-    if (peer == null && frame.kind() == Frame.Kind.FORWARD) {
-      onForward.accept(this, new String(frame.payload(), StandardCharsets.UTF_8));
+    if (peer == null && frame.requestsForwarding()) {
+      onForward.accept(this, frame);
       return;
     }
     if (peer == null) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
@@ -351,12 +351,12 @@
   }
 
   /** Opens a connection for a peer, whose channel from then on only carries its bytes. */
-  private void onForward(IncomingPeer peer, String target) {
+  private void onForward(IncomingPeer peer, Frame request) {
     incoming.remove(peer);
     Channel channel = peer.channel();
     channel.config().setAutoRead(false);
     channel.pipeline().remove(peer);
-    forwarded.open(context, channel, target);
+    forwarded.open(context, channel, request);
   }
 
   private void onGreeted(IncomingPeer peer) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/ForwardedConnectionsTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/ForwardedConnectionsTest.java
@@ -16,15 +16,19 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -111,6 +115,7 @@
   private static final class Received extends ChannelInboundHandlerAdapter {
     private final StringBuffer text = new StringBuffer();
     private final CompletableFuture<Boolean> ended = new CompletableFuture<>();
+    private volatile boolean targetClosed;
     private volatile @Nullable Channel channel;
 
     @Override
@@ -120,12 +125,18 @@
       bytes.release();
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      targetClosed = event instanceof ChannelInputShutdownEvent;
+    }
+
+    /** Ends with true only if the target was told to have closed its connection. */
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      ended.complete(true);
+      ended.complete(targetClosed);
     }
 
-    /** Ends with false: the connection was reset. */
+    /** Ends with false: the connection was reset, or lost without the end of the target's. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable error) {
       ended.complete(false);
@@ -192,6 +203,98 @@
     assertFalse(received.ended.join());
   }
 
+  /** Guards against an end of the forwarding daemon that counts as the end of its target. */
+  @Test
+  public void endOfTheForwarderIsNotThatOfTheTarget() throws Exception {
+    Received received = new Received();
+    try (ServerSocket forwarder = new ServerSocket(0, 1, loopback)) {
+      Future<Void> opened = openAt(received, forwarder);
+      try (Socket asking = forwarder.accept()) {
+        readRequest(asking);
+        asking.getOutputStream().write(reply(Frame.Kind.FORWARD_IN_BLOCKS));
+        asking.getOutputStream().write(new byte[] {0, 0, 0, 4, 'p', 'a', 'r', 't'});
+        opened.awaitUninterruptibly();
+      }
+    }
+    assertFalse(received.ended.join());
+    assertEquals(received.text.toString(), "part");
+  }
+
+  /** Guards against bytes of an older daemon, which doesn't tell the end of its target. */
+  @Test
+  public void daemonThatForwardsWithoutBlocksIsNotUsed() throws Exception {
+    Received received = new Received();
+    try (ServerSocket forwarder = new ServerSocket(0, 1, loopback)) {
+      Future<Void> opened = openAt(received, forwarder);
+      try (Socket asking = forwarder.accept()) {
+        readRequest(asking);
+        asking.getOutputStream().write(reply(Frame.Kind.FORWARD));
+        opened.awaitUninterruptibly();
+      }
+      assertEquals(((ForwardException) opened.cause()).result(), ForwardResult.UNUSABLE);
+    }
+  }
+
+  /** Guards against an older daemon that gets blocks where it expects the target's bytes. */
+  @Test
+  public void olderDaemonReceivesBytesWithoutBlocks() throws Exception {
+    try (Socket asking = askWithoutBlocks();
+        Socket accepted = target().accept()) {
+      accepted.getOutputStream().write("answer".getBytes(StandardCharsets.UTF_8));
+      accepted.close();
+      byte[] received = asking.getInputStream().readAllBytes();
+      byte[] opened = reply(Frame.Kind.FORWARD);
+      assertEquals(Arrays.copyOf(received, opened.length), opened);
+      assertEquals(
+          new String(received, opened.length, received.length - opened.length, "UTF-8"), "answer");
+    }
+  }
+
+  /** Guards against a cut answer that an older daemon takes for a whole one. */
+  @Test(expectedExceptions = SocketException.class)
+  public void resetOfTheTargetResetsAnOlderDaemon() throws Exception {
+    try (Socket asking = askWithoutBlocks();
+        Socket accepted = target().accept()) {
+      accepted.setSoLinger(true, 0);
+      accepted.close();
+      asking.getInputStream().readAllBytes();
+    }
+  }
+
+  private Socket askWithoutBlocks() throws IOException {
+    if (peer == null) {
+      throw new IllegalStateException("not started");
+    }
+    Socket asking = new Socket(loopback, peer.port());
+    byte[] address = Integer.toString(target().getLocalPort()).getBytes(StandardCharsets.UTF_8);
+    asking.getOutputStream().write(new Frame(Frame.Kind.FORWARD, address).toBytes());
+    return asking;
+  }
+
+  private ServerSocket target() {
+    if (target == null) {
+      throw new IllegalStateException("not started");
+    }
+    return target;
+  }
+
+  private Future<Void> openAt(Received received, ServerSocket forwarder) {
+    if (client == null) {
+      throw new IllegalStateException("not started");
+    }
+    InetSocketAddress address = new InetSocketAddress(loopback, forwarder.getLocalPort());
+    return client.openForwarded(bootstrap(received), address, "any");
+  }
+
+  private static void readRequest(Socket asking) throws IOException {
+    DataInputStream in = new DataInputStream(asking.getInputStream());
+    in.readNBytes(in.readInt());
+  }
+
+  private static byte[] reply(Frame.Kind kind) {
+    return new Frame(kind, new byte[] {(byte) ForwardResult.OPENED.ordinal()}).toBytes();
+  }
+
   /** Guards against a forwarding daemon that buffers what its peer doesn't read. */
   @Test
   public void largeAnswersPassWhileTheClientPauses() throws Exception {
