Callers of HTTP/1.0 get streams without chunks

They got chunk sizes as a part of their stream. It now ends with its connection, which is set to be reset by any close before the end, also one of a killed process: an orderly close would look like the end of the stream.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallerConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -38,6 +39,7 @@
   private @Nullable RelayExchange exchange;
   private boolean keepAlive;
   private boolean closing;
+  private boolean endsWithConnection;
   private boolean idle = true;
   private long idleSince = System.nanoTime();
 
@@ -167,12 +169,31 @@
 
   void write(HttpObject part, RelayExchange from) {
     if (part instanceof HttpResponse answer) {
-      announceClose(answer);
+      beginAnswer(answer);
     }
     channel().writeAndFlush(part);
     from.onCallerWritabilityChanged(channel().isWritable());
   }
 
+  private void beginAnswer(HttpResponse answer) {
+    endsWithConnection =
+        !HttpUtil.isTransferEncodingChunked(answer) && !HttpUtil.isContentLengthSet(answer);
+    if (endsWithConnection) {
+      keepAlive = false;
+      resetWhenClosed(true);
+    }
+    announceClose(answer);
+  }
+
+  /**
+   * Sets whether the connection is reset when it is closed. While an answer that ends with its
+   * connection is incomplete, any other end would look like that of the whole answer, also if this
+   * process is killed.
+   */
+  private void resetWhenClosed(boolean enabled) {
+    channel().config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
+  }
+
   private void announceClose(HttpResponse answer) {
     if (!keepAlive || server.stopping()) {
       closing = true;
@@ -188,6 +209,9 @@
     exchange = null;
     idle = true;
     idleSince = System.nanoTime();
+    if (endsWithConnection) {
+      resetWhenClosed(false);
+    }
     if (closing) {
       channel().writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
       return;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -148,7 +148,9 @@
     HttpHeaders headers = answer.headers().copy();
     ConnectionHeaders.remove(headers);
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    }
     caller.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), headers), this);
   }
 
