An answer is whole only if its end is known

Callers got streams that an upstream had broken off inside an event as if they were complete: the first part of that event, then the last chunk. The end of an answer was taken for granted where the decoder reported one, and for an answer with neither length nor chunks it reports each end of the connection: the upstream's close, a reset, a failed write, an own close.

ReceivedAnswer decides in one place, from framing, the end of the connection and whether a stream is inside an event. What isn't whole is BROKEN_OFF, an event of the core, which resumes, retries or aborts. Another run goes on only where no forwarded event can come twice: after an id that a header can hold, of the newest event, on a route that may be resumed.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ForwardedEvents;
 import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.reachability.ConnectOutcome;
@@ -97,22 +98,21 @@
    * @param request number of the request
    * @param attempt number of the attempt
    * @param failure kind of the failure
-   * @param lastEventId id of the last stream event that was forwarded to the caller, or null if
-   *     none
+   * @param forwarded events that were forwarded to the caller, also of earlier attempts
    * @param answer what was received of the answer
    */
   record AttemptFailed(
       long request,
       int attempt,
       AttemptFailure failure,
-      @Nullable String lastEventId,
+      ForwardedEvents forwarded,
       ReceivedAnswer answer)
       implements RelayEvent {
 
     /** Creates the event of an attempt that has received nothing. */
     public AttemptFailed(
         long request, int attempt, AttemptFailure failure, @Nullable String lastEventId) {
-      this(request, attempt, failure, lastEventId, ReceivedAnswer.NOTHING);
+      this(request, attempt, failure, ForwardedEvents.upTo(lastEventId), ReceivedAnswer.NOTHING);
     }
   }
 
@@ -122,12 +122,18 @@
    *
    * @param request number of the request
    * @param attempt number of the attempt
-   * @param lastEventId id of the last stream event that was forwarded to the caller, or null if
-   *     none
+   * @param forwarded events that were forwarded to the caller, also of earlier attempts
    * @param silentMillis time since the last received byte, in milliseconds
    */
-  record AnswerSilent(long request, int attempt, @Nullable String lastEventId, long silentMillis)
-      implements RelayEvent {}
+  record AnswerSilent(long request, int attempt, ForwardedEvents forwarded, long silentMillis)
+      implements RelayEvent {
+
+    /** Creates the event of a stream whose events up to one with an id were forwarded. */
+    public AnswerSilent(
+        long request, int attempt, @Nullable String lastEventId, long silentMillis) {
+      this(request, attempt, ForwardedEvents.upTo(lastEventId), silentMillis);
+    }
+  }
 
   /**
    * A probe determined whether an upstream still accepts connections.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -53,6 +53,9 @@
   /** Whether the entry has begun to forward an answer to the caller. */
   boolean forwarding;
 
+  /** Whether another run can go on after the events that were forwarded to the caller. */
+  boolean positionKnown = true;
+
   /** Placement of the attempt in progress, or null if there is none. */
   @Nullable Placement placement;
 
@@ -112,6 +115,14 @@
     return modelIndex < 0 ? request.model() : route.models().get(modelIndex);
   }
 
+  /**
+   * Returns whether another attempt can complete the caller's answer: none of it was forwarded, or
+   * the route's streams may be resumed and the place is known.
+   */
+  boolean isContinuable() {
+    return !forwarding || route.resumable() && positionKnown;
+  }
+
   boolean streams() {
     return route.kind() == RouteKind.STREAMING;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.answer.ForwardedEvents;
 import org.skylarkfork.core.crash.CrashDetector;
 import org.skylarkfork.core.crash.SuspectedUpstream;
 import org.skylarkfork.core.effect.RelayEffect;
@@ -124,7 +124,7 @@
     if (failed.failure().countsAgainstVersion()) {
       counts.recordFailure(upstream.instance());
     }
-    updateLastEventId(relay, failed.lastEventId());
+    updatePosition(relay, failed.forwarded());
     String facts =
         "how="
             + failed.failure()
@@ -203,7 +203,7 @@
    */
   void onSilentStream(
       ActiveRelay relay, RelayEvent.AnswerSilent silent, Instant now, Output output) {
-    updateLastEventId(relay, silent.lastEventId());
+    updatePosition(relay, silent.forwarded());
     if (!relay.forwarding) {
       return;
     }
@@ -214,9 +214,10 @@
     failOver(relay, maxFirstByteMillis, "silent_stream", now, output);
   }
 
-  private static void updateLastEventId(ActiveRelay relay, @Nullable String lastEventId) {
-    if (lastEventId != null) {
-      relay.lastEventId = lastEventId;
+  private static void updatePosition(ActiveRelay relay, ForwardedEvents forwarded) {
+    relay.positionKnown = forwarded.isContinuable();
+    if (forwarded.lastId() != null) {
+      relay.lastEventId = forwarded.lastId();
     }
   }
 
@@ -255,7 +256,8 @@
   private void failOver(
       ActiveRelay relay, double maxFirstByteMillis, String why, Instant now, Output output) {
     TrackedUpstream silent = relay.upstream();
-    boolean possible = !relay.failedOver && silent != null && relay.route.retryable();
+    boolean possible =
+        !relay.failedOver && silent != null && relay.route.retryable() && relay.isContinuable();
     if (!possible || relay.sentAttempts >= relay.route.maxAttempts()) {
       return;
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptStarter.java
@@ -148,7 +148,7 @@
 
   /** Starts another attempt if the route and the retry budget allow it, else ends the request. */
   void retryOrEnd(ActiveRelay relay, Instant now, Output output) {
-    boolean retrySafe = !relay.mayHaveRun || relay.route.retryable();
+    boolean retrySafe = (!relay.mayHaveRun || relay.route.retryable()) && relay.isContinuable();
     if (sender.isQuarantined(relay)) {
       endQuarantined(relay, now, output);
     } else if (retrySafe && acquireRetry(relay, now)) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -128,9 +128,9 @@
     log(true, event, relay, allFacts, now, output);
   }
 
-  /** Counts the answer of an attempt by its framing and by how its connection ended. */
+  /** Counts the answer of an attempt by its framing and by whether it is whole. */
   void answerEnded(ReceivedAnswer answer, Output output) {
-    String kind = answer.framing() + "_" + answer.connectionEnd();
+    String kind = answer.framing() + "_" + answer.end();
     output.effect(new TraceEffect.Count("relay_answer_ends", kind, 1));
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -20,6 +20,7 @@
 import java.time.Instant;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ForwardedEvents;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.AttemptTarget;
 import org.skylarkfork.core.relay.Refusal;
@@ -42,7 +43,7 @@
   private Instant sentAt = Instant.EPOCH;
   private boolean streamStarted;
   private boolean completed;
-  private @Nullable String lastEventId;
+  private ForwardedEvents forwardedEvents = ForwardedEvents.NONE;
 
   RelayExchange(
       long number,
@@ -154,10 +155,22 @@
     caller.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), headers), this);
   }
 
-  void forwardEvents(ByteBuf events) {
+  /** Returns whether a stream of events was started, by this attempt or an earlier one. */
+  boolean isStreamStarted() {
+    return streamStarted;
+  }
+
+  /**
+   * Forwards whole events.
+   *
+   * @param events the events, which are released
+   * @param position where another run could go on after them
+   */
+  void forwardEvents(ByteBuf events, ForwardedEvents position) {
     if (completed) {
       events.release();
     } else {
+      forwardedEvents = position.equals(ForwardedEvents.NONE) ? forwardedEvents : position;
       caller.write(new DefaultHttpContent(events), this);
     }
   }
@@ -170,17 +183,9 @@
     }
   }
 
-  /**
-   * Returns the id of the last event forwarded to the caller, or null if there is none.
-   *
-   * @param lastOfAttempt id of the last whole event of the current attempt, or null
-   * @param forwarded whether the attempt's events were forwarded
-   */
-  @Nullable String lastForwardedEventId(@Nullable String lastOfAttempt, boolean forwarded) {
-    if (forwarded && lastOfAttempt != null) {
-      lastEventId = lastOfAttempt;
-    }
-    return lastEventId;
+  /** Returns the events that were forwarded to the caller, also of earlier attempts. */
+  ForwardedEvents forwardedEvents() {
+    return forwardedEvents;
   }
 
   /** Completes the request with an answer that the entry generates. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -98,7 +98,7 @@
         answer.status().code() == HttpResponseStatus.OK.code()
             && startsWith(answer.headers().get(HttpHeaderNames.CONTENT_TYPE), EVENT_STREAM);
     if (stream) {
-      events = new EventSplitter(ByteBufAllocator.DEFAULT.buffer());
+      events = new EventSplitter(ByteBufAllocator.DEFAULT.buffer(), exchange.isStreamStarted());
       reportAnswerBegan(answer);
     } else {
       body = ByteBufAllocator.DEFAULT.buffer();
@@ -173,7 +173,7 @@
     }
     ByteBuf whole = splitter.takeWholeEvents();
     if (whole != null) {
-      exchange.forwardEvents(whole);
+      exchange.forwardEvents(whole, splitter.position());
     }
   }
 
@@ -185,7 +185,9 @@
     if (finished || answer == null) {
       return;
     }
-    if (events == null) {
+    if (!received().isWhole()) {
+      onFailure(AttemptFailure.BROKEN_OFF);
+    } else if (events == null) {
       reportAnswerBegan(answer);
     } else if (forwarding) {
       endStream();
@@ -193,13 +195,8 @@
   }
 
   private void endStream() {
-    EventSplitter splitter = events;
-    ReceivedAnswer answer = received();
-    if (splitter != null && splitter.hasPartialEvent()) {
-      exchange.forwardEvents(splitter.takeRemainder());
-    }
     exchange.endStream();
-    finish(answer);
+    finish(received());
   }
 
   private void finish(ReceivedAnswer answer) {
@@ -211,8 +208,14 @@
   }
 
   private ReceivedAnswer received() {
-    int unfinishedBytes = events == null ? 0 : events.unfinishedBytes();
-    return new ReceivedAnswer(framing, receivedBytes, unfinishedBytes, connectionEnd);
+    EventSplitter splitter = events;
+    return new ReceivedAnswer(
+        framing,
+        answerEnded,
+        receivedBytes,
+        splitter == null ? 0 : splitter.events(),
+        splitter == null ? 0 : splitter.unfinishedBytes(),
+        connectionEnd);
   }
 
   /** Ends the attempt, whose answer is not complete. */
@@ -228,15 +231,10 @@
     final ReceivedAnswer answer = received();
     finished = true;
     connection = null;
-    String last = events == null ? null : events.lastId();
     releaseBuffers();
     exchange.submit(
         new RelayEvent.AttemptFailed(
-            exchange.number(),
-            number,
-            failure,
-            exchange.lastForwardedEventId(last, forwarding),
-            answer));
+            exchange.number(), number, failure, exchange.forwardedEvents(), answer));
   }
 
   /** Abandons the attempt, which raises no further events. */
@@ -263,7 +261,7 @@
           new RelayEvent.AnswerSilent(
               exchange.number(),
               number,
-              exchange.lastForwardedEventId(events.lastId(), true),
+              exchange.forwardedEvents(),
               TimeUnit.NANOSECONDS.toMillis(silentNanos)));
     }
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -244,10 +244,6 @@
     if (current == null) {
       return;
     }
-    if (framing == AnswerFraming.CONNECTION && connectionFailed) {
-      fail(AttemptFailure.BROKEN_OFF);
-      return;
-    }
     final ConnectionEnd end = connectionEnd();
     attempt = null;
     answering = false;
