Resets of an entry's cut links don't count against a version

All connections of an entry whose links to upstreams are cut may be reset at once, and each counted as a failure of the version that runs there, which is how a sound version is rolled back. A lost connection now counts once the own links have been direct for a second; over links that proved to be cut, and over another entry, it doesn't. BrokenAnswerTest .resetsOfCutLinksDoNotCountAgainstTheVersion fails without (1 instead of 0). Price: a version that ends its upstreams is counted a second later.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.answer.ConnectionEnd;
 import org.skylarkfork.core.answer.ForwardedEvents;
 import org.skylarkfork.core.crash.CrashDetector;
 import org.skylarkfork.core.crash.SuspectedUpstream;
@@ -121,9 +122,7 @@
       crashes.recordLoss(
           suspected(upstream.instance()), relay.requestKey, relay.sentAt, now, output);
     }
-    if (failed.failure().countsAgainstVersion()) {
-      counts.recordFailure(upstream.instance());
-    }
+    countAgainstVersion(relay, upstream.instance(), failed, now);
     updatePosition(relay, failed.forwarded());
     String facts =
         "how="
@@ -149,6 +148,22 @@
     }
   }
 
+  /** The loss of a forwarded connection isn't counted: the forwarding entry may have caused it. */
+  private void countAgainstVersion(
+      ActiveRelay relay, UpstreamInstance upstream, RelayEvent.AttemptFailed failed, Instant now) {
+    if (!failed.failure().countsAgainstVersion()) {
+      return;
+    }
+    boolean connectionLost =
+        failed.failure() == AttemptFailure.NO_ANSWER
+            || failed.answer().connectionEnd() == ConnectionEnd.LOST;
+    if (!connectionLost) {
+      counts.recordFailure(upstream);
+    } else if (relay.forwarder == null) {
+      counts.recordLoss(upstream, now);
+    }
+  }
+
   /** Returns whether a failure to connect says nothing about the upstream. */
   private boolean isOwnPathFailure(ActiveRelay relay, AttemptFailure failure, Instant now) {
     return failure == AttemptFailure.NOT_FORWARDED
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -37,6 +37,7 @@
   /** Time after the deadline at which an incomplete answer is aborted. */
   private static final Duration MAX_OVERRUN = Duration.ofMillis(60);
 
+  private final RelayView view;
   private final ModelPolicy models;
   private final VersionStatistics counts;
   private final ShutdownPolicy shutdownPolicy;
@@ -133,6 +134,7 @@
       boolean callSlots,
       ReturnSchedules returns,
       long seed) {
+    this.view = view;
     this.models = models;
     this.counts = counts;
     this.shutdownPolicy = shutdownPolicy;
@@ -346,6 +348,7 @@
 
   private void tick(Instant now, Output output) {
     crashes.tick(now, output);
+    counts.confirmLosses(view.paths(), now);
     intake.releasePending(now, output).forEach(relay -> start(relay, now, output));
     schedulers.takeTimedOut(now, output).forEach(placed -> onPlacement(placed, now, output));
     slots.takeTimedOut(now, output).forEach(decision -> onSlotDecision(decision, now, output));
