--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnframedAnswerNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnframedAnswerNodeTest.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.DataProvider;
@@ -19,6 +21,11 @@
   /** More than the buffers of a connection hold. */
   private static final int LONG_BODY_BYTES = 4_000_000;
 
+  private static final int LONG_EVENT_BYTES = 60_000;
+
+  /** Fewer than the buffers of both connections hold, so that the upstream can write them all. */
+  private static final int LONG_EVENTS = 40;
+
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
   /** Prefix of the ids of requests that show which upstreams are known. */
@@ -151,6 +158,64 @@
     assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
   }
 
+  /** Guards against a reset between two events that counts as the end of the stream. */
+  @Test
+  public void streamThatIsResetBetweenTwoEventsIsNotComplete() throws Exception {
+    serveWith(
+        (requestNumber, head, out) -> {
+          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
+            out.write(ScriptedUpstream.response(head, 200, "known"));
+            return true;
+          }
+          writeUnframedStream(head, out, FIRST_EVENTS);
+          throw new ScriptedUpstream.ResetException();
+        });
+    awaitUpstreams();
+    assertFalse(exchange("/stream/x", "cut", "body").endsWith(LAST_CHUNK));
+  }
+
+  /** Guards against a head that is cut and counts as that of an empty answer. */
+  @Test
+  public void answerThatEndsInsideItsHeadIsNotComplete() throws Exception {
+    serveWith(
+        (requestNumber, head, out) -> {
+          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
+            out.write(ScriptedUpstream.response(head, 200, "known"));
+            return true;
+          }
+          byte[] whole = unframedHead(head, "text/plain");
+          out.write(whole, 0, whole.length - 2);
+          return false;
+        });
+    awaitUpstreams();
+    assertTrue(exchange("/book/x", "cut", "body").startsWith("HTTP/1.1 502"));
+  }
+
+  /** Guards against a reset that is lost while the entry doesn't read, as its caller is slow. */
+  @Test
+  public void streamThatIsResetWhileItsCallerIsSlowIsNotComplete() throws Exception {
+    CountDownLatch reset = new CountDownLatch(1);
+    String event = "id: 1\ndata: " + "x".repeat(LONG_EVENT_BYTES) + "\n\n";
+    serveWith(
+        (requestNumber, head, out) -> {
+          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
+            out.write(ScriptedUpstream.response(head, 200, "known"));
+            return true;
+          }
+          writeUnframedStream(head, out, event.repeat(LONG_EVENTS));
+          reset.countDown();
+          throw new ScriptedUpstream.ResetException();
+        });
+    awaitUpstreams();
+    try (Socket slow = new Socket(LOOPBACK, node().callerAddress().getPort())) {
+      slow.getOutputStream().write(ScriptedUpstream.bytes(streamRequest("cut", "1.1")));
+      awaitUninterruptibly(reset);
+      byte[] received = slow.getInputStream().readAllBytes();
+      String end = new String(received, StandardCharsets.UTF_8);
+      assertFalse(end.endsWith(LAST_CHUNK));
+    }
+  }
+
   /** Guards against an answer that is cut by the end of the daemon and looks complete. */
   @Test
   public void answerThatTheDaemonCutsShortIsNotComplete() throws Exception {
@@ -190,7 +255,7 @@
           return false;
         });
     sendUntilServed("/stream/x", "known");
-    String answer = exchangeRaw(oldRequest("whole"));
+    String answer = exchangeRaw(streamRequest("whole", "1.0"));
     assertTrue(answer.endsWith("\r\n\r\n" + FIRST_EVENTS), answer);
   }
 
@@ -207,11 +272,13 @@
           return false;
         });
     awaitUpstreams();
-    exchangeRaw(oldRequest("cut"));
+    exchangeRaw(streamRequest("cut", "1.0"));
   }
 
-  private static String oldRequest(String id) {
-    return "POST /stream/x HTTP/1.0\r\nHost: host.example\r\nX-Request-Id: "
+  private static String streamRequest(String id, String version) {
+    return "POST /stream/x HTTP/"
+        + version
+        + "\r\nHost: host.example\r\nX-Request-Id: "
         + id
         + "\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody";
   }
