--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/fault/FaultKind.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/fault/FaultKind.java
@@ -13,6 +13,9 @@
   /** The connection closes in the middle of an answer. */
   @JsonProperty("cut-stream")
   CUT_STREAM,
+  /** Answers have neither a length nor chunks and end with their connection (services only). */
+  @JsonProperty("unframed-answers")
+  UNFRAMED_ANSWERS,
   /** Answers begin late. */
   @JsonProperty("late-answers")
   LATE_ANSWERS,
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Exchange.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/Exchange.java
@@ -84,6 +84,21 @@
     return response.send(buffers, buffer -> true).then();
   }
 
+  /**
+   * Sends a JSON answer with neither a length nor chunks, which ends with its connection.
+   *
+   * @param response the response
+   * @param body a value that Jackson can write
+   * @return completes once the answer is sent
+   */
+  public static Mono<Void> unframed(HttpServerResponse response, Object body) {
+    response
+        .header(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        .chunkedTransfer(false)
+        .keepAlive(false);
+    return sendEach(response, Flux.just(Json.write(body)));
+  }
+
   /**
    * Sends half of a JSON answer and closes the connection.
    *
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/service/StandInService.java
@@ -196,6 +196,9 @@
   }
 
   private Mono<Void> send(HttpServerResponse response, String requestId, Echo echo) {
+    if (strikes(FaultKind.UNFRAMED_ANSWERS, requestId)) {
+      return Exchange.unframed(response, echo);
+    }
     if (!strikes(FaultKind.CUT_STREAM, requestId)) {
       return Exchange.json(response, OK, echo);
     }
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/service/StandInServiceTest.java
@@ -97,6 +97,16 @@
     assertEquals(caller.post("/issue", "").header("x-rate-limit"), "");
   }
 
+  /** Guards against stand-ins that always state a length, as upstreams needn't. */
+  @Test
+  public void unframedAnswersEndWithTheirConnection() {
+    service.fault(Fault.of(FaultKind.UNFRAMED_ANSWERS));
+    Caller.Answer answer = caller.post("/issue", "body");
+    assertEquals(answer.json().path("body").asText(), "body");
+    assertEquals(answer.header("content-length"), "");
+    assertEquals(answer.header("transfer-encoding"), "");
+  }
+
   // An issue of a certificate reaches the service twice, under two request ids but one key. The
   // service cannot prevent that; its count must show it.
   @Test
