--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RequestStory.java
@@ -117,7 +117,24 @@
         + " ended attempt "
         + fact(line, "attempt")
         + " with "
-        + (how == null ? "status " + status : how);
+        + (how == null ? "status " + status : how)
+        + received(line);
+  }
+
+  /** Returns what was received of an answer that broke off, or nothing for other lines. */
+  private static String received(String line) {
+    String end = fact(line, "end");
+    return end == null || end.equals("NO_ANSWER")
+        ? ""
+        : " ("
+            + end
+            + " after "
+            + fact(line, "bytes")
+            + " bytes, framing "
+            + fact(line, "framing")
+            + ", connection "
+            + fact(line, "connection")
+            + ")";
   }
 
   private static @Nullable String fact(String line, String name) {
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/RequestStoryTest.java
@@ -39,6 +39,22 @@
             + " up-1 ended attempt 1 with NO_ANSWER.");
   }
 
+  /** Guards against a cut answer that can't be told from one that never began. */
+  @Test
+  public void causeOfBrokenStreamNamesWhatWasReceived() {
+    String failed =
+        FAILED.replace(
+            "how=NO_ANSWER",
+            "how=BROKEN_OFF framing=CONNECTION end=EVENT_CUT bytes=41 events=2 unfinished_bytes=7"
+                + " connection=CLOSED_BY_UPSTREAM");
+    String broken =
+        "2026-01-01 00:00:01.101 WARN node=b part=request event=broken_off id=abc ms=91";
+    assertEquals(
+        story(SENT, failed, broken).cause(),
+        "Its stream was broken off after 91 ms: upstream up-1 ended attempt 1 with BROKEN_OFF"
+            + " (EVENT_CUT after 41 bytes, framing CONNECTION, connection CLOSED_BY_UPSTREAM).");
+  }
+
   @Test
   public void refusalNamesRequestedBackoffs() {
     String refused =
