--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -9,13 +9,11 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -57,11 +55,6 @@
 import org.skylarkfork.runtime.codec.BinaryCodec;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 import org.skylarkfork.runtime.node.WireCodec;
-import org.skylarkfork.runtime.packed.CommandPacking;
-import org.skylarkfork.runtime.packed.PackedCodec;
-import org.skylarkfork.runtime.packed.Packing;
-import org.skylarkfork.runtime.packed.PeerMessagePacking;
-import org.skylarkfork.runtime.packed.SnapshotPacking;
 import org.skylarkfork.runtime.startup.EarlyListeners;
 import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.storage.FileDisk;
@@ -84,21 +77,12 @@
   private static final String CLUSTER = "relay";
   private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
 
-  /**
-   * Time from the start of a shutdown until the lists of entries that callers hold have expired.
-   */
-  private static final Duration ENTRY_LIST_EXPIRY = Duration.ofMillis(6300);
-
-  private static final Duration STOP_MARGIN = Duration.ofMillis(500);
-  private static final Duration STOPPING_IDLE_TIMEOUT = Duration.ofMillis(100);
-  private static final long POLL_INTERVAL_MILLIS = 50;
-
   private final RelaySettings settings;
   private final EarlyListeners earlyListeners;
   private final UpstreamConnector upstreamConnector;
   private final RelayDialect dialect;
   private final ControlDialect controlDialect;
-  private final BinaryCodec codec = codec();
+  private final BinaryCodec codec = RelayCodec.create();
   private final Metrics metrics = new Metrics();
   private final TraceHandler traces;
   private final BoundedLog log;
@@ -181,16 +165,6 @@
     this.storage = openStorage(settings.dataFolder());
   }
 
-  private static BinaryCodec codec() {
-    List<Packing<?>> packings = new ArrayList<>();
-    packings.add(new PeerMessagePacking());
-    packings.add(new CommandPacking());
-    packings.add(new SnapshotPacking());
-    packings.add(PeerTransport.handshakePacking());
-    packings.addAll(DiskStorage.recordPackings());
-    return new PackedCodec(packings);
-  }
-
   private TransportSettings transportSettings() {
     return new TransportSettings(
         settings.peerName(),
@@ -501,37 +475,12 @@
    * lists have expired; requests that arrive until then are served.
    */
   public void stop() throws InterruptedException {
-    final long end = System.nanoTime() + settings.grace().minus(STOP_MARGIN).toNanos();
+    final RelayShutdown shutdown = new RelayShutdown(eventLoop, settings.grace());
     Logger.info("node: shutting down name={}", settings.name());
     stopping = true;
     earlyListeners.close();
     loop.submit(new LifecycleEvent.StopRequested());
-    RelayCallerServer server = callerServer;
-    if (server != null) {
-      stopCallerServer(server, end);
-    } else {
-      TimeUnit.MILLISECONDS.sleep(2 * POLL_INTERVAL_MILLIS);
-    }
+    shutdown.await(callerServer);
     Logger.info("node: stopped name={}", settings.name());
   }
-
-  private void stopCallerServer(RelayCallerServer server, long end) throws InterruptedException {
-    eventLoop.execute(server::disableKeepAlive);
-    long listsExpired = Math.min(end, System.nanoTime() + ENTRY_LIST_EXPIRY.toNanos());
-    while (System.nanoTime() < listsExpired) {
-      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
-    }
-    eventLoop.execute(server::stopListening);
-    CountDownLatch done = new CountDownLatch(1);
-    while (System.nanoTime() < end && done.getCount() > 0) {
-      eventLoop.execute(
-          () -> {
-            server.closeIdle(STOPPING_IDLE_TIMEOUT);
-            if (server.activeRequests() == 0 && server.openConnections() == 0) {
-              done.countDown();
-            }
-          });
-      done.await(POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
 }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnframedAnswerNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnframedAnswerNodeTest.java
@@ -52,6 +52,17 @@
     return answer.replaceAll("\r\n[0-9a-f]+\r\n", "");
   }
 
+  /** Answers requests that show which upstreams are known, and others by a script. */
+  private static ScriptedUpstream.Script afterKnown(ScriptedUpstream.Script others) {
+    return (requestNumber, head, out) -> {
+      if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
+        out.write(ScriptedUpstream.response(head, 200, "known"));
+        return true;
+      }
+      return others.answer(requestNumber, head, out);
+    };
+  }
+
   /** Returns first parts of an event, each of which ends a stream inside that event. */
   @DataProvider
   public static Object[][] partsOfAnEvent() {
@@ -64,20 +75,17 @@
   @Test(dataProvider = "partsOfAnEvent")
   public void streamThatEndsInsideAnEventIsResumedElsewhere(String part) throws Exception {
     ScriptedUpstream.Script script =
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          if (head.contains("Last-Event-Id: 2")) {
-            out.write(ScriptedUpstream.streamHead(head));
-            out.write(ScriptedUpstream.chunk("id: 3\ndata: c\n\n"));
-            out.write(ScriptedUpstream.bytes(LAST_CHUNK));
-            return true;
-          }
-          writeUnframedStream(head, out, FIRST_EVENTS + part);
-          return false;
-        };
+        afterKnown(
+            (requestNumber, head, out) -> {
+              if (head.contains("Last-Event-Id: 2")) {
+                out.write(ScriptedUpstream.streamHead(head));
+                out.write(ScriptedUpstream.chunk("id: 3\ndata: c\n\n"));
+                out.write(ScriptedUpstream.bytes(LAST_CHUNK));
+                return true;
+              }
+              writeUnframedStream(head, out, FIRST_EVENTS + part);
+              return false;
+            });
     serveWith(script, script);
     awaitUpstreams();
     String answer = exchange("/stream/x", "cut", "body");
@@ -89,14 +97,11 @@
   @Test
   public void streamThatEndsInsideAnEventBreaksOffWithoutAnotherUpstream() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          writeUnframedStream(head, out, FIRST_EVENTS + "id: 3\ndata: c");
-          return false;
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              writeUnframedStream(head, out, FIRST_EVENTS + "id: 3\ndata: c");
+              return false;
+            }));
     awaitUpstreams();
     String answer = exchange("/stream/x", "cut", "body");
     assertTrue(withoutChunkSizes(answer).contains(FIRST_EVENTS), answer);
@@ -122,15 +127,12 @@
   @Test
   public void plainAnswerThatIsResetIsNotComplete() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          out.write(unframedHead(head, "text/plain"));
-          out.write(ScriptedUpstream.bytes("the first part"));
-          throw new ScriptedUpstream.ResetException();
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              out.write(unframedHead(head, "text/plain"));
+              out.write(ScriptedUpstream.bytes("the first part"));
+              throw new ScriptedUpstream.ResetException();
+            }));
     awaitUpstreams();
     String answer = exchange("/book/x", "cut", "body");
     assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
@@ -143,15 +145,12 @@
   @Test
   public void plainAnswerThatIsResetBeforeTheRequestIsSentIsNotComplete() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          out.write(unframedHead(head, "text/plain"));
-          out.write(ScriptedUpstream.bytes("the first part"));
-          throw new ScriptedUpstream.ResetException();
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              out.write(unframedHead(head, "text/plain"));
+              out.write(ScriptedUpstream.bytes("the first part"));
+              throw new ScriptedUpstream.ResetException();
+            }));
     awaitUpstreams();
     upstreams.get(0).leaveBodiesUnread();
     String answer = exchange("/book/x", "cut", "x".repeat(LONG_BODY_BYTES));
@@ -162,14 +161,11 @@
   @Test
   public void streamThatIsResetBetweenTwoEventsIsNotComplete() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          writeUnframedStream(head, out, FIRST_EVENTS);
-          throw new ScriptedUpstream.ResetException();
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              writeUnframedStream(head, out, FIRST_EVENTS);
+              throw new ScriptedUpstream.ResetException();
+            }));
     awaitUpstreams();
     assertFalse(exchange("/stream/x", "cut", "body").endsWith(LAST_CHUNK));
   }
@@ -178,15 +174,12 @@
   @Test
   public void answerThatEndsInsideItsHeadIsNotComplete() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          byte[] whole = unframedHead(head, "text/plain");
-          out.write(whole, 0, whole.length - 2);
-          return false;
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              byte[] whole = unframedHead(head, "text/plain");
+              out.write(whole, 0, whole.length - 2);
+              return false;
+            }));
     awaitUpstreams();
     assertTrue(exchange("/book/x", "cut", "body").startsWith("HTTP/1.1 502"));
   }
@@ -197,15 +190,12 @@
     CountDownLatch reset = new CountDownLatch(1);
     String event = "id: 1\ndata: " + "x".repeat(LONG_EVENT_BYTES) + "\n\n";
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          writeUnframedStream(head, out, event.repeat(LONG_EVENTS));
-          reset.countDown();
-          throw new ScriptedUpstream.ResetException();
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              writeUnframedStream(head, out, event.repeat(LONG_EVENTS));
+              reset.countDown();
+              throw new ScriptedUpstream.ResetException();
+            }));
     awaitUpstreams();
     try (Socket slow = new Socket(LOOPBACK, node().callerAddress().getPort())) {
       slow.getOutputStream().write(ScriptedUpstream.bytes(streamRequest("cut", "1.1")));
@@ -222,18 +212,15 @@
     CountDownLatch begun = new CountDownLatch(1);
     CountDownLatch closed = new CountDownLatch(1);
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          out.write(unframedHead(head, "text/plain"));
-          out.write(ScriptedUpstream.bytes("the first part"));
-          out.flush();
-          begun.countDown();
-          awaitUninterruptibly(closed);
-          return false;
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              out.write(unframedHead(head, "text/plain"));
+              out.write(ScriptedUpstream.bytes("the first part"));
+              out.flush();
+              begun.countDown();
+              awaitUninterruptibly(closed);
+              return false;
+            }));
     awaitUpstreams();
     CompletableFuture<String> answer =
         CompletableFuture.supplyAsync(() -> exchangeUnchecked("/lookup/x", "cut"));
@@ -263,14 +250,11 @@
   @Test(expectedExceptions = SocketException.class)
   public void callerWithoutChunksSeesThatItsStreamBrokeOff() throws Exception {
     serveWith(
-        (requestNumber, head, out) -> {
-          if (ScriptedUpstream.requestIdIn(head).startsWith(KNOWN)) {
-            out.write(ScriptedUpstream.response(head, 200, "known"));
-            return true;
-          }
-          writeUnframedStream(head, out, FIRST_EVENTS + "id: 3");
-          return false;
-        });
+        afterKnown(
+            (requestNumber, head, out) -> {
+              writeUnframedStream(head, out, FIRST_EVENTS + "id: 3");
+              return false;
+            }));
     awaitUpstreams();
     exchangeRaw(streamRequest("cut", "1.0"));
   }
