--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -156,7 +156,7 @@
       ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
       body = null;
       exchange.sendResponse(answer, whole);
-      finish(received());
+      finish();
     } else {
       exchange.startStream(answer);
       forwardEvents();
@@ -196,11 +196,12 @@
 
   private void endStream() {
     exchange.endStream();
-    finish(received());
+    finish();
   }
 
-  private void finish(ReceivedAnswer answer) {
+  private void finish() {
     if (!finished) {
+      final ReceivedAnswer answer = received();
       finished = true;
       releaseBuffers();
       exchange.submit(new RelayEvent.AnswerEnded(exchange.number(), number, answer));
