--- a/review/standins/review/Configuration.java
+++ b/review/standins/review/Configuration.java
@@ -20,26 +20,29 @@
   private Configuration() {}
 
   /** Returns the body of a configuration whose routes have the same timeout. */
-  static String of(int version, int maxConnections, int timeoutMillis) {
-    return of(version, maxConnections, timeoutMillis, timeoutMillis);
+  static String of(int maxConnections, int timeoutMillis) {
+    return of(maxConnections, timeoutMillis, timeoutMillis);
   }
 
   /** Returns the body of a configuration. */
-  static String of(
-      int version, int maxConnections, int lookupTimeoutMillis, int bookingTimeoutMillis) {
-    Map<String, Object> configuration = new LinkedHashMap<>();
-    configuration.put("version", version);
-    configuration.put(
-        "routes",
-        List.of(
-            route("r-lookup", LOOKUP, "idempotent", 2, lookupTimeoutMillis),
-            route("r-booking", BOOKING, "non_idempotent", 1, bookingTimeoutMillis)));
+  static String of(int maxConnections, int lookupTimeoutMillis, int bookingTimeoutMillis) {
     Map<String, Object> service = new LinkedHashMap<>();
     service.put("name", SERVICE);
     service.put("health_path", "/healthz");
     service.put("max_connections", maxConnections);
     service.put("protocol", "h1");
     service.put("tls", false);
+    return document(
+        List.of(
+            route("r-lookup", LOOKUP, "idempotent", 2, lookupTimeoutMillis),
+            route("r-booking", BOOKING, "non_idempotent", 1, bookingTimeoutMillis)),
+        service);
+  }
+
+  private static String document(List<Map<String, Object>> routes, Map<String, Object> service) {
+    Map<String, Object> configuration = new LinkedHashMap<>();
+    configuration.put("version", 1);
+    configuration.put("routes", routes);
     configuration.put("services", List.of(service));
     Map<String, Object> limits = new LinkedHashMap<>();
     limits.put("max_header_bytes", 16_384);
@@ -55,6 +58,23 @@
     return Json.write(configuration);
   }
 
+  /** Returns the body of a configuration with one streaming route to engines. */
+  static String streaming(Map<String, Object> engine) {
+    Map<String, Object> route = route("r-prompt", LOOKUP, "streaming", 3, 8000);
+    route.put("target_latency_ms", 1500);
+    route.put("gap_target_ms", 800);
+    route.put("sticky_sessions", true);
+    route.put("stream_resume", true);
+    Map<String, Object> service = new LinkedHashMap<>();
+    service.put("name", SERVICE);
+    service.put("health_path", "/healthz");
+    service.put("max_connections", 360);
+    service.put("protocol", "h1");
+    service.put("tls", false);
+    service.put("engine", engine);
+    return document(List.of(route), service);
+  }
+
   private static Map<String, Object> route(
       String name, String path, String kind, int attempts, int timeoutMillis) {
     Map<String, Object> route = new LinkedHashMap<>();
--- a/review/standins/review/LargeBodies.java
+++ b/review/standins/review/LargeBodies.java
@@ -45,7 +45,7 @@
   boolean play(Record record) throws Exception {
     try (Deployment deployment = new Deployment(record, 2)) {
       deployment.start();
-      String configuration = Configuration.of(1, 360, UPLOAD_DEADLINE_MILLIS, TIMEOUT_MILLIS);
+      String configuration = Configuration.of(360, UPLOAD_DEADLINE_MILLIS, TIMEOUT_MILLIS);
       deployment.operate("POST", "/config/put", configuration, 30_000);
       for (int index = 0; index < Deployment.ZONES.size(); index++) {
         new Server(
--- a/review/standins/review/LeavingClients.java
+++ b/review/standins/review/LeavingClients.java
@@ -47,7 +47,7 @@
   boolean play(Record record) throws Exception {
     try (Deployment deployment = new Deployment(record, 2)) {
       deployment.start();
-      deployment.operate("POST", "/config/put", Configuration.of(1, 360, 8000), 30_000);
+      deployment.operate("POST", "/config/put", Configuration.of(360, 8000), 30_000);
       for (int index = 0; index < Deployment.ZONES.size(); index++) {
         new Server(
             deployment,
--- a/review/standins/review/Server.java
+++ b/review/standins/review/Server.java
@@ -183,6 +183,10 @@
         + "\n";
   }
 
+  boolean isClosed() {
+    return closed;
+  }
+
   /** Ends the server: closes its listener and its connections, also within answers. */
   @Override
   public void close() throws IOException {
