--- a/review/standins/review/Configuration.java
+++ b/review/standins/review/Configuration.java
@@ -21,11 +21,6 @@
 
   /** Returns the body of a configuration whose routes have the same timeout. */
   static String of(int maxConnections, int timeoutMillis) {
-    return of(maxConnections, timeoutMillis, timeoutMillis);
-  }
-
-  /** Returns the body of a configuration. */
-  static String of(int maxConnections, int lookupTimeoutMillis, int bookingTimeoutMillis) {
     Map<String, Object> service = new LinkedHashMap<>();
     service.put("name", SERVICE);
     service.put("health_path", "/healthz");
@@ -34,8 +29,8 @@
     service.put("tls", false);
     return document(
         List.of(
-            route("r-lookup", LOOKUP, "idempotent", 2, lookupTimeoutMillis),
-            route("r-booking", BOOKING, "non_idempotent", 1, bookingTimeoutMillis)),
+            route("r-lookup", LOOKUP, "idempotent", 2, timeoutMillis),
+            route("r-booking", BOOKING, "non_idempotent", 1, timeoutMillis)),
         service);
   }
 
--- a/review/standins/review/Server.java
+++ b/review/standins/review/Server.java
@@ -39,7 +39,6 @@
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private final long born = System.currentTimeMillis();
   private volatile boolean closed;
-  private volatile String state = "ready";
   private long sequence;
   final String id;
   final String address;
@@ -132,15 +131,15 @@
     }
   }
 
-  /** Sends a heartbeat to the control VMs in turn; returns whether one has acknowledged it. */
-  private synchronized boolean sendHeartbeat() {
+  /** Sends a heartbeat to the control VMs in turn until one acknowledges it. */
+  private void sendHeartbeat() {
     Map<String, Object> beat = new LinkedHashMap<>();
     beat.put("service", service);
     beat.put("address", address);
     beat.put("zone", zone);
     beat.put("version", version);
     beat.put("slots", slots);
-    beat.put("state", state);
+    beat.put("state", "ready");
     beat.put("cold_remaining_ms", 0);
     beat.put("sequence", ++sequence);
     beat.put("born", born);
@@ -150,20 +149,9 @@
             + "/heartbeat HTTP/1.1\nHost: control\nContent-Type: application/json\n";
     for (Deployment.Daemon control : deployment.controls()) {
       if (acknowledged(control, head, Json.write(beat))) {
-        return true;
+        return;
       }
     }
-    return false;
-  }
-
-  /** Says that the server is draining until that is acknowledged; it goes on serving. */
-  void drain() throws InterruptedException {
-    state = "draining";
-    record.add("server " + id + " says that it is draining");
-    while (!sendHeartbeat()) {
-      TimeUnit.MILLISECONDS.sleep(100);
-    }
-    record.add("server " + id + " has the acknowledgement that it is draining");
   }
 
   private static boolean acknowledged(Deployment.Daemon control, String head, String beat) {
