--- a/review/standins/review/CrashingPart.java
+++ b/review/standins/review/CrashingPart.java
@@ -100,7 +100,6 @@
     Server started =
         new Server(
             deployment,
-            record,
             Configuration.SERVICE,
             "v1",
             40 + index,
--- a/review/standins/review/Deployment.java
+++ b/review/standins/review/Deployment.java
@@ -164,8 +164,7 @@
     settings.put("node_name", daemon.name);
     settings.put("role", daemon.control ? "control" : "entry");
     settings.put("machine_class", daemon.control ? "core" : "edge");
-    settings.put(
-        "serves", daemon.control ? List.of("control_plane", "registry") : List.of("edge"));
+    settings.put("serves", daemon.control ? List.of("control_plane", "registry") : List.of("edge"));
     settings.put("ip", daemon.ip);
     settings.put("zone", daemon.zone);
     settings.put("region", "ostalpen");
--- a/review/standins/review/LeavingClients.java
+++ b/review/standins/review/LeavingClients.java
@@ -51,7 +51,6 @@
       for (int index = 0; index < Deployment.ZONES.size(); index++) {
         new Server(
             deployment,
-            record,
             Configuration.SERVICE,
             "v1",
             40 + index,
@@ -92,8 +91,7 @@
     }
   }
 
-  private boolean answer(
-      Record record, Server server, Http.Message request, OutputStream out)
+  private boolean answer(Record record, Server server, Http.Message request, OutputStream out)
       throws IOException, InterruptedException {
     String id = request.header("x-request-id");
     boolean isBooking = id.startsWith("booking");
--- a/review/standins/review/Server.java
+++ b/review/standins/review/Server.java
@@ -29,7 +29,6 @@
   }
 
   private final Deployment deployment;
-  private final Record record;
   private final String service;
   private final String version;
   private final String zone;
@@ -45,7 +44,6 @@
 
   Server(
       Deployment deployment,
-      Record record,
       String service,
       String version,
       int host,
@@ -54,7 +52,6 @@
       Handler handler)
       throws IOException {
     this.deployment = deployment;
-    this.record = record;
     this.service = service;
     this.version = version;
     this.zone = zone;
@@ -64,8 +61,7 @@
     String ip = Deployment.ip(host);
     this.address = ip + ":" + deployment.serverPort();
     this.listener = new ServerSocket();
-    listener.bind(
-        new InetSocketAddress(InetAddress.getByName(ip), deployment.serverPort()), 512);
+    listener.bind(new InetSocketAddress(InetAddress.getByName(ip), deployment.serverPort()), 512);
     run(this::accept);
     run(this::sendHeartbeats);
   }
@@ -97,8 +93,7 @@
       while (kept && !closed) {
         Http.Message request = Http.read(in);
         if (request.start().startsWith("GET /healthz ")) {
-          out.write(
-              Http.bytes("HTTP/1.1 200 OK\nX-Instance-Id: " + id + "\n", new byte[0]));
+          out.write(Http.bytes("HTTP/1.1 200 OK\nX-Instance-Id: " + id + "\n", new byte[0]));
           continue;
         }
         String expected = request.header("x-expect-instance");
