Control VMs log what a roll-out is decided by

A line said only that a roll-out went from one phase to the next. Whether the leader knew the old version's answers when it declared the new one good couldn't be seen, nor what another leader knew before a restart. The line now has the counts of both sides, and comes once a second while a roll-out runs.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -37,6 +37,9 @@
 
   private static final Duration EVALUATION_INTERVAL = Duration.ofMillis(200);
 
+  /** Maximum time between two log lines about a running roll-out. */
+  private static final Duration ROLL_OUT_LOG_INTERVAL = Duration.ofSeconds(1);
+
   /** Maximum time after the start for which calls are not accepted while there is no leader. */
   private static final Duration MAX_WAIT_FOR_LEADER = Duration.ofMillis(1200);
 
@@ -62,6 +65,7 @@
   private @Nullable String leader;
   private long stateIndex;
   private Instant evaluatedAt = Instant.EPOCH;
+  private Instant rollOutsLoggedAt = Instant.EPOCH;
   private @Nullable Instant startedAt;
   private boolean acceptsCalls;
   private boolean hasChanges;
@@ -421,28 +425,38 @@
   }
 
   private void evaluateRollOuts(Instant now, Output output) {
+    boolean isLogged = !now.isBefore(rollOutsLoggedAt.plus(ROLL_OUT_LOG_INTERVAL));
     for (ServiceRollOut rollOut : machine.rollOuts()) {
       if (!rollOut.isRunning()) {
         continue;
       }
       RollOutPhase next = evaluator.nextPhase(rollOut, now);
+      if (next != null || isLogged) {
+        rollOutsLoggedAt = now;
+        logRollOut(rollOut, next, output);
+      }
       if (next != null) {
-        log(
-            output,
-            "roll_out",
-            "service="
-                + rollOut.service()
-                + " target="
-                + rollOut.target()
-                + " phase="
-                + rollOut.phase()
-                + " next="
-                + next);
         advance(rollOut, next, now, output);
       }
     }
   }
 
+  private void logRollOut(ServiceRollOut rollOut, @Nullable RollOutPhase next, Output output) {
+    log(
+        output,
+        "roll_out",
+        "service="
+            + rollOut.service()
+            + " target="
+            + rollOut.target()
+            + " phase="
+            + rollOut.phase()
+            + " next="
+            + (next == null ? rollOut.phase() : next)
+            + " "
+            + evaluator.describe(rollOut));
+  }
+
   private void advance(ServiceRollOut rollOut, RollOutPhase next, Instant now, Output output) {
     submitUnawaited(
         new RelayCommand.AdvanceRollOut(rollOut.service(), rollOut.target(), next), now, output);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutEvaluator.java
@@ -83,11 +83,22 @@
     return drained ? RollOutPhase.SUCCEEDED : null;
   }
 
+  /** Describes the statistics by which a roll-out is decided at present, for the log. */
+  String describe(ServiceRollOut rollOut) {
+    Statistics target = recentByVersion.get(key(rollOut.service(), rollOut.target()));
+    return "recent=" + (target == null ? new Statistics() : target) + " others=" + others(rollOut);
+  }
+
   private boolean isBad(ServiceRollOut rollOut) {
     Statistics target = recentByVersion.get(key(rollOut.service(), rollOut.target()));
     if (target == null) {
       return false;
     }
+    Statistics others = others(rollOut);
+    return failsMoreOften(target, others) || isSlower(target, others);
+  }
+
+  private Statistics others(ServiceRollOut rollOut) {
     Statistics others = new Statistics();
     String prefix = key(rollOut.service(), "");
     totalByVersion.forEach(
@@ -96,7 +107,7 @@
             others.add(statistics.answers, statistics.failures, statistics.millis);
           }
         });
-    return failsMoreOften(target, others) || isSlower(target, others);
+    return others;
   }
 
   private static boolean failsMoreOften(Statistics target, Statistics others) {
@@ -144,5 +155,12 @@
     private double meanMillis() {
       return millis / timedAnswers();
     }
+
+    /** Returns the number of answers, the number of failures and the mean in milliseconds. */
+    @Override
+    public String toString() {
+      long mean = timedAnswers() > 0 ? Math.round(meanMillis()) : 0;
+      return Math.round(answers) + "/" + Math.round(failures) + "/" + mean + "ms";
+    }
   }
 }
