Roll-outs get a package of their own

What entries counted of versions, and when a roll-out is decided, needs nothing of requests; names and behaviour are unchanged.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -2,7 +2,7 @@
 
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.relay.RelayConfiguration;
-import org.skylarkfork.core.relay.RollOutPhase;
+import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Commands on the state replicated by the relay's control VMs. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayResult.java
@@ -4,7 +4,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.QuarantinedRequest;
-import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 
 /** Results of relay commands. */
 public sealed interface RelayResult extends CommandResult {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayState.java
@@ -4,7 +4,7 @@
 import org.skylarkfork.core.relay.Evacuation;
 import org.skylarkfork.core.relay.QuarantinedRequest;
 import org.skylarkfork.core.relay.RelayConfiguration;
-import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -9,10 +9,10 @@
 import org.skylarkfork.core.relay.EntryOrdinal;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.ReportedLimit;
-import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamStatus;
-import org.skylarkfork.core.relay.VersionCounts;
+import org.skylarkfork.core.rollout.ServiceRollOut;
+import org.skylarkfork.core.rollout.VersionCounts;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Messages between the entries and control VMs of the relay. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -27,6 +27,11 @@
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.UpstreamRateLimit;
 import org.skylarkfork.core.overload.OverloadSettings;
+import org.skylarkfork.core.rollout.RollOutEvaluator;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.RollOutSettings;
+import org.skylarkfork.core.rollout.ServiceRollOut;
+import org.skylarkfork.core.rollout.VersionCounts;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -29,6 +29,8 @@
 import org.skylarkfork.core.message.RelayMessage.SharedState;
 import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.reachability.UpstreamPaths;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 
 /**
  * An entry's side of the control plane: polls the control VMs and keeps the entry's view of the
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -13,6 +13,8 @@
 import org.skylarkfork.core.command.RelayState;
 import org.skylarkfork.core.command.StateMachine;
 import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayView.java
@@ -7,6 +7,7 @@
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.crash.RequestKeys;
 import org.skylarkfork.core.reachability.UpstreamPaths;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 
 /** An entry's view of the deployment: its configuration, upstreams and other entries. */
 interface RelayView extends UpstreamSource {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.relay;
 
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.routing.StableHash;
 
 /** Selects the versions of a service that may receive a request, during and after a roll-out. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionStatistics.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionStatistics.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.skylarkfork.core.reachability.PathState;
 import org.skylarkfork.core.reachability.UpstreamPaths;
+import org.skylarkfork.core.rollout.VersionCounts;
 
 /**
  * Counts answers, failures and times to the first byte by version of each service at this entry.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.rollout;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -13,7 +13,7 @@
  * not hidden by earlier good results. The old version's statistics cover its whole time, since it
  * gets few requests at the end.
  */
-final class RollOutEvaluator {
+public final class RollOutEvaluator {
 
   private static final double HALF_LIFE_SECONDS = 3.0;
 
@@ -37,7 +37,8 @@
   private final Map<String, Instant> movedAtByRollOut = new HashMap<>();
   private final RollOutSettings settings;
 
-  RollOutEvaluator(RollOutSettings settings) {
+  /** Creates an evaluator without statistics. */
+  public RollOutEvaluator(RollOutSettings settings) {
     this.settings = settings;
   }
 
@@ -45,7 +46,7 @@
    * Adds the difference between two successive polls of an entry; {@code before} is null for the
    * first.
    */
-  void add(VersionCounts now, @Nullable VersionCounts before) {
+  public void add(VersionCounts now, @Nullable VersionCounts before) {
     long answers = now.answers() - (before == null ? 0 : before.answers());
     if (answers <= 0) {
       return;
@@ -60,13 +61,13 @@
   }
 
   /** Decays the recent statistics for the time that has passed. */
-  void age(Duration passed) {
+  public void age(Duration passed) {
     double decay = Math.pow(0.5, passed.toMillis() / 1000.0 / HALF_LIFE_SECONDS);
     recentByVersion.values().forEach(statistics -> statistics.scale(decay));
   }
 
   /** Returns the phase that a running roll-out should enter, or null if it stays in its phase. */
-  @Nullable RollOutPhase nextPhase(ServiceRollOut rollOut, Instant now) {
+  public @Nullable RollOutPhase nextPhase(ServiceRollOut rollOut, Instant now) {
     String id = key(rollOut.service(), rollOut.target());
     Instant startedAt = startedAtByRollOut.computeIfAbsent(id, missing -> now);
     if (isBad(rollOut)) {
@@ -84,7 +85,7 @@
   }
 
   /** Describes the statistics by which a roll-out is decided at present, for the log. */
-  String describe(ServiceRollOut rollOut) {
+  public String describe(ServiceRollOut rollOut) {
     Statistics target = recentByVersion.get(key(rollOut.service(), rollOut.target()));
     return "recent=" + (target == null ? new Statistics() : target) + " others=" + others(rollOut);
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutPhase.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutPhase.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.rollout;
 
 /** Phase of the roll-out of a service's version. */
 public enum RollOutPhase {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RollOutSettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutSettings.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.rollout;
 
 import java.time.Duration;
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionCounts.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionCounts.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.core.relay;
+package org.skylarkfork.core.rollout;
 
 /**
  * Counts of one entry for one version of a service since the start of the entry.
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/BrokenAnswerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/BrokenAnswerTest.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.reachability.PathState;
 import org.skylarkfork.core.reachability.UpstreamPaths;
+import org.skylarkfork.core.rollout.VersionCounts;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
@@ -24,6 +24,7 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.overload.OverloadSettings;
+import org.skylarkfork.core.rollout.RollOutSettings;
 import org.skylarkfork.core.testing.SimulatedNetwork;
 
 /** Three control VMs and some entries in virtual time; subclasses emulate their surroundings. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayFixture.java
@@ -18,6 +18,7 @@
 import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.reachability.UpstreamPaths;
 import org.skylarkfork.core.returning.ReturnSchedules;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 
 /** An entry's request processing with a view that the tests set directly. */
 final class RelayFixture {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.crash.RequestKey;
+import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -33,6 +33,7 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.overload.OverloadSettings;
+import org.skylarkfork.core.rollout.RollOutSettings;
 import org.skylarkfork.core.testing.SimulatedNetwork;
 
 /**
--- /dev/null
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the package. */
+@NullMarked
+package org.skylarkfork.core.rollout;
+
+import org.jspecify.annotations.NullMarked;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -5,8 +5,8 @@
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.RelayResult;
-import org.skylarkfork.core.relay.RollOutPhase;
-import org.skylarkfork.core.relay.ServiceRollOut;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -31,7 +31,7 @@
 import org.skylarkfork.core.message.RelayMessage.UpstreamRateLimit;
 import org.skylarkfork.core.overload.EntryCapacity;
 import org.skylarkfork.core.relay.EntryOrdinal;
-import org.skylarkfork.core.relay.VersionCounts;
+import org.skylarkfork.core.rollout.VersionCounts;
 
 /** Packing of the messages between entries and control VMs. */
 final class RelayMessages {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -16,14 +16,14 @@
 import org.skylarkfork.core.relay.RelayService;
 import org.skylarkfork.core.relay.RelayTeam;
 import org.skylarkfork.core.relay.ReportedLimit;
-import org.skylarkfork.core.relay.RollOutPhase;
 import org.skylarkfork.core.relay.RouteKind;
-import org.skylarkfork.core.relay.ServiceRollOut;
 import org.skylarkfork.core.relay.UpstreamCondition;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamStatus;
-import org.skylarkfork.core.relay.VersionCounts;
 import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.ServiceRollOut;
+import org.skylarkfork.core.rollout.VersionCounts;
 import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
