A roll-out is decided by what outlives its leader

The move was in the log, and what it was judged by was in the memory of one process. After a restart of all control VMs the entries go on to poll the leader that they know. If that VM is elected again, the first poll that its new process gets already holds all counts; it became the base that is subtracted, and since the move the old version gets no requests that could be counted anew. "Nothing to compare with" and "as good as the old one" had the same result, so that the new version succeeded after five seconds.

Entries count from the start of a roll-out, tell for how long they have known it, and a new leader takes their first report whole: no clock of a control VM counts, the canary phase goes on where it was, and a leader that finds the move already made needn't wait for the old version's requests once more. A version succeeds only by a comparison with answers since the move; what can't be compared waits until the deadline (three answers suffice there) and is rolled back then. A roll-out is identified by the log index of its order, so that a second one to the same version starts anew. Older daemons read the new records and commands, and theirs are read (RollOutPackingTest).

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -1,8 +1,10 @@
 package org.skylarkfork.core.command;
 
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.VersionTotals;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /** Commands on the state replicated by the relay's control VMs. */
@@ -33,14 +35,30 @@
   record BeginRollOut(String service, String target, long deadlineMillis) implements RelayCommand {}
 
   /**
-   * Records the next phase of a roll-out; ignored if that roll-out has ended.
+   * Records the next phase of a roll-out; ignored if that roll-out has ended or another one to the
+   * same version has started since.
    *
    * @param service the service
    * @param target version to which the roll-out leads
    * @param phase the phase that begins
+   * @param startIndex log index of the command that started the roll-out; 0 if an older leader
+   *     submitted this command
+   * @param baseline results of the version that is replaced, as of this command; null if an older
+   *     leader submitted it
    */
-  record AdvanceRollOut(String service, String target, RollOutPhase phase)
-      implements RelayCommand {}
+  record AdvanceRollOut(
+      String service,
+      String target,
+      RollOutPhase phase,
+      long startIndex,
+      @Nullable VersionTotals baseline)
+      implements RelayCommand {
+
+    /** Creates the command as older leaders submitted it. */
+    public AdvanceRollOut(String service, String target, RollOutPhase phase) {
+      this(service, target, phase, 0, null);
+    }
+  }
 
   /**
    * Reads the roll-out of a service, as of the command's index in the log.
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RelayMessage.java
@@ -11,6 +11,7 @@
 import org.skylarkfork.core.relay.ReportedLimit;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamStatus;
+import org.skylarkfork.core.rollout.RollOutAge;
 import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.rollout.VersionCounts;
 import org.skylarkfork.core.upstream.UpstreamRun;
@@ -36,13 +37,15 @@
    * @param busy whether callers should prefer other entries, since the entry's processor is
    *     overloaded or it reaches upstreams through other entries only
    * @param neighbourhoodVersion version of the entry's {@link Neighbourhood}; 0 for none
-   * @param counts results of each version since the start of the entry's process; empty in polls to
-   *     others than the leader
+   * @param counts results of each version since the later one of the start of the entry's process
+   *     and the start of the service's newest roll-out; empty in polls to others than the leader
    * @param limits rate limits that upstreams reported to the entry and that the leader doesn't
    *     know; empty in polls to others than the leader
    * @param leaving upstreams that stated in answers to the entry that they are leaving, as far as
    *     the leader hasn't confirmed it; empty in polls to others than the leader
    * @param capacity capacity of the entry's VM
+   * @param rollOutAges for how long the entry's process has known the running roll-outs; empty in
+   *     polls to others than the leader, and from older entries
    */
   record EntryPoll(
       String callerAddress,
@@ -60,14 +63,54 @@
       List<VersionCounts> counts,
       List<UpstreamRateLimit> limits,
       List<UpstreamRun> leaving,
-      EntryCapacity capacity)
+      EntryCapacity capacity,
+      List<RollOutAge> rollOutAges)
       implements RelayMessage {
 
+    /** Creates a poll without ages of roll-outs. */
+    public EntryPoll(
+        String callerAddress,
+        String zone,
+        boolean serving,
+        long incarnation,
+        Instant sentAt,
+        long version,
+        long stateIndex,
+        long directoryEpoch,
+        long directorySequence,
+        boolean searching,
+        boolean busy,
+        long neighbourhoodVersion,
+        List<VersionCounts> counts,
+        List<UpstreamRateLimit> limits,
+        List<UpstreamRun> leaving,
+        EntryCapacity capacity) {
+      this(
+          callerAddress,
+          zone,
+          serving,
+          incarnation,
+          sentAt,
+          version,
+          stateIndex,
+          directoryEpoch,
+          directorySequence,
+          searching,
+          busy,
+          neighbourhoodVersion,
+          counts,
+          limits,
+          leaving,
+          capacity,
+          List.of());
+    }
+
     /** Copies the lists. */
     public EntryPoll {
       counts = List.copyOf(counts);
       limits = List.copyOf(limits);
       leaving = List.copyOf(leaving);
+      rollOutAges = List.copyOf(rollOutAges);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/EntryRegistry.java
@@ -62,19 +62,16 @@
     this.weighted = weighted;
   }
 
-  /**
-   * Records a poll and returns the previous poll of the same process, or this one if there is none.
-   */
-  EntryPoll recordPoll(String node, EntryPoll poll, Instant now) {
+  /** Records a poll. */
+  void recordPoll(String node, EntryPoll poll, Instant now) {
     PolledEntry before = entries.put(node, new PolledEntry(poll, now));
-    boolean sameProcess = before != null && before.poll.incarnation() == poll.incarnation();
-    if (!sameProcess
+    if (before == null
+        || before.poll.incarnation() != poll.incarnation()
         || before.poll.serving() != poll.serving()
         || before.poll.busy() != poll.busy()
         || !before.poll.capacity().equals(poll.capacity())) {
       markChanged();
     }
-    return sameProcess ? before.poll : poll;
   }
 
   void tick(Instant now) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -27,11 +27,11 @@
 import org.skylarkfork.core.message.RelayMessage.EntryPoll;
 import org.skylarkfork.core.message.RelayMessage.UpstreamRateLimit;
 import org.skylarkfork.core.overload.OverloadSettings;
+import org.skylarkfork.core.rollout.EntryCounts;
+import org.skylarkfork.core.rollout.RollOutDecision;
 import org.skylarkfork.core.rollout.RollOutEvaluator;
-import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.rollout.RollOutSettings;
 import org.skylarkfork.core.rollout.ServiceRollOut;
-import org.skylarkfork.core.rollout.VersionCounts;
 import org.skylarkfork.core.upstream.UpstreamRun;
 
 /**
@@ -268,6 +268,7 @@
     leader = changed.node();
     updates.clear();
     crashes.clear();
+    evaluator.startTerm();
     leavingSubmittedAt.clear();
     if (node.equals(leader)) {
       updates.startLeading(changed.term(), now);
@@ -342,15 +343,16 @@
   }
 
   private void onPoll(String entry, EntryPoll poll, Instant now, Output output) {
-    EntryPoll before = entries.recordPoll(entry, poll, now);
+    entries.recordPoll(entry, poll, now);
     hasChanges |= entries.takeChanged();
-    for (VersionCounts counts : poll.counts()) {
-      evaluator.add(counts, find(before, counts));
-    }
     for (UpstreamRateLimit reported : poll.limits()) {
       onRateLimit(entry, reported, now, output);
     }
     if (leads()) {
+      EntryCounts report =
+          new EntryCounts(
+              entry, poll.incarnation(), poll.stateIndex(), poll.counts(), poll.rollOutAges());
+      evaluator.record(report, machine.rollOuts(), now);
       poll.leaving().forEach(run -> onLeavingReported(entry, run, now, output));
       updates.awaitProof(entry, now);
     } else if (poll.searching()) {
@@ -391,15 +393,6 @@
     }
   }
 
-  private static @Nullable VersionCounts find(EntryPoll before, VersionCounts counts) {
-    for (VersionCounts older : before.counts()) {
-      if (older.service().equals(counts.service()) && older.version().equals(counts.version())) {
-        return older;
-      }
-    }
-    return null;
-  }
-
   private void tick(Instant now, Output output) {
     entries.tick(now);
     hasChanges |= entries.takeChanged();
@@ -432,21 +425,19 @@
   private void evaluateRollOuts(Instant now, Output output) {
     boolean isLogged = !now.isBefore(rollOutsLoggedAt.plus(ROLL_OUT_LOG_INTERVAL));
     for (ServiceRollOut rollOut : machine.rollOuts()) {
-      if (!rollOut.isRunning()) {
-        continue;
-      }
-      RollOutPhase next = evaluator.nextPhase(rollOut, now);
-      if (next != null || isLogged) {
+      RollOutDecision decision = evaluator.decide(rollOut, now);
+      if (decision != null || isLogged && rollOut.isRunning()) {
         rollOutsLoggedAt = now;
-        logRollOut(rollOut, next, output);
+        logRollOut(rollOut, decision, now, output);
       }
-      if (next != null) {
-        advance(rollOut, next, now, output);
+      if (decision != null) {
+        advance(rollOut, decision, now, output);
       }
     }
   }
 
-  private void logRollOut(ServiceRollOut rollOut, @Nullable RollOutPhase next, Output output) {
+  private void logRollOut(
+      ServiceRollOut rollOut, @Nullable RollOutDecision decision, Instant now, Output output) {
     log(
         output,
         "roll_out",
@@ -457,14 +448,24 @@
             + " phase="
             + rollOut.phase()
             + " next="
-            + (next == null ? rollOut.phase() : next)
+            + (decision == null ? rollOut.phase() : decision.phase())
+            + " reason="
+            + (decision == null ? "none" : decision.reason())
             + " "
-            + evaluator.describe(rollOut));
+            + evaluator.describe(rollOut, now));
   }
 
-  private void advance(ServiceRollOut rollOut, RollOutPhase next, Instant now, Output output) {
+  private void advance(
+      ServiceRollOut rollOut, RollOutDecision decision, Instant now, Output output) {
     submitUnawaited(
-        new RelayCommand.AdvanceRollOut(rollOut.service(), rollOut.target(), next), now, output);
+        new RelayCommand.AdvanceRollOut(
+            rollOut.service(),
+            rollOut.target(),
+            decision.phase(),
+            rollOut.startIndex(),
+            decision.baseline()),
+        now,
+        output);
   }
 
   /** Submits a command for which no caller waits. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -29,6 +29,7 @@
 import org.skylarkfork.core.message.RelayMessage.SharedState;
 import org.skylarkfork.core.overload.RejectionLimits;
 import org.skylarkfork.core.reachability.UpstreamPaths;
+import org.skylarkfork.core.rollout.KnownRollOuts;
 import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.rollout.ServiceRollOut;
 
@@ -58,7 +59,7 @@
   private Instant provenAt = Instant.EPOCH;
   private boolean wasProven;
   private long stateIndex;
-  private List<ServiceRollOut> rollOuts = List.of();
+  private final KnownRollOuts rollOuts = new KnownRollOuts();
   private Set<RequestKey> quarantined = Set.of();
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private int entries = 1;
@@ -129,7 +130,7 @@
 
   @Override
   public List<ServiceRollOut> rollOuts() {
-    return rollOuts;
+    return rollOuts.newest();
   }
 
   @Override
@@ -361,7 +362,8 @@
                 node.equals(leader) ? counts.allCounts() : List.of(),
                 node.equals(leader) ? directory.limitsUnknownToLeader(now) : List.of(),
                 node.equals(leader) ? directory.leavingUnknownToLeader() : List.of(),
-                self.capacity())));
+                self.capacity(),
+                node.equals(leader) ? rollOuts.ages(now) : List.of())));
   }
 
   private void onUpdate(String from, EntryUpdate update, Instant now, Output output) {
@@ -426,8 +428,8 @@
       return;
     }
     stateIndex = update.stateIndex();
-    rollOuts = shared.rollOuts();
-    for (ServiceRollOut rollOut : rollOuts) {
+    rollOuts.update(shared.rollOuts(), now).forEach(counts::restart);
+    for (ServiceRollOut rollOut : rollOuts.newest()) {
       if (rollOut.phase() == RollOutPhase.SUCCEEDED) {
         directory.stableVersion(rollOut.service(), rollOut.target());
       }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -85,7 +85,7 @@
     } else if (command instanceof RelayCommand.ReadConfiguration) {
       return new RelayResult.ConfigurationRead(configuration.version(), document);
     } else if (command instanceof RelayCommand.BeginRollOut begin) {
-      return beginRollOut(begin);
+      return beginRollOut(index, begin);
     } else if (command instanceof RelayCommand.AdvanceRollOut advance) {
       return advanceRollOut(advance);
     } else if (command instanceof RelayCommand.ReadRollOut read) {
@@ -119,7 +119,7 @@
     return new RelayResult.ConfigurationAccepted(configuration.version());
   }
 
-  private CommandResult beginRollOut(RelayCommand.BeginRollOut begin) {
+  private CommandResult beginRollOut(long index, RelayCommand.BeginRollOut begin) {
     ServiceRollOut known = rollOuts.get(begin.service());
     if (known != null && known.target().equals(begin.target())) {
       return new RelayResult.RollOutRead(known);
@@ -130,20 +130,32 @@
     }
     ServiceRollOut started =
         new ServiceRollOut(
-            begin.service(), begin.target(), begin.deadlineMillis(), RollOutPhase.CANARY);
+            begin.service(),
+            begin.target(),
+            begin.deadlineMillis(),
+            RollOutPhase.CANARY,
+            index,
+            null);
     rollOuts.put(begin.service(), started);
     return new RelayResult.RollOutRead(started);
   }
 
   private CommandResult advanceRollOut(RelayCommand.AdvanceRollOut advance) {
     @Nullable ServiceRollOut known = rollOuts.get(advance.service());
-    boolean matches = known != null && known.target().equals(advance.target()) && known.isRunning();
-    if (matches && advance.phase().compareTo(known.phase()) > 0) {
-      rollOuts.put(advance.service(), known.withPhase(advance.phase()));
+    if (known != null && isMeant(advance, known) && advance.phase().compareTo(known.phase()) > 0) {
+      ServiceRollOut advanced = known.withPhase(advance.phase());
+      boolean isMove = advance.phase() == RollOutPhase.MOVING;
+      rollOuts.put(
+          advance.service(), isMove ? advanced.withBaseline(advance.baseline()) : advanced);
     }
     return new CommandResult.Done();
   }
 
+  private static boolean isMeant(RelayCommand.AdvanceRollOut advance, ServiceRollOut rollOut) {
+    boolean sameStart = advance.startIndex() == 0 || advance.startIndex() == rollOut.startIndex();
+    return rollOut.isRunning() && rollOut.target().equals(advance.target()) && sameStart;
+  }
+
   private CommandResult markLeaving(UpstreamRun run) {
     UpstreamRun known = leaving.remove(run.id());
     leaving.put(run.id(), known != null && known.covers(run) ? known : run);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
@@ -38,9 +38,9 @@
     }
     String target = rollOut.target();
     return switch (rollOut.phase()) {
-      case CANARY -> isCanary(request) ? target::equals : version -> !version.equals(target);
+      case CANARY -> isCanary(request) ? target::equals : rollOut::isOldVersion;
       case MOVING, SUCCEEDED -> target::equals;
-      case ROLLED_BACK -> version -> !version.equals(target);
+      case ROLLED_BACK -> rollOut::isOldVersion;
     };
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionStatistics.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionStatistics.java
@@ -74,6 +74,11 @@
         one.firstByteMillis() + other.firstByteMillis());
   }
 
+  /** Restarts the counts of a service at 0, so that they are of one roll-out only. */
+  void restart(String service) {
+    counts.values().removeIf(count -> count.service().equals(service));
+  }
+
   /** Returns the counts by version. */
   List<VersionCounts> allCounts() {
     return List.copyOf(counts.values());
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -3,165 +3,210 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.rollout.RollOutDecision.Reason;
+import org.skylarkfork.core.rollout.VersionComparison.Outcome;
 
 /**
- * Decides on running roll-outs from the entries' statistics of each version.
+ * Decides on running roll-outs, at the leader of the control VMs.
  *
- * <p>The new version's statistics are weighted towards the last seconds, so that a late failure is
- * not hidden by earlier good results. The old version's statistics cover its whole time, since it
- * gets few requests at the end.
+ * <p>A new version is declared good only by a comparison: it answered requests after the move, and
+ * the results of the old version are known. What a leader lacks for that comes from the replicated
+ * roll-out and from the entries, both of which outlive the leader. The new version's results are
+ * weighted towards the last seconds, so that a late failure is not hidden by earlier good results.
  */
 public final class RollOutEvaluator {
 
-  private static final double HALF_LIFE_SECONDS = 3.0;
+  /** Minimum number of timed answers of the new version at the deadline, if there aren't more. */
+  private static final int MIN_TIMED_ANSWERS_AT_DEADLINE = 3;
 
-  /** Minimum number of failures for a rollback; fewer are too often due to chance. */
-  private static final double MIN_FAILURES = 4.0;
+  /** Time before the deadline at which a decision is due, for its replication. */
+  private static final Duration DEADLINE_MARGIN = Duration.ofMillis(500);
 
-  /** Minimum number of timed answers of each version for a comparison of latency. */
-  private static final double MIN_TIMED_ANSWERS = 14.0;
-
-  /** Ratio of mean latencies above which the new version is bad; a new engine is cold at first. */
-  private static final double MAX_LATENCY_RATIO = 2.5;
-
-  /** Minimum expected failure rate, which also stands in for an old version without statistics. */
-  private static final double MIN_EXPECTED_FAILURE_RATE = 0.02;
-
-  private static final double MAX_STANDARD_DEVIATIONS = 3.0;
+  /**
+   * Minimum time in which a leader sees the new version alone: all entries report, slow answers.
+   */
+  private static final Duration MIN_WATCHED_TIME = Duration.ofSeconds(2);
 
-  private final Map<String, Statistics> recentByVersion = new HashMap<>();
-  private final Map<String, Statistics> totalByVersion = new HashMap<>();
-  private final Map<String, Instant> startedAtByRollOut = new HashMap<>();
-  private final Map<String, Instant> movedAtByRollOut = new HashMap<>();
+  private final Map<String, RollOutObservation> observationByService = new HashMap<>();
   private final RollOutSettings settings;
 
-  /** Creates an evaluator without statistics. */
+  /** Creates an evaluator that has observed nothing. */
   public RollOutEvaluator(RollOutSettings settings) {
     this.settings = settings;
   }
 
+  /** Discards all observations, since another leader may have led in the meantime. */
+  public void startTerm() {
+    observationByService.clear();
+  }
+
   /**
-   * Adds the difference between two successive polls of an entry; {@code before} is null for the
-   * first.
+   * Records what an entry reports.
+   *
+   * <p>An entry restarts its counts when it learns that a roll-out has started. Counts of an entry
+   * that doesn't know of it yet may come from an earlier roll-out and are ignored.
+   *
+   * @param report the entry's report
+   * @param rollOuts newest roll-out of each service
+   * @param now the present time
    */
-  public void add(VersionCounts now, @Nullable VersionCounts before) {
-    long answers = now.answers() - (before == null ? 0 : before.answers());
-    if (answers <= 0) {
-      return;
+  public void record(EntryCounts report, List<ServiceRollOut> rollOuts, Instant now) {
+    for (ServiceRollOut rollOut : rollOuts) {
+      if (rollOut.isRunning() && report.stateIndex() >= rollOut.startIndex()) {
+        observation(rollOut, now).record(report, now);
+      }
     }
-    long failures = now.failures() - (before == null ? 0 : before.failures());
-    long millis = now.firstByteMillis() - (before == null ? 0 : before.firstByteMillis());
-    String key = key(now.service(), now.version());
-    recentByVersion
-        .computeIfAbsent(key, missing -> new Statistics())
-        .add(answers, failures, millis);
-    totalByVersion.computeIfAbsent(key, missing -> new Statistics()).add(answers, failures, millis);
   }
 
-  /** Decays the recent statistics for the time that has passed. */
+  private RollOutObservation observation(ServiceRollOut rollOut, Instant now) {
+    RollOutObservation known = observationByService.get(rollOut.service());
+    if (known == null || !known.isOf(rollOut)) {
+      known = new RollOutObservation(rollOut, now);
+      observationByService.put(rollOut.service(), known);
+    }
+    known.observePhase(rollOut.phase(), now);
+    return known;
+  }
+
+  /** Reduces the weight of recent results for the time that has passed. */
   public void age(Duration passed) {
-    double decay = Math.pow(0.5, passed.toMillis() / 1000.0 / HALF_LIFE_SECONDS);
-    recentByVersion.values().forEach(statistics -> statistics.scale(decay));
+    observationByService.values().forEach(observation -> observation.decay(passed));
   }
 
-  /** Returns the phase that a running roll-out should enter, or null if it stays in its phase. */
-  public @Nullable RollOutPhase nextPhase(ServiceRollOut rollOut, Instant now) {
-    String id = key(rollOut.service(), rollOut.target());
-    Instant startedAt = startedAtByRollOut.computeIfAbsent(id, missing -> now);
-    if (isBad(rollOut)) {
-      return RollOutPhase.ROLLED_BACK;
+  /** Returns the decision on a roll-out, or null if it stays in its phase. */
+  public @Nullable RollOutDecision decide(ServiceRollOut rollOut, Instant now) {
+    if (!rollOut.isRunning()) {
+      observationByService.remove(rollOut.service());
+      return null;
     }
-    Duration age = Duration.between(startedAt, now);
-    if (rollOut.phase() == RollOutPhase.CANARY) {
-      return age.toMillis() >= settings.moveAfterMillis(rollOut.deadlineMillis())
-          ? RollOutPhase.MOVING
-          : null;
+    RollOutObservation observed = observation(rollOut, now);
+    VersionTotals baseline = baseline(rollOut, observed);
+    Outcome recent =
+        VersionComparison.compare(
+            observed.recent(), new AnswerStatistics(baseline), VersionComparison.MIN_TIMED_ANSWERS);
+    if (recent == Outcome.WORSE) {
+      return new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.WORSE, baseline);
     }
-    Instant movedAt = movedAtByRollOut.computeIfAbsent(id, missing -> now);
-    boolean drained = !now.isBefore(movedAt.plus(settings.drain()));
-    return drained ? RollOutPhase.SUCCEEDED : null;
+    return rollOut.phase() == RollOutPhase.CANARY
+        ? decideCanary(rollOut, observed, baseline, now)
+        : decideMoving(rollOut, observed, baseline, now);
+  }
+
+  /**
+   * Returns the results of the old version until the move, or until now if they weren't replicated.
+   */
+  private static VersionTotals baseline(ServiceRollOut rollOut, RollOutObservation observed) {
+    VersionTotals replicated = rollOut.baseline();
+    return replicated == null ? observed.oldVersion() : replicated;
   }
 
-  /** Describes the statistics by which a roll-out is decided at present, for the log. */
-  public String describe(ServiceRollOut rollOut) {
-    Statistics target = recentByVersion.get(key(rollOut.service(), rollOut.target()));
-    return "recent=" + (target == null ? new Statistics() : target) + " others=" + others(rollOut);
+  private @Nullable RollOutDecision decideCanary(
+      ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
+    long ageMillis = observed.age(now).toMillis();
+    if (ageMillis < settings.moveAfterMillis(rollOut.deadlineMillis())) {
+      return null;
+    }
+    boolean isBaselineKnown = isMeasured(baseline) || isSilent(baseline, observed.newVersion());
+    if (isBaselineKnown) {
+      return new RollOutDecision(RollOutPhase.MOVING, Reason.CANARY_ENDED, baseline);
+    }
+    boolean isOverdue = isOverdue(rollOut, observed, now) && isLong(observed.watched(now));
+    return isOverdue
+        ? new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.NOT_COMPARED, baseline)
+        : null;
   }
 
-  private boolean isBad(ServiceRollOut rollOut) {
-    Statistics target = recentByVersion.get(key(rollOut.service(), rollOut.target()));
-    if (target == null) {
-      return false;
+  private @Nullable RollOutDecision decideMoving(
+      ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
+    if (!isOldVersionFinished(observed, now)) {
+      return null;
+    }
+    boolean isOverdue = isOverdue(rollOut, observed, now);
+    int minAnswers =
+        isOverdue ? MIN_TIMED_ANSWERS_AT_DEADLINE : VersionComparison.MIN_TIMED_ANSWERS;
+    boolean isTried = observed.sinceMove().timedAnswers() >= minAnswers;
+    Outcome outcome =
+        VersionComparison.compare(sample(observed), new AnswerStatistics(baseline), minAnswers);
+    if (outcome == Outcome.WORSE) {
+      return new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.WORSE, baseline);
     }
-    Statistics others = others(rollOut);
-    return failsMoreOften(target, others) || isSlower(target, others);
-  }
-
-  private Statistics others(ServiceRollOut rollOut) {
-    Statistics others = new Statistics();
-    String prefix = key(rollOut.service(), "");
-    totalByVersion.forEach(
-        (key, statistics) -> {
-          if (key.startsWith(prefix) && !key.equals(prefix + rollOut.target())) {
-            others.add(statistics.answers, statistics.failures, statistics.millis);
-          }
-        });
-    return others;
-  }
-
-  private static boolean failsMoreOften(Statistics target, Statistics others) {
-    double failureRate =
-        others.answers < 1
-            ? MIN_EXPECTED_FAILURE_RATE
-            : Math.max(MIN_EXPECTED_FAILURE_RATE, others.failures / others.answers);
-    double expected = target.answers * failureRate;
-    return target.failures >= MIN_FAILURES
-        && target.failures > expected + MAX_STANDARD_DEVIATIONS * Math.sqrt(expected);
-  }
-
-  private static boolean isSlower(Statistics target, Statistics others) {
-    if (target.timedAnswers() < MIN_TIMED_ANSWERS || others.timedAnswers() < MIN_TIMED_ANSWERS) {
-      return false;
+    if (isTried && outcome == Outcome.NOT_WORSE) {
+      return new RollOutDecision(RollOutPhase.SUCCEEDED, Reason.AS_GOOD, baseline);
     }
-    return target.meanMillis() > MAX_LATENCY_RATIO * others.meanMillis();
+    if (isTried && isOldVersionSilent(rollOut)) {
+      return new RollOutDecision(RollOutPhase.SUCCEEDED, Reason.OLD_VERSION_SILENT, baseline);
+    }
+    return isOverdue
+        ? new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.NOT_COMPARED, baseline)
+        : null;
   }
 
-  private static String key(String service, String version) {
-    return service + "\n" + version;
+  /** Returns the newest results of the new version that suffice for a comparison. */
+  private static AnswerStatistics sample(RollOutObservation observed) {
+    boolean hasRecent = observed.recent().timedAnswers() >= VersionComparison.MIN_TIMED_ANSWERS;
+    return hasRecent ? observed.recent() : observed.sinceMove();
   }
 
-  private static final class Statistics {
-    private double answers;
-    private double failures;
-    private double millis;
+  /**
+   * Returns whether the old version is known not to have answered before the move. Without a
+   * replicated baseline it isn't known.
+   */
+  private static boolean isOldVersionSilent(ServiceRollOut rollOut) {
+    VersionTotals replicated = rollOut.baseline();
+    return replicated != null && !isMeasured(replicated);
+  }
 
-    private void add(double moreAnswers, double moreFailures, double moreMillis) {
-      answers += moreAnswers;
-      failures += moreFailures;
-      millis += moreMillis;
-    }
+  private static boolean isMeasured(VersionTotals oldVersion) {
+    return oldVersion.timedAnswers() >= VersionComparison.MIN_TIMED_ANSWERS;
+  }
 
-    private void scale(double factor) {
-      answers *= factor;
-      failures *= factor;
-      millis *= factor;
-    }
+  /**
+   * Returns whether the old version doesn't answer, though it receives most requests of the canary
+   * phase.
+   */
+  private static boolean isSilent(VersionTotals oldVersion, VersionTotals newVersion) {
+    long answers = oldVersion.answers() + newVersion.answers();
+    return answers >= 2 * VersionComparison.MIN_TIMED_ANSWERS && !isMeasured(oldVersion);
+  }
 
-    private double timedAnswers() {
-      return answers - failures;
-    }
+  private static boolean isOverdue(
+      ServiceRollOut rollOut, RollOutObservation observed, Instant now) {
+    Duration age = observed.age(now).plus(DEADLINE_MARGIN);
+    return age.toMillis() >= rollOut.deadlineMillis();
+  }
 
-    private double meanMillis() {
-      return millis / timedAnswers();
-    }
+  /** Returns whether requests on the old version had the time to finish. */
+  private boolean isOldVersionFinished(RollOutObservation observed, Instant now) {
+    Duration watched = observed.watchedMove(now);
+    boolean isReported =
+        isLong(observed.reportedMove(now)) && watched.compareTo(MIN_WATCHED_TIME) >= 0;
+    return isLong(watched) || isReported;
+  }
 
-    /** Returns the number of answers, the number of failures and the mean in milliseconds. */
-    @Override
-    public String toString() {
-      long mean = timedAnswers() > 0 ? Math.round(meanMillis()) : 0;
-      return Math.round(answers) + "/" + Math.round(failures) + "/" + mean + "ms";
-    }
+  /** Returns whether a time is as long as requests on the old version take to finish. */
+  private boolean isLong(Duration time) {
+    return time.compareTo(settings.drain()) >= 0;
+  }
+
+  /** Describes the results by which a roll-out is decided at present, for the log. */
+  public String describe(ServiceRollOut rollOut, Instant now) {
+    RollOutObservation observed = observation(rollOut, now);
+    return "recent="
+        + observed.recent()
+        + " since_move="
+        + observed.sinceMove()
+        + " old="
+        + new AnswerStatistics(baseline(rollOut, observed))
+        + " old_from="
+        + (rollOut.baseline() == null ? "entries" : "log")
+        + " age_ms="
+        + observed.age(now).toMillis()
+        + " watched_ms="
+        + observed.watched(now).toMillis()
+        + " moved_ms="
+        + observed.reportedMove(now).toMillis();
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionCounts.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionCounts.java
@@ -1,7 +1,8 @@
 package org.skylarkfork.core.rollout;
 
 /**
- * Counts of one entry for one version of a service since the start of the entry.
+ * Counts of one entry for one version of a service, since the later one of the start of the entry
+ * and the start of the service's newest roll-out.
  *
  * @param service the service
  * @param version the version
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/EmulatedDeployment.java
@@ -46,8 +46,7 @@
   /** The current run's view of each entry, by peer name. */
   final Map<String, RelayEntryPart> entryParts = new HashMap<>();
 
-  private final RelaySimulation.InMemorySnapshotCodec codec =
-      new RelaySimulation.InMemorySnapshotCodec();
+  private final InMemorySnapshotCodec codec = new InMemorySnapshotCodec();
   private final Map<String, ConsensusPart> groups = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private final Map<String, Instant> disturbedAt = new HashMap<>();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -5,7 +5,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -20,9 +19,7 @@
 import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.command.RelayCommand;
 import org.skylarkfork.core.command.RelayResult;
-import org.skylarkfork.core.command.Snapshot;
 import org.skylarkfork.core.consensus.ConsensusPart;
-import org.skylarkfork.core.consensus.GroupCodec;
 import org.skylarkfork.core.consensus.GroupSetup;
 import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.consensus.MembershipChangePolicy;
@@ -62,7 +59,9 @@
   private final List<String> firstSeeds;
   private final int voters;
   private final Map<String, RelayEntryPart> entryParts = new HashMap<>();
+  private final Map<String, VersionStatistics> statistics = new HashMap<>();
   private final Map<String, ConsensusPart> groups = new HashMap<>();
+  private final Map<String, RelayMachine> machines = new HashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private final Map<Long, Command> commandByIndex = new HashMap<>();
@@ -167,6 +166,7 @@
             codec,
             seed);
     groups.put(name, consensus);
+    machines.put(name, machine);
     RelayControlPart control =
         new RelayControlPart(
             name, machine, consensus, times(), RollOutSettings.DEFAULT, OverloadSettings.DEFAULT);
@@ -205,12 +205,13 @@
 
   private Reducer bootEntry(String name) {
     versions.remove(name);
+    statistics.put(name, new VersionStatistics());
     RelayEntryPart part =
         new RelayEntryPart(
             new EntryIdentity(name + ":80", "a", starts.merge(name, 1, Integer::sum)),
             seeds(),
             times(),
-            new VersionStatistics());
+            statistics.get(name));
     entryParts.put(name, part);
     return new Reducer(List.of(part));
   }
@@ -281,6 +282,11 @@
     }
   }
 
+  /** Orders a roll-out as an operator. */
+  void beginRollOut(String control, String target, long deadlineMillis) {
+    call(control, null, new RelayCommand.BeginRollOut("service", target, deadlineMillis));
+  }
+
   /** Reads the configuration as an operator. */
   void read(String control) {
     call(control, null, new RelayCommand.ReadConfiguration());
@@ -368,6 +374,32 @@
     }
   }
 
+  RelayEntryPart entryPart(String name) {
+    return entryParts.get(name);
+  }
+
+  /** Returns what the present process of an entry counts. */
+  VersionStatistics statistics(String name) {
+    return statistics.get(name);
+  }
+
+  /** Returns the running control VM that most of the others consider the leader, or null. */
+  @Nullable String leaderOfMajority() {
+    Map<String, Integer> votes = new HashMap<>();
+    for (String name : runningControls()) {
+      String leader = groups.get(name).status(GroupId.RELAY).leader();
+      if (leader != null && votes.merge(leader, 1, Integer::sum) > voters / 2) {
+        return leader;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the replicated state as a control VM has applied it. */
+  RelayMachine machine(String control) {
+    return machines.get(control);
+  }
+
   /** Returns the control VMs that run and are not frozen. */
   List<String> runningControls() {
     return controls.stream()
@@ -469,26 +501,4 @@
       }
     }
   }
-
-  /** Keeps snapshots in memory and encodes each one as its number. */
-  static final class InMemorySnapshotCodec implements GroupCodec {
-    private final Map<String, Snapshot> snapshots = new LinkedHashMap<>();
-
-    @Override
-    public byte[] encode(Snapshot snapshot) {
-      String number = String.valueOf(snapshots.size());
-      snapshots.put(number, snapshot);
-      return number.getBytes(StandardCharsets.UTF_8);
-    }
-
-    @Override
-    public Snapshot decode(byte[] bytes) {
-      return snapshots.get(new String(bytes, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public int sizeOf(Command command) {
-      return 100;
-    }
-  }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -98,10 +98,12 @@
           .text(begin.target())
           .number(begin.deadlineMillis());
     } else if (command instanceof RelayCommand.AdvanceRollOut advance) {
-      out.tagged(ADVANCE_ROLL_OUT, 3)
+      out.tagged(ADVANCE_ROLL_OUT, 5)
           .text(advance.service())
           .text(advance.target())
-          .text(advance.phase().name());
+          .text(advance.phase().name())
+          .number(advance.startIndex())
+          .optional(advance.baseline(), RelayValues::writeTotals);
     } else if (command instanceof RelayCommand.ReadRollOut read) {
       out.tagged(READ_ROLL_OUT, 1).text(read.service());
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
@@ -160,7 +162,11 @@
       case ADVANCE_ROLL_OUT:
         components.consume(3);
         return new RelayCommand.AdvanceRollOut(
-            in.text(), in.text(), RelayValues.constant(RollOutPhase.class, in.text()));
+            in.text(),
+            in.text(),
+            RelayValues.constant(RollOutPhase.class, in.text()),
+            components.consumeIfPresent() ? in.number() : 0,
+            components.consumeIfPresent() ? in.optional(RelayValues::readTotals) : null);
       case READ_ROLL_OUT:
         components.consume(1);
         return new RelayCommand.ReadRollOut(in.text());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayMessages.java
@@ -212,7 +212,9 @@
   }
 
   private static void writePoll(EntryPoll poll, PackedWriter out) {
-    out.tagged(ENTRY_POLL, POLL_COMPONENTS + 5)
+    // Most polls report no ages, and leave the component out so that idle traffic doesn't grow.
+    boolean hasAges = !poll.rollOutAges().isEmpty();
+    out.tagged(ENTRY_POLL, POLL_COMPONENTS + (hasAges ? 6 : 5))
         .text(poll.callerAddress())
         .text(poll.zone())
         .flag(poll.serving())
@@ -230,6 +232,9 @@
         .list(poll.leaving(), RelayValues::writeRun)
         .number(poll.capacity().milliCores())
         .number(poll.capacity().linkKbits());
+    if (hasAges) {
+      out.list(poll.rollOutAges(), RelayValues::writeAge);
+    }
   }
 
   private static EntryPoll readPoll(PackedReader in, PackedReader.Components remaining) {
@@ -261,7 +266,8 @@
         counts,
         remaining.consumeIfPresent() ? in.list(RelayMessages::readRateLimit) : List.of(),
         remaining.consumeIfPresent() ? in.list(RelayValues::readRun) : List.of(),
-        remaining.consumeIfPresent() ? readCapacity(in, remaining) : EntryCapacity.UNKNOWN);
+        remaining.consumeIfPresent() ? readCapacity(in, remaining) : EntryCapacity.UNKNOWN,
+        remaining.consumeIfPresent() ? in.list(RelayValues::readAge) : List.of());
   }
 
   private static EntryCapacity readCapacity(PackedReader in, PackedReader.Components remaining) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -21,9 +21,11 @@
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.core.rollout.RollOutAge;
 import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.core.rollout.VersionCounts;
+import org.skylarkfork.core.rollout.VersionTotals;
 import org.skylarkfork.core.upstream.UpstreamRun;
 import org.skylarkfork.runtime.codec.CodecException;
 
@@ -38,6 +40,9 @@
   /** Components of an instance in each version; later versions add its start time and cold time. */
   private static final int INSTANCE_COMPONENTS = 7;
 
+  /** Number of components of a roll-out in each version of the format. */
+  private static final int ROLL_OUT_COMPONENTS = 4;
+
   /**
    * Cache of the configuration that was serialized or deserialized last.
    *
@@ -237,22 +242,50 @@
   }
 
   static void writeRollOut(ServiceRollOut rollOut, PackedWriter out) {
-    out.record(4)
+    out.record(ROLL_OUT_COMPONENTS + 2)
         .text(rollOut.service())
         .text(rollOut.target())
         .number(rollOut.deadlineMillis())
-        .text(rollOut.phase().name());
+        .text(rollOut.phase().name())
+        .number(rollOut.startIndex())
+        .optional(rollOut.baseline(), RelayValues::writeTotals);
   }
 
   static ServiceRollOut readRollOut(PackedReader in) {
-    return in.record(
-        4,
-        from ->
+    return in.extensibleRecord(
+        ROLL_OUT_COMPONENTS,
+        (from, components) ->
             new ServiceRollOut(
                 from.text(),
                 from.text(),
                 from.number(),
-                constant(RollOutPhase.class, from.text())));
+                constant(RollOutPhase.class, from.text()),
+                components.consumeIfPresent() ? from.number() : 0,
+                components.consumeIfPresent() ? from.optional(RelayValues::readTotals) : null));
+  }
+
+  static void writeAge(RollOutAge age, PackedWriter out) {
+    out.record(4)
+        .text(age.service())
+        .number(age.startIndex())
+        .number(age.millis())
+        .number(age.movedMillis());
+  }
+
+  static RollOutAge readAge(PackedReader in) {
+    return in.record(
+        4, from -> new RollOutAge(from.text(), from.number(), from.number(), from.number()));
+  }
+
+  static void writeTotals(VersionTotals totals, PackedWriter out) {
+    out.record(3)
+        .number(totals.answers())
+        .number(totals.failures())
+        .number(totals.firstByteMillis());
+  }
+
+  static VersionTotals readTotals(PackedReader in) {
+    return in.record(3, from -> new VersionTotals(from.number(), from.number(), from.number()));
   }
 
   static void writeEvacuation(Evacuation evacuation, PackedWriter out) {
