A version that was rolled back is no measure for the next one

What callers would see: v2 is rolled back, v3 is ordered while servers of v2 still drain. Requests outside the canary phase went to v2 again, and v3 was compared with v1 and v2 together: a slow v2 lets a v3 pass that is slow as well.

A service's roll-out replaces the one before in the replicated state, and with it the knowledge that v2 was bad; everything but the target counted as the old version.

A roll-out carries the versions that earlier ones of the service rolled back, 16 at most. Entries send nothing to them, and their results are no part of the old version's.

RollOutEvaluatorTest#rolledBackVersionIsNotPartOfTheBaseline.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.core.relay;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
    */
   private static final int MAX_LEAVING = 512;
 
+  /** Maximum number of versions of a service that are remembered as rolled back. */
+  private static final int MAX_ROLLED_BACK = 16;
+
   /** Maximum number of quarantined requests; they take 6 KB in each message that contains them. */
   private static final int MAX_QUARANTINED = 256;
 
@@ -135,11 +139,29 @@
             begin.deadlineMillis(),
             RollOutPhase.CANARY,
             index,
-            null);
+            null,
+            rolledBackBefore(begin.target(), known));
     rollOuts.put(begin.service(), started);
     return new RelayResult.RollOutRead(started);
   }
 
+  /**
+   * Returns the versions that earlier roll-outs of a service rolled back, without the one that is
+   * tried again.
+   */
+  private static List<String> rolledBackBefore(String target, @Nullable ServiceRollOut previous) {
+    if (previous == null) {
+      return List.of();
+    }
+    List<String> versions = new ArrayList<>(previous.rolledBack());
+    if (previous.phase() == RollOutPhase.ROLLED_BACK) {
+      versions.add(previous.target());
+    }
+    versions.remove(target);
+    int surplus = Math.max(0, versions.size() - MAX_ROLLED_BACK);
+    return versions.subList(surplus, versions.size());
+  }
+
   private CommandResult advanceRollOut(RelayCommand.AdvanceRollOut advance) {
     @Nullable ServiceRollOut known = rollOuts.get(advance.service());
     if (known != null && isMeant(advance, known) && advance.phase().compareTo(known.phase()) > 0) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/ServiceRollOut.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/ServiceRollOut.java
@@ -1,5 +1,6 @@
 package org.skylarkfork.core.rollout;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,6 +19,7 @@
  *     other roll-outs to the same version; 0 if an older version recorded it
  * @param baseline results of the other versions from the start of the roll-out to the move; null
  *     before the move or if an older version recorded the move
+ * @param rolledBack versions of the service that earlier roll-outs rolled back, oldest first
  */
 public record ServiceRollOut(
     String service,
@@ -25,21 +27,29 @@
     long deadlineMillis,
     RollOutPhase phase,
     long startIndex,
-    @Nullable VersionTotals baseline) {
+    @Nullable VersionTotals baseline,
+    List<String> rolledBack) {
+
+  /** Copies the list. */
+  public ServiceRollOut {
+    rolledBack = List.copyOf(rolledBack);
+  }
 
   /** Creates a roll-out as older versions recorded it. */
   public ServiceRollOut(String service, String target, long deadlineMillis, RollOutPhase phase) {
-    this(service, target, deadlineMillis, phase, 0, null);
+    this(service, target, deadlineMillis, phase, 0, null, List.of());
   }
 
   /** Returns this roll-out in another phase. */
   public ServiceRollOut withPhase(RollOutPhase newPhase) {
-    return new ServiceRollOut(service, target, deadlineMillis, newPhase, startIndex, baseline);
+    return new ServiceRollOut(
+        service, target, deadlineMillis, newPhase, startIndex, baseline, rolledBack);
   }
 
   /** Returns this roll-out with the results of the other versions until the move. */
   public ServiceRollOut withBaseline(@Nullable VersionTotals newBaseline) {
-    return new ServiceRollOut(service, target, deadlineMillis, phase, startIndex, newBaseline);
+    return new ServiceRollOut(
+        service, target, deadlineMillis, phase, startIndex, newBaseline, rolledBack);
   }
 
   /** Returns whether this roll-out is not decided yet. */
@@ -54,8 +64,8 @@
         && startIndex == other.startIndex;
   }
 
-  /** Returns whether a version is not the new one. */
+  /** Returns whether a version is neither the new one nor one that was rolled back. */
   public boolean isOldVersion(String version) {
-    return !version.equals(target);
+    return !version.equals(target) && !rolledBack.contains(version);
   }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RollOutLeadershipTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RollOutLeadershipTest.java
@@ -121,4 +121,23 @@
           "seed " + seed + ": " + simulation.requests("v2") + " requests");
     }
   }
+
+  /**
+   * A version that follows one which was rolled back is compared with the version in use only, and
+   * requests outside the canary phase go to that one only, whatever still runs.
+   */
+  @Test
+  public void versionAfterOneThatWasRolledBackIsComparedWithTheOneInUse() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      RollOutSimulation simulation = new RollOutSimulation(seed);
+      Duration limit = Duration.ofMillis(DEADLINE_MILLIS);
+      simulation.order("v2", RollOutSimulation.slow(), DEADLINE_MILLIS);
+      assertDecision(simulation, RollOutPhase.ROLLED_BACK, seed, limit);
+      simulation.order("v3", RollOutSimulation.slow(), DEADLINE_MILLIS);
+      simulation.runFor(Duration.ofMillis(500));
+      long requestsBefore = simulation.requests("v2");
+      assertDecision(simulation, RollOutPhase.ROLLED_BACK, seed, limit);
+      assertEquals(simulation.requests("v2"), requestsBefore, "seed " + seed);
+    }
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
@@ -21,7 +21,8 @@
   private static final long START_INDEX = 7;
 
   private static final ServiceRollOut ROLL_OUT =
-      new ServiceRollOut("service", "v2", 24_000, RollOutPhase.CANARY, START_INDEX, null);
+      new ServiceRollOut(
+          "service", "v2", 24_000, RollOutPhase.CANARY, START_INDEX, null, List.of());
 
   private RollOutEvaluator evaluator = new RollOutEvaluator(RollOutSettings.DEFAULT);
   private ServiceRollOut rollOut = ROLL_OUT;
@@ -264,7 +265,7 @@
     assertNull(decideAfter(16));
     assertNotNull(decideAfter(22));
     now = START.plusSeconds(100);
-    rollOut = new ServiceRollOut("service", "v2", 24_000, RollOutPhase.CANARY, 30, null);
+    rollOut = new ServiceRollOut("service", "v2", 24_000, RollOutPhase.CANARY, 30, null, List.of());
     report(START_INDEX);
     restartEntry();
     addCounts("v1", 1000, 10, 100);
@@ -283,6 +284,17 @@
     assertDecision(decideAfter(1), RollOutPhase.ROLLED_BACK, Reason.WORSE);
   }
 
+  /** Guards against a comparison with a slow version that was rolled back before. */
+  @Test
+  public void rolledBackVersionIsNotPartOfTheBaseline() {
+    rollOut =
+        new ServiceRollOut("service", "v3", 24_000, RollOutPhase.CANARY, 30, null, List.of("v2"));
+    addCounts("v1", 100, 0, 100);
+    addCounts("v2", 100, 0, 900);
+    addCounts("v3", 20, 0, 500);
+    assertDecision(decideAfter(1), RollOutPhase.ROLLED_BACK, Reason.WORSE);
+  }
+
   /** A version that answers replaces one that fails each request, which has no latency. */
   @Test
   public void goodVersionReplacesOneThatFails() {
@@ -328,7 +340,8 @@
     for (long deadline : new long[] {Long.MIN_VALUE, 0, Long.MAX_VALUE}) {
       setUp();
       rollOut =
-          new ServiceRollOut("service", "v2", deadline, RollOutPhase.CANARY, START_INDEX, null);
+          new ServiceRollOut(
+              "service", "v2", deadline, RollOutPhase.CANARY, START_INDEX, null, List.of());
       addCounts("v1", 1000, 10, 100);
       RollOutDecision decision = decideAfter(0);
       assertEquals(decision == null, deadline == Long.MAX_VALUE);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -242,13 +242,14 @@
   }
 
   static void writeRollOut(ServiceRollOut rollOut, PackedWriter out) {
-    out.record(ROLL_OUT_COMPONENTS + 2)
+    out.record(ROLL_OUT_COMPONENTS + 3)
         .text(rollOut.service())
         .text(rollOut.target())
         .number(rollOut.deadlineMillis())
         .text(rollOut.phase().name())
         .number(rollOut.startIndex())
-        .optional(rollOut.baseline(), RelayValues::writeTotals);
+        .optional(rollOut.baseline(), RelayValues::writeTotals)
+        .list(rollOut.rolledBack(), (version, to) -> to.text(version));
   }
 
   static ServiceRollOut readRollOut(PackedReader in) {
@@ -261,7 +262,8 @@
                 from.number(),
                 constant(RollOutPhase.class, from.text()),
                 components.consumeIfPresent() ? from.number() : 0,
-                components.consumeIfPresent() ? from.optional(RelayValues::readTotals) : null));
+                components.consumeIfPresent() ? from.optional(RelayValues::readTotals) : null,
+                components.consumeIfPresent() ? from.list(PackedReader::text) : List.of()));
   }
 
   static void writeAge(RollOutAge age, PackedWriter out) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/RollOutPackingTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/packed/RollOutPackingTest.java
@@ -17,7 +17,13 @@
 
   private static final ServiceRollOut ROLL_OUT =
       new ServiceRollOut(
-          "service", "v3", 16_000, RollOutPhase.MOVING, 42, new VersionTotals(1000, 10, 99_000));
+          "service",
+          "v3",
+          16_000,
+          RollOutPhase.MOVING,
+          42,
+          new VersionTotals(1000, 10, 99_000),
+          List.of("v2"));
 
   private final PackedCodec codec = new PackedCodec(List.of(new CommandPacking()));
 
