A report of an entry that was overtaken doesn't count twice

A report with fewer answers than the one before was taken for a counter that had started anew, and all its answers counted once more, which hides a version that has just turned bad for some seconds. Counts restart with a roll-out or a process only, which the leader tells apart by other means, so such a report is ignored.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutObservation.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutObservation.java
@@ -33,11 +33,15 @@
    * The newest report of one run of an entry.
    *
    * @param totalsByVersion counts since the start of the roll-out
+   * @param target counts of the new version among them
    * @param movedAt time at which the entry stopped to send requests to the old version, {@link
    *     Instant#MAX} if it still does; null if it reported no age
    */
   private record EntryReport(
-      long incarnation, Map<String, VersionTotals> totalsByVersion, @Nullable Instant movedAt) {}
+      long incarnation,
+      Map<String, VersionTotals> totalsByVersion,
+      VersionTotals target,
+      @Nullable Instant movedAt) {}
 
   /**
    * Creates an observation without results.
@@ -62,33 +66,42 @@
     }
   }
 
-  /** Records what a run of an entry has counted since the start of the roll-out. */
+  /**
+   * Records what a run of an entry has counted since the start of the roll-out.
+   *
+   * <p>Messages may overtake each other. A report with fewer answers than the one before is older
+   * than that and is ignored; its answers would count twice.
+   */
   void record(EntryCounts report, Instant now) {
-    Map<String, VersionTotals> totalsByVersion = new HashMap<>();
-    for (VersionCounts count : report.counts()) {
-      if (count.service().equals(rollOut.service())) {
-        totalsByVersion.put(count.version(), VersionTotals.of(count));
-      }
-    }
-    long incarnation = report.incarnation();
-    EntryReport before =
-        reportByEntry.put(
-            report.entry(),
-            new EntryReport(incarnation, totalsByVersion, recordAge(report.ages(), now)));
+    Map<String, VersionTotals> totalsByVersion = totalsByVersion(report.counts());
     VersionTotals target = totalsByVersion.getOrDefault(rollOut.target(), VersionTotals.NONE);
-    if (before == null || before.incarnation != incarnation) {
-      recent.add(target);
+    EntryReport before = reportByEntry.get(report.entry());
+    boolean isSameRun = before != null && before.incarnation == report.incarnation();
+    VersionTotals earlier = isSameRun ? before.target() : VersionTotals.NONE;
+    if (target.answers() < earlier.answers()) {
       return;
     }
-    VersionTotals earlier =
-        before.totalsByVersion.getOrDefault(rollOut.target(), VersionTotals.NONE);
-    VersionTotals added = target.since(earlier);
+    reportByEntry.put(
+        report.entry(),
+        new EntryReport(
+            report.incarnation(), totalsByVersion, target, recordAge(report.ages(), now)));
+    VersionTotals added = target.minus(earlier);
     recent.add(added);
-    if (movingSince != null) {
+    if (isSameRun && movingSince != null) {
       sinceMove.add(added);
     }
   }
 
+  private Map<String, VersionTotals> totalsByVersion(List<VersionCounts> counts) {
+    Map<String, VersionTotals> totalsByVersion = new HashMap<>();
+    for (VersionCounts count : counts) {
+      if (count.service().equals(rollOut.service())) {
+        totalsByVersion.put(count.version(), VersionTotals.of(count));
+      }
+    }
+    return totalsByVersion;
+  }
+
   /** Returns the time of the move by an entry's report, or null if it says nothing of it. */
   private @Nullable Instant recordAge(List<RollOutAge> ages, Instant now) {
     for (RollOutAge age : ages) {
@@ -137,7 +150,7 @@
   VersionTotals newVersion() {
     VersionTotals sum = VersionTotals.NONE;
     for (EntryReport report : reportByEntry.values()) {
-      sum = sum.plus(report.totalsByVersion.getOrDefault(rollOut.target(), VersionTotals.NONE));
+      sum = sum.plus(report.target);
     }
     return sum;
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionTotals.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionTotals.java
@@ -29,14 +29,7 @@
         firstByteMillis + other.firstByteMillis);
   }
 
-  /**
-   * Returns the results since earlier ones of the same counter, or these if the counter has started
-   * anew since then.
-   */
-  VersionTotals since(VersionTotals earlier) {
-    if (answers < earlier.answers || failures < earlier.failures) {
-      return this;
-    }
+  VersionTotals minus(VersionTotals earlier) {
     return new VersionTotals(
         answers - earlier.answers,
         failures - earlier.failures,
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
@@ -273,6 +273,22 @@
     assertDecision(decideAfter(101), RollOutPhase.ROLLED_BACK, Reason.WORSE);
   }
 
+  /** Guards against answers that count twice because an older report arrives after a newer one. */
+  @Test
+  public void reportThatWasOvertakenIsIgnored() {
+    addCounts("v1", 1000, 10, 100);
+    addCounts("v2", 400, 0, 100);
+    VersionCounts older = counted.get("v2");
+    addCounts("v2", 1, 0, 100);
+    final VersionCounts newest = counted.get("v2");
+    evaluator.age(Duration.ofSeconds(60));
+    counted.put("v2", older);
+    report(START_INDEX);
+    counted.put("v2", newest);
+    addCounts("v2", 20, 0, 500);
+    assertDecision(decideAfter(1), RollOutPhase.ROLLED_BACK, Reason.WORSE);
+  }
+
   /** Guards against counts of an earlier roll-out that an entry hasn't restarted yet. */
   @Test
   public void countsFromBeforeTheStartAreIgnored() {
