The soak rolls a version out while faults happen

A slow version must never succeed, and each roll-out is decided once the faults are over. Control VMs are killed, one or all, frozen and wiped meanwhile, as before.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakOperator.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.relay.RelayConfiguration;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRoute;
@@ -20,6 +21,8 @@
 import org.skylarkfork.core.relay.RouteKind;
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.ServiceRollOut;
 import org.skylarkfork.runtime.codec.Codec;
 import org.skylarkfork.runtime.relay.RelayAdmin;
 
@@ -124,10 +127,26 @@
     return answer.statusCode() == OK ? codec.fromJson(answer.body(), RelayAdmin.Group.class) : null;
   }
 
+  /** Orders a roll-out at one control VM; returns whether it was acknowledged. */
+  boolean beginRollOut(int control, String target, Duration deadline) throws InterruptedException {
+    RelayAdmin.RollOutOrder order = new RelayAdmin.RollOutOrder(target, deadline.toMillis());
+    return call("PUT", control, "roll-outs/" + SERVICE, codec.toJson(order)) != null;
+  }
+
+  /** Reads the phase of the roll-out at one control VM; null if it doesn't answer. */
+  @Nullable RollOutPhase rollOutPhase(int control) throws InterruptedException {
+    String text = call("GET", control, "roll-outs/" + SERVICE, "");
+    if (text == null) {
+      return null;
+    }
+    ServiceRollOut rollOut = codec.fromJson(text, RelayResult.RollOutRead.class).rollOut();
+    return rollOut == null ? null : rollOut.phase();
+  }
+
   /** Announces an upstream at the first control VM that takes it. */
-  void announce(String id, int port, long sequence) throws InterruptedException {
+  void announce(String id, String version, int port, long sequence) throws InterruptedException {
     UpstreamInstance instance =
-        new UpstreamInstance(id, SERVICE, "127.0.0.1:" + port, "a", "1", 50, sequence, 0);
+        new UpstreamInstance(id, SERVICE, "127.0.0.1:" + port, "a", version, 50, sequence, 0);
     for (int control = 0; control < ports.size(); control++) {
       int turn = (int) ((control + sequence) % ports.size());
       if (call("PUT", turn, "upstreams/" + id, codec.toJson(instance)) != null) {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
@@ -49,15 +49,20 @@
     try (SoakSystem system = new SoakSystem(settings, runs)) {
       system.start();
       SoakOperator operator = new SoakOperator(system.controlPorts(), findings);
-      final Thread beats = SoakThreads.start("heartbeats", () -> announce(system, operator));
+      SoakRollOut rollOut = new SoakRollOut(settings, operator, random);
+      final Thread beats =
+          SoakThreads.start("heartbeats", () -> announce(system, operator, rollOut));
       await(FOUNDED, "no configuration was accepted", () -> founded(operator));
       SoakFaults faults = new SoakFaults(system, random, operator, findings);
       List<SoakCaller> callers = new ArrayList<>();
       final List<Thread> threads = call(system, operator, callers);
+      await(FOUNDED, "no roll-out was accepted", rollOut::order);
       disturb(operator, faults);
       faults.settle();
       await(RECOVERED, "not all entries serve again", () -> allServe(system));
       await(RECOVERED, "no change is accepted again", () -> changed(operator));
+      await(RECOVERED, "the roll-out isn't decided", rollOut::isDecided);
+      findings.addAll(rollOut.findings(Instant.now()));
       callers.forEach(SoakCaller::stop);
       for (Thread thread : threads) {
         thread.join();
@@ -108,12 +113,15 @@
     return accepted > before && operator.read(random.nextInt(settings.controls())) >= accepted;
   }
 
-  private void announce(SoakSystem system, SoakOperator operator) {
+  private void announce(SoakSystem system, SoakOperator operator, SoakRollOut rollOut) {
     try {
       for (long sequence = 1; !over; sequence++) {
         for (int number = 0; number < system.upstreams().size(); number++) {
-          int port = system.upstreamProxies().get(number).port();
-          operator.announce("up-" + number, port, sequence);
+          String version = system.upstreams().get(number).version();
+          if (rollOut.isOrdered() || version.equals(SoakRollOut.OLD_VERSION)) {
+            int port = system.upstreamProxies().get(number).port();
+            operator.announce("up-" + number, version, port, sequence);
+          }
         }
         TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
       }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,9 @@
 
   private static final String HOST = "127.0.0.1";
 
+  /** Number of upstreams of the version that is rolled out. */
+  private static final int NEW_UPSTREAMS = 2;
+
   private final List<RelayProcess> controls = new ArrayList<>();
   private final List<RelayProcess> entries = new ArrayList<>();
   private final List<Integer> controlPorts = new ArrayList<>();
@@ -49,12 +53,20 @@
       callerProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, port)));
     }
     for (int number = 0; number < settings.upstreams(); number++) {
-      SoakUpstream upstream = new SoakUpstream(number, runs, backoffs);
-      upstreams.add(upstream);
-      upstreamProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, upstream.port())));
+      add(new SoakUpstream(number, runs, backoffs, SoakRollOut.OLD_VERSION, Duration.ZERO));
+    }
+    Duration delay = SoakRollOut.delay(settings);
+    for (int number = 0; number < NEW_UPSTREAMS; number++) {
+      int next = settings.upstreams() + number;
+      add(new SoakUpstream(next, runs, backoffs, SoakRollOut.NEW_VERSION, delay));
     }
   }
 
+  private void add(SoakUpstream upstream) throws IOException {
+    upstreams.add(upstream);
+    upstreamProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, upstream.port())));
+  }
+
   private static RelayProcess control(
       int number, SoakSettings settings, int peer, int port, List<String> seeds)
       throws IOException {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakUpstream.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakUpstream.java
@@ -46,6 +46,8 @@
   private final int number;
   private final Map<String, AtomicInteger> runs;
   private final BackoffWitness backoffs;
+  private final String version;
+  private final Duration delay;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private volatile boolean full;
 
@@ -55,16 +57,29 @@
    * @param number number of the upstream
    * @param runs counts the runs of each request at all upstreams, by request id
    * @param backoffs records each request, and each backoff that the upstream asks for
+   * @param version version of the service that the upstream runs
+   * @param delay time before each answer begins
    */
-  SoakUpstream(int number, Map<String, AtomicInteger> runs, BackoffWitness backoffs)
+  SoakUpstream(
+      int number,
+      Map<String, AtomicInteger> runs,
+      BackoffWitness backoffs,
+      String version,
+      Duration delay)
       throws IOException {
     this.number = number;
+    this.version = version;
+    this.delay = delay;
     this.runs = runs;
     this.backoffs = backoffs;
     this.listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     SoakThreads.start("upstream", this::accept);
   }
 
+  String version() {
+    return version;
+  }
+
   int port() {
     return listener.getLocalPort();
   }
@@ -114,6 +129,7 @@
       refuse(id, out);
       return SoakBody.End.KEEP_OPEN;
     }
+    TimeUnit.MILLISECONDS.sleep(delay.toMillis());
     int run = runs.computeIfAbsent(id, missing -> new AtomicInteger()).incrementAndGet();
     UniformRandomProvider random =
         RandomSource.SPLIT_MIX_64.create((long) id.hashCode() * MAX_RUNS + run);
