A caller that leaves before its request is decided on doesn't end the entry

A request is submitted to the reducer in the next round of the event loop, so that its exchange is known by then. A request that was queued behind another (HTTP/1.1 allows a caller to send it before the answer) is started when that one's answer is written; if the caller's close was read in the same round, the connection's end is handled first. The reducer ignores a caller that leaves a request which it doesn't know, the exchange stayed registered with its body released, and the request arrived afterwards: its first send failed inside an effect, which ends the daemon.

A request whose caller has left doesn't arrive, and its exchange is forgotten. Once a request has arrived, its caller's leaving is an event of its own and comes before each later effect.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -200,10 +200,25 @@
     }
     RelayExchange exchange = new RelayExchange(number, head, body, caller, dialect, pools, loop);
     exchanges.put(number, exchange);
-    eventLoop.execute(() -> loop.submit(new RelayEvent.RequestArrived(request)));
+    eventLoop.execute(() -> submitArrival(request, exchange));
     return exchange;
   }
 
+  /**
+   * Submits a request to the reducer, unless its caller has left meanwhile.
+   *
+   * <p>A pipelined request may be followed by the close of its connection in the same round of the
+   * event loop. The reducer ignores a caller that leaves before its request arrives, and would then
+   * send a request whose body has been released.
+   */
+  private void submitArrival(RelayRequest request, RelayExchange exchange) {
+    if (exchange.isCompleted()) {
+      exchanges.remove(request.number());
+    } else {
+      loop.submit(new RelayEvent.RequestArrived(request));
+    }
+  }
+
   /** Executes an effect on the request or upstream that it names; ignores unknown requests. */
   void execute(RelayEffect effect) {
     if (effect instanceof RelayEffect.SendAttempt send) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -71,6 +71,13 @@
     return requestId;
   }
 
+  /**
+   * Returns whether the answer is complete or the caller has left, so that the body is released.
+   */
+  boolean isCompleted() {
+    return completed;
+  }
+
   /** Returns the present time. */
   Instant now() {
     return loop.now();
