A new leader doesn't age results by the time before its term

Found by reading: the first evaluation of a term reduced the weight of all results by the time since the VM's last evaluation, which may be long ago. The evaluator now counts from the start of the term.

RollOutEvaluatorTest#timeBeforeTheTermDoesNotAgeResults.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -268,7 +268,7 @@
     leader = changed.node();
     updates.clear();
     crashes.clear();
-    evaluator.startTerm();
+    evaluator.startTerm(now);
     leavingSubmittedAt.clear();
     if (node.equals(leader)) {
       updates.startLeading(changed.term(), now);
@@ -413,11 +413,8 @@
       hasChanges = false;
     }
     if (!now.isBefore(evaluatedAt.plus(EVALUATION_INTERVAL))) {
-      evaluator.age(
-          evaluatedAt.equals(Instant.EPOCH)
-              ? EVALUATION_INTERVAL
-              : Duration.between(evaluatedAt, now));
       evaluatedAt = now;
+      evaluator.age(now);
       evaluateRollOuts(now, output);
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -25,13 +25,12 @@
   /** Time before the deadline at which a decision is due, for its replication. */
   private static final Duration DEADLINE_MARGIN = Duration.ofMillis(500);
 
-  /**
-   * Minimum time in which a leader sees the new version alone: all entries report, slow answers.
-   */
+  /** Minimum time for which a leader watches the new version, so that all entries report to it. */
   private static final Duration MIN_WATCHED_TIME = Duration.ofSeconds(2);
 
   private final Map<String, RollOutObservation> observationByService = new HashMap<>();
   private final RollOutSettings settings;
+  private Instant agedAt = Instant.EPOCH;
 
   /** Creates an evaluator that has observed nothing. */
   public RollOutEvaluator(RollOutSettings settings) {
@@ -39,8 +38,9 @@
   }
 
   /** Discards all observations, since another leader may have led in the meantime. */
-  public void startTerm() {
+  public void startTerm(Instant now) {
     observationByService.clear();
+    agedAt = now;
   }
 
   /**
@@ -71,9 +71,11 @@
     return known;
   }
 
-  /** Reduces the weight of recent results for the time that has passed. */
-  public void age(Duration passed) {
+  /** Reduces the weight of recent results for the time since the last call or the term's start. */
+  public void age(Instant now) {
+    Duration passed = Duration.between(agedAt, now);
     observationByService.values().forEach(observation -> observation.decay(passed));
+    agedAt = now;
   }
 
   /** Returns the decision on a roll-out, or null if it stays in its phase. */
@@ -181,9 +183,8 @@
   /** Returns whether requests on the old version had the time to finish. */
   private boolean isOldVersionFinished(RollOutObservation observed, Instant now) {
     Duration watched = observed.watchedMove(now);
-    boolean isReported =
-        isLong(observed.reportedMove(now)) && watched.compareTo(MIN_WATCHED_TIME) >= 0;
-    return isLong(watched) || isReported;
+    boolean isReported = isLong(observed.reportedMove(now));
+    return isLong(watched) || isReported && watched.compareTo(MIN_WATCHED_TIME) >= 0;
   }
 
   /** Returns whether a time is as long as requests on the old version take to finish. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,6 +34,7 @@
   @BeforeMethod
   public void setUp() {
     evaluator = new RollOutEvaluator(RollOutSettings.DEFAULT);
+    evaluator.startTerm(START);
     rollOut = ROLL_OUT;
     now = START;
     incarnation = 1;
@@ -131,7 +131,7 @@
   public void versionThatTurnsBadIsRolledBack() {
     addCounts("v1", 1000, 10, 100);
     addCounts("v2", 400, 2, 100);
-    evaluator.age(Duration.ofSeconds(30));
+    evaluator.age(START.plusSeconds(30));
     addCounts("v2", 12, 6, 100);
     assertDecision(decideAfter(0), RollOutPhase.ROLLED_BACK, Reason.WORSE);
   }
@@ -180,6 +180,17 @@
     assertDecision(decideAfter(16), RollOutPhase.ROLLED_BACK, Reason.WORSE);
   }
 
+  /** Guards against first reports that lose their weight since the leader didn't lead before. */
+  @Test
+  public void timeBeforeTheTermDoesNotAgeResults() {
+    now = START.plusSeconds(600);
+    evaluator.startTerm(now);
+    addCounts("v1", 1000, 10, 100);
+    addCounts("v2", 20, 0, 500);
+    evaluator.age(now.plusMillis(200));
+    assertDecision(decideAfter(601), RollOutPhase.ROLLED_BACK, Reason.WORSE);
+  }
+
   /** Guards against a move by a leader that doesn't know what was counted before its election. */
   @Test
   public void newLeaderKnowsWhatEntriesCountedBefore() {
@@ -281,7 +292,7 @@
     VersionCounts older = counted.get("v2");
     addCounts("v2", 1, 0, 100);
     final VersionCounts newest = counted.get("v2");
-    evaluator.age(Duration.ofSeconds(60));
+    evaluator.age(START.plusSeconds(60));
     counted.put("v2", older);
     report(START_INDEX);
     counted.put("v2", newest);
