--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -9,12 +9,8 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
-import org.skylarkfork.core.Output;
-import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
-import org.skylarkfork.core.command.Command;
 import org.skylarkfork.core.command.CommandResult;
-import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.command.Member;
 import org.skylarkfork.core.command.RelayCommand;
@@ -26,8 +22,6 @@
 import org.skylarkfork.core.consensus.RaftSettings;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.RelayEffect;
-import org.skylarkfork.core.event.ConsensusEvent;
-import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.overload.OverloadSettings;
 import org.skylarkfork.core.rollout.RollOutSettings;
@@ -64,8 +58,7 @@
   private final Map<String, RelayMachine> machines = new HashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
-  private final Map<Long, Command> commandByIndex = new HashMap<>();
-  private final Map<Long, String> leaderByTerm = new HashMap<>();
+  private final AgreementCheck agreement = new AgreementCheck();
   private final Map<Long, Call> calls = new HashMap<>();
   private final Map<Long, String> contents = new HashMap<>();
   private final Map<String, Order> orders = new HashMap<>();
@@ -170,7 +163,7 @@
     RelayControlPart control =
         new RelayControlPart(
             name, machine, consensus, times(), RollOutSettings.DEFAULT, OverloadSettings.DEFAULT);
-    return new Reducer(List.of(consensus, control, new AgreementCheck(name)));
+    return new Reducer(List.of(consensus, control, agreement.part(name)));
   }
 
   /** Returns the timings of daemons that reject removed keys within {@link #KEY_BOUND}. */
@@ -473,32 +466,4 @@
   UniformRandomProvider random() {
     return network.random();
   }
-
-  /**
-   * Checks that all control VMs apply the same commands and that each term has at most one leader.
-   */
-  private final class AgreementCheck implements Part {
-    private final String name;
-
-    private AgreementCheck(String name) {
-      this.name = name;
-    }
-
-    @Override
-    public void apply(Event event, Instant now, Output output) {
-      if (event instanceof ConsensusEvent.CommandCommitted committed
-          && !(committed.command() instanceof GroupCommand)) {
-        Command other = commandByIndex.putIfAbsent(committed.index(), committed.command());
-        if (other != null && !other.equals(committed.command())) {
-          throw new AssertionError(name + " applied " + committed + " in place of " + other);
-        }
-      } else if (event instanceof ConsensusEvent.LeaderChanged changed
-          && name.equals(changed.node())) {
-        String other = leaderByTerm.putIfAbsent(changed.term(), name);
-        if (other != null && !other.equals(name)) {
-          throw new AssertionError("two leaders in term " + changed.term());
-        }
-      }
-    }
-  }
 }
