Timeouts and limits of the replicated groups are two records

Seven places listed all seventeen settings by position, most of them to change one. RaftTimeouts and RaftLimits hold them now, validated as before; tests name only what differs. Values are unchanged.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
@@ -40,7 +40,8 @@
       appliedIndex = entry.index();
       proposals.applied(entry.index(), result, context);
     }
-    if (saving == null && appliedIndex - snapshotIndex() >= replica.settings.snapshotEntries()) {
+    if (saving == null
+        && appliedIndex - snapshotIndex() >= replica.settings.limits().snapshotEntries()) {
       takeSnapshot(context);
     }
   }
@@ -103,6 +104,6 @@
       return;
     }
     replica.snapshotSaved(snapshot);
-    replica.log.compact(index - replica.settings.trailingEntries());
+    replica.log.compact(index - replica.settings.limits().trailingEntries());
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusPart.java
@@ -49,7 +49,7 @@
   public ConsensusPart(
       String node, List<GroupSetup> setups, RaftSettings settings, GroupCodec codec, long seed) {
     this.node = node;
-    this.activeTime = new ActiveTime(settings.heartbeat());
+    this.activeTime = new ActiveTime(settings.timeouts().heartbeat());
     UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
     this.client = new SubmissionClient(node, random.nextLong(), setups, settings);
     for (GroupSetup setup : setups) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Durability.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Durability.java
@@ -76,7 +76,10 @@
   boolean isStalled() {
     Write oldest = inFlight.peekFirst();
     return oldest != null
-        && activeTime.elapsed().minus(oldest.activeAt).compareTo(settings.storageStallTimeout())
+        && activeTime
+                .elapsed()
+                .minus(oldest.activeAt)
+                .compareTo(settings.timeouts().storageStallTimeout())
             > 0;
   }
 
@@ -170,7 +173,7 @@
       Write write = inFlight.removeFirst();
       syncedIndex = Math.max(syncedIndex, write.lastIndex);
       Duration time = Duration.between(write.issuedAt, context.now());
-      if (time.compareTo(settings.heartbeat()) > 0) {
+      if (time.compareTo(settings.timeouts().heartbeat()) > 0) {
         context.log(group, "slow_sync", "ms=" + time.toMillis());
       }
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Election.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Election.java
@@ -176,7 +176,7 @@
     boolean sameLog =
         request.lastTerm() == log.lastTerm() && request.lastIndex() == log.lastIndex();
     boolean sameTerm = request.term() == replica.term() + 1;
-    boolean isRecent = now.isBefore(preVoteStartedAt.plus(replica.settings.heartbeat()));
+    boolean isRecent = now.isBefore(preVoteStartedAt.plus(replica.settings.timeouts().heartbeat()));
     return replica.role() == Role.PRE_CANDIDATE
         && replica.isVoter()
         && isRecent
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupBootstrap.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupBootstrap.java
@@ -46,7 +46,7 @@
     if (member && replica.leader() != null || !isDue(context.now())) {
       return;
     }
-    nextRequest = context.now().plus(replica.settings.resendInterval());
+    nextRequest = context.now().plus(replica.settings.timeouts().resendInterval());
     requestedUnderLeader = replica.leader();
     if (mayFound()) {
       requestBootstrap(context);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Proposals.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Proposals.java
@@ -31,8 +31,8 @@
   @Nullable String overloadReason() {
     RaftSettings settings = replica.settings;
     long entries = replica.log.lastIndex() - replica.commitIndex();
-    if (entries >= settings.maxUncommittedEntries()
-        || uncommittedBytes >= settings.maxUncommittedBytes()) {
+    if (entries >= settings.limits().maxUncommittedEntries()
+        || uncommittedBytes >= settings.limits().maxUncommittedBytes()) {
       return "raft: " + replica.group + " is behind with its commits; submit again later";
     }
     return null;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftSettings.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftSettings.java
@@ -1,99 +1,15 @@
 package org.skylarkfork.core.consensus;
 
-import java.time.Duration;
-
 /**
- * Timeouts and limits of the replicated groups, the same on each daemon.
+ * Settings of the replicated groups, the same on each daemon.
  *
- * @param electionMin minimum election timeout: time without contact to a leader before a voter
- *     campaigns
- * @param electionMax maximum election timeout; each timeout is drawn at random between {@code
- *     electionMin} and this value
- * @param heartbeat interval between a leader's heartbeats
- * @param lease duration of the leader lease, counted from the sending of the messages that a
- *     majority answered; must be less than {@code electionMin}
- * @param majorityTimeout time without an answer from a majority after which a leader steps down,
- *     counted from the arrival of the last answers and without gaps between ticks that are longer
- *     than a heartbeat; at least {@code lease}
- * @param storageStallTimeout time after which a leader whose disk doesn't complete a sync steps
- *     down
- * @param resendInterval time after which an unanswered submission is resent
- * @param snapshotEntries number of applied entries after which a snapshot is taken
- * @param trailingEntries number of entries before a snapshot that stay in memory for replicas that
- *     lag slightly
- * @param maxAppendEntries maximum number of entries in one message
- * @param maxAppendBytes maximum size of the commands in one message in bytes, unless a single
- *     command is larger
- * @param maxInFlightEntries maximum number of entries sent to a replica and not yet acknowledged
- * @param maxChunkBytes maximum size of a snapshot chunk in one message in bytes
- * @param maxUncommittedEntries maximum number of uncommitted entries; submissions beyond it are
- *     refused
- * @param maxUncommittedBytes maximum size of uncommitted commands in bytes
- * @param maxPendingSubmissions maximum number of this daemon's submissions that wait for a result
- * @param maxRestartWait maximum time that a voter waits for a leader after a start before it
- *     campaigns. Must be zero where leaders rely on their lease: a restarted voter doesn't know
- *     what it acknowledged, so with zero its start counts as contact to a leader and it grants no
- *     vote until the lease has expired
+ * @param timeouts timeouts of elections, leases and resends
+ * @param limits limits of logs, snapshots and messages
  */
-public record RaftSettings(
-    Duration electionMin,
-    Duration electionMax,
-    Duration heartbeat,
-    Duration lease,
-    Duration majorityTimeout,
-    Duration storageStallTimeout,
-    Duration resendInterval,
-    int snapshotEntries,
-    int trailingEntries,
-    int maxAppendEntries,
-    int maxAppendBytes,
-    int maxInFlightEntries,
-    int maxChunkBytes,
-    int maxUncommittedEntries,
-    int maxUncommittedBytes,
-    int maxPendingSubmissions,
-    Duration maxRestartWait) {
-
-  /**
-   * Validates the timeouts against each other.
-   *
-   * @throws IllegalArgumentException if two leaders could hold a lease at once or no leader could
-   *     keep its lease
-   */
-  public RaftSettings {
-    if (lease.compareTo(electionMin) >= 0) {
-      throw new IllegalArgumentException("raft: set lease below electionMin");
-    }
-    if (heartbeat.multipliedBy(2).compareTo(lease) > 0) {
-      throw new IllegalArgumentException("raft: set heartbeat to at most half of lease");
-    }
-    if (majorityTimeout.compareTo(lease) < 0) {
-      throw new IllegalArgumentException("raft: set majorityTimeout to at least lease");
-    }
-    if (electionMax.compareTo(electionMin) <= 0) {
-      throw new IllegalArgumentException("raft: set electionMax above electionMin");
-    }
-  }
+public record RaftSettings(RaftTimeouts timeouts, RaftLimits limits) {
 
   /** Returns settings for daemons with about one millisecond of network latency between them. */
   public static RaftSettings defaults() {
-    return new RaftSettings(
-        Duration.ofMillis(300),
-        Duration.ofMillis(600),
-        Duration.ofMillis(80),
-        Duration.ofMillis(250),
-        Duration.ofMillis(250),
-        Duration.ofSeconds(1),
-        Duration.ofMillis(400),
-        4096,
-        512,
-        256,
-        256 * 1024,
-        1024,
-        64 * 1024,
-        8192,
-        16 * 1024 * 1024,
-        16384,
-        Duration.ZERO);
+    return new RaftSettings(RaftTimeouts.DEFAULT, RaftLimits.DEFAULT);
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replica.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replica.java
@@ -168,7 +168,7 @@
    * add up to {@link RaftSettings#electionMax} to the outage.
    */
   void startElectionTimer(Instant now) {
-    long longest = settings.maxRestartWait().toMillis();
+    long longest = settings.timeouts().maxRestartWait().toMillis();
     if (longest == 0) {
       recordLeaderContact(now);
     } else {
@@ -177,8 +177,9 @@
   }
 
   void resetElectionDeadline(Instant now) {
-    long spread = settings.electionMax().minus(settings.electionMin()).toMillis();
-    Duration wait = settings.electionMin().plusMillis(random.nextLong(spread + 1));
+    long spread =
+        settings.timeouts().electionMax().minus(settings.timeouts().electionMin()).toMillis();
+    Duration wait = settings.timeouts().electionMin().plusMillis(random.nextLong(spread + 1));
     electionDeadline = now.plus(wait);
   }
 
@@ -193,7 +194,7 @@
    * another election timeout.
    */
   void deferCampaign(Instant now) {
-    Instant later = now.plus(settings.heartbeat());
+    Instant later = now.plus(settings.timeouts().heartbeat());
     if (later.isAfter(electionDeadline)) {
       electionDeadline = later;
     }
@@ -218,7 +219,7 @@
    * contact.
    */
   boolean leaseMayBeActive(Instant now) {
-    return isLeader() || now.isBefore(lastContact.plus(settings.electionMin()));
+    return isLeader() || now.isBefore(lastContact.plus(settings.timeouts().electionMin()));
   }
 
   void commit(long index) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
@@ -78,7 +78,7 @@
   void replicate(EventContext context) {
     boolean heartbeat = !context.now().isBefore(nextHeartbeat);
     if (heartbeat) {
-      nextHeartbeat = context.now().plus(replica.settings.heartbeat());
+      nextHeartbeat = context.now().plus(replica.settings.timeouts().heartbeat());
     }
     for (Progress progress : progresses.values()) {
       boolean sent = sendMissing(progress, context);
@@ -115,7 +115,7 @@
     long end =
         Math.min(
             replica.durability.issuedIndex(),
-            progress.matchIndex + replica.settings.maxInFlightEntries());
+            progress.matchIndex + replica.settings.limits().maxInFlightEntries());
     while (progress.nextIndex <= end) {
       List<LogEntry> entries = batch(progress.nextIndex, end);
       sendEntries(progress, entries, context);
@@ -136,7 +136,8 @@
 
   private List<LogEntry> batch(long from, long to) {
     RaftSettings settings = replica.settings;
-    return replica.log.slice(from, to, settings.maxAppendEntries(), settings.maxAppendBytes());
+    return replica.log.slice(
+        from, to, settings.limits().maxAppendEntries(), settings.limits().maxAppendBytes());
   }
 
   private void sendEntries(Progress progress, List<LogEntry> entries, EventContext context) {
@@ -260,12 +261,13 @@
     heard.sort(Collections.reverseOrder());
     Duration majority =
         heard.size() < members.quorum() ? activeSince : heard.get(members.quorum() - 1);
-    return active.minus(majority).compareTo(replica.settings.majorityTimeout()) >= 0;
+    return active.minus(majority).compareTo(replica.settings.timeouts().majorityTimeout()) >= 0;
   }
 
   /** Returns whether the leader lease is valid and an entry of the current term is committed. */
   boolean holdsLease(Instant now) {
-    Instant end = lastMajorityResponse(now, Instant.EPOCH).plus(replica.settings.lease());
+    Instant end =
+        lastMajorityResponse(now, Instant.EPOCH).plus(replica.settings.timeouts().lease());
     return now.isBefore(end) && replica.log.termAt(replica.commitIndex()) == replica.term();
   }
 
@@ -350,7 +352,7 @@
       if (progress == null || progress.matchIndex < replica.commitIndex()) {
         continue;
       }
-      Instant answering = progress.lastResponseAt.plus(replica.settings.electionMin());
+      Instant answering = progress.lastResponseAt.plus(replica.settings.timeouts().electionMin());
       if (now.isBefore(answering)) {
         return learner;
       }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SnapshotSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SnapshotSender.java
@@ -32,7 +32,7 @@
   }
 
   void send(Replica replica, String node, EventContext context) {
-    int end = Math.min(encoded.length, offset + replica.settings.maxChunkBytes());
+    int end = Math.min(encoded.length, offset + replica.settings.limits().maxChunkBytes());
     byte[] data = Arrays.copyOfRange(encoded, offset, end);
     lastSentAt = context.now();
     context.send(
@@ -43,7 +43,7 @@
 
   /** Resends the chunk if it wasn't answered within a heartbeat interval. */
   void resend(Replica replica, String node, EventContext context) {
-    if (!context.now().isBefore(lastSentAt.plus(replica.settings.heartbeat()))) {
+    if (!context.now().isBefore(lastSentAt.plus(replica.settings.timeouts().heartbeat()))) {
       send(replica, node, context);
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SubmissionClient.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/SubmissionClient.java
@@ -68,7 +68,7 @@
           context);
       return;
     }
-    if (pending.size() >= settings.maxPendingSubmissions()) {
+    if (pending.size() >= settings.limits().maxPendingSubmissions()) {
       fail(group, submissionId, false, "raft: too many submissions wait; submit later", context);
       return;
     }
@@ -86,7 +86,7 @@
     }
     submission.attempts++;
     submission.target = target;
-    submission.nextAttemptAt = context.now().plus(settings.resendInterval());
+    submission.nextAttemptAt = context.now().plus(settings.timeouts().resendInterval());
     context.send(
         target,
         new SubmitRequest(submission.group, session, submission.submissionId, submission.command));
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationOverLogTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/configuration/ConfigurationOverLogTest.java
@@ -19,7 +19,9 @@
 import org.skylarkfork.core.consensus.ConsensusPart;
 import org.skylarkfork.core.consensus.GroupCodec;
 import org.skylarkfork.core.consensus.GroupSetup;
+import org.skylarkfork.core.consensus.RaftLimits;
 import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.core.consensus.RaftTimeouts;
 import org.skylarkfork.core.effect.OperatorEffect;
 import org.skylarkfork.core.effect.OperatorEffect.ChangeAccepted;
 import org.skylarkfork.core.effect.OperatorEffect.ChangeConflict;
@@ -91,25 +93,8 @@
   }
 
   private static RaftSettings settings(int snapshotEntries) {
-    RaftSettings defaults = RaftSettings.defaults();
-    return new RaftSettings(
-        defaults.electionMin(),
-        defaults.electionMax(),
-        defaults.heartbeat(),
-        defaults.lease(),
-        defaults.majorityTimeout(),
-        defaults.storageStallTimeout(),
-        defaults.resendInterval(),
-        snapshotEntries,
-        16,
-        defaults.maxAppendEntries(),
-        defaults.maxAppendBytes(),
-        defaults.maxInFlightEntries(),
-        defaults.maxChunkBytes(),
-        defaults.maxUncommittedEntries(),
-        defaults.maxUncommittedBytes(),
-        defaults.maxPendingSubmissions(),
-        defaults.maxRestartWait());
+    RaftLimits limits = RaftLimits.DEFAULT.withSnapshots(snapshotEntries, 16);
+    return new RaftSettings(RaftTimeouts.DEFAULT, limits);
   }
 
   private String send(
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
@@ -269,7 +269,7 @@
     cluster.network.inject(stopped, new LifecycleEvent.StopRequested());
     assertNotEquals(cluster.awaitLeader(), stopped);
     Duration gap = Duration.between(before, cluster.network.now());
-    assertTrue(gap.compareTo(RaftSettings.defaults().electionMin()) < 0, gap.toString());
+    assertTrue(gap.compareTo(RaftTimeouts.DEFAULT.electionMin()) < 0, gap.toString());
   }
 
   @Test
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/StaggeredRestartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/StaggeredRestartTest.java
@@ -79,25 +79,17 @@
 
   /** Returns settings with the relay's timeouts. */
   private static RaftSettings settings() {
-    RaftSettings usual = TestCluster.settings(12);
-    return new RaftSettings(
-        Duration.ofMillis(350),
-        Duration.ofMillis(700),
-        Duration.ofMillis(120),
-        Duration.ofMillis(300),
-        Duration.ofMillis(700),
-        usual.storageStallTimeout(),
-        usual.resendInterval(),
-        usual.snapshotEntries(),
-        usual.trailingEntries(),
-        usual.maxAppendEntries(),
-        usual.maxAppendBytes(),
-        usual.maxInFlightEntries(),
-        usual.maxChunkBytes(),
-        usual.maxUncommittedEntries(),
-        usual.maxUncommittedBytes(),
-        usual.maxPendingSubmissions(),
-        Duration.ofMillis(120));
+    RaftTimeouts timeouts =
+        new RaftTimeouts(
+            Duration.ofMillis(350),
+            Duration.ofMillis(700),
+            Duration.ofMillis(120),
+            Duration.ofMillis(300),
+            Duration.ofMillis(700),
+            RaftTimeouts.DEFAULT.storageStallTimeout(),
+            RaftTimeouts.DEFAULT.resendInterval(),
+            Duration.ofMillis(120));
+    return new RaftSettings(timeouts, TestCluster.smallLimits(12));
   }
 
   /** Returns the time from the start of a majority until a leader is known, in milliseconds. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
@@ -70,35 +70,31 @@
     for (String name : names) {
       add(name, true);
     }
-    if (settings.maxRestartWait().isZero()) {
+    if (settings.timeouts().maxRestartWait().isZero()) {
       network.setCheck(this::checkLeases);
     }
   }
 
-  /**
-   * Returns settings with the default timeouts and small limits, so that every code path is
-   * executed.
-   */
+  /** Timeouts of the relay, whose leaders don't rely on a lease. */
+  private static final RaftTimeouts RELAY_TIMEOUTS =
+      new RaftTimeouts(
+          Duration.ofMillis(350),
+          Duration.ofMillis(700),
+          Duration.ofMillis(120),
+          Duration.ofMillis(300),
+          Duration.ofMillis(700),
+          Duration.ofSeconds(1),
+          Duration.ofMillis(300),
+          Duration.ofMillis(120));
+
+  /** Returns small limits, so that every code path is executed. */
+  static RaftLimits smallLimits(int snapshotEntries) {
+    return new RaftLimits(snapshotEntries, 4, 8, 1024, 32, 100, 200, 64 * 1024, 300);
+  }
+
+  /** Returns settings with the default timeouts and small limits. */
   static RaftSettings settings(int snapshotEntries) {
-    RaftSettings defaults = RaftSettings.defaults();
-    return new RaftSettings(
-        defaults.electionMin(),
-        defaults.electionMax(),
-        defaults.heartbeat(),
-        defaults.lease(),
-        defaults.majorityTimeout(),
-        defaults.storageStallTimeout(),
-        defaults.resendInterval(),
-        snapshotEntries,
-        4,
-        8,
-        1024,
-        32,
-        100,
-        200,
-        64 * 1024,
-        300,
-        Duration.ZERO);
+    return new RaftSettings(RaftTimeouts.DEFAULT, smallLimits(snapshotEntries));
   }
 
   /**
@@ -106,48 +102,13 @@
    * rely on a lease.
    */
   static RaftSettings quickRestartSettings(int snapshotEntries) {
-    RaftSettings usual = settings(snapshotEntries);
-    return new RaftSettings(
-        usual.electionMin(),
-        usual.electionMax(),
-        usual.heartbeat(),
-        usual.lease(),
-        usual.majorityTimeout(),
-        usual.storageStallTimeout(),
-        usual.resendInterval(),
-        usual.snapshotEntries(),
-        usual.trailingEntries(),
-        usual.maxAppendEntries(),
-        usual.maxAppendBytes(),
-        usual.maxInFlightEntries(),
-        usual.maxChunkBytes(),
-        usual.maxUncommittedEntries(),
-        usual.maxUncommittedBytes(),
-        usual.maxPendingSubmissions(),
-        Duration.ofMillis(100));
+    RaftTimeouts timeouts = RaftTimeouts.DEFAULT.withMaxRestartWait(Duration.ofMillis(100));
+    return new RaftSettings(timeouts, smallLimits(snapshotEntries));
   }
 
-  /** Returns the timeouts of the relay, whose leaders don't rely on a lease. */
+  /** Returns settings with the timeouts of the relay and small limits. */
   static RaftSettings relaySettings() {
-    RaftSettings usual = settings(1000);
-    return new RaftSettings(
-        Duration.ofMillis(350),
-        Duration.ofMillis(700),
-        Duration.ofMillis(120),
-        Duration.ofMillis(300),
-        Duration.ofMillis(700),
-        Duration.ofSeconds(1),
-        Duration.ofMillis(300),
-        usual.snapshotEntries(),
-        usual.trailingEntries(),
-        usual.maxAppendEntries(),
-        usual.maxAppendBytes(),
-        usual.maxInFlightEntries(),
-        usual.maxChunkBytes(),
-        usual.maxUncommittedEntries(),
-        usual.maxUncommittedBytes(),
-        usual.maxPendingSubmissions(),
-        Duration.ofMillis(120));
+    return new RaftSettings(RELAY_TIMEOUTS, smallLimits(1000));
   }
 
   Daemon add(String name, boolean hosts) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -19,7 +19,9 @@
 import org.skylarkfork.core.consensus.GroupSetup;
 import org.skylarkfork.core.consensus.GroupStatus;
 import org.skylarkfork.core.consensus.MembershipChangePolicy;
+import org.skylarkfork.core.consensus.RaftLimits;
 import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.core.consensus.RaftTimeouts;
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
@@ -176,24 +178,18 @@
    * snapshots are exercised.
    */
   static RaftSettings settings() {
-    return new RaftSettings(
-        Duration.ofMillis(350),
-        Duration.ofMillis(700),
-        Duration.ofMillis(120),
-        Duration.ofMillis(300),
-        Duration.ofMillis(700),
-        Duration.ofSeconds(1),
-        Duration.ofMillis(300),
-        SNAPSHOT_ENTRIES,
-        4,
-        8,
-        1024,
-        32,
-        100,
-        200,
-        64 * 1024,
-        300,
-        Duration.ofMillis(120));
+    RaftTimeouts timeouts =
+        new RaftTimeouts(
+            Duration.ofMillis(350),
+            Duration.ofMillis(700),
+            Duration.ofMillis(120),
+            Duration.ofMillis(300),
+            Duration.ofMillis(700),
+            Duration.ofSeconds(1),
+            Duration.ofMillis(300),
+            Duration.ofMillis(120));
+    RaftLimits limits = new RaftLimits(SNAPSHOT_ENTRIES, 4, 8, 1024, 32, 100, 200, 64 * 1024, 300);
+    return new RaftSettings(timeouts, limits);
   }
 
   private Reducer bootEntry(String name) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
@@ -1,7 +1,9 @@
 package org.skylarkfork.runtime.relay;
 
 import java.time.Duration;
+import org.skylarkfork.core.consensus.RaftLimits;
 import org.skylarkfork.core.consensus.RaftSettings;
+import org.skylarkfork.core.consensus.RaftTimeouts;
 import org.skylarkfork.runtime.transport.TransportSettings;
 
 /**
@@ -60,23 +62,19 @@
    * leader.
    */
   static RaftSettings raft() {
-    return new RaftSettings(
-        Duration.ofMillis(350),
-        ELECTION_MAX,
-        Duration.ofMillis(120),
-        Duration.ofMillis(300),
-        MAJORITY_TIMEOUT,
-        Duration.ofSeconds(1),
-        Duration.ofMillis(300),
-        SNAPSHOT_ENTRIES,
-        64,
-        128,
-        256 * 1024,
-        256,
-        64 * 1024,
-        4096,
-        16 * 1024 * 1024,
-        4096,
-        RESTART_ELECTION_TIMEOUT);
+    RaftTimeouts timeouts =
+        new RaftTimeouts(
+            Duration.ofMillis(350),
+            ELECTION_MAX,
+            Duration.ofMillis(120),
+            Duration.ofMillis(300),
+            MAJORITY_TIMEOUT,
+            Duration.ofSeconds(1),
+            Duration.ofMillis(300),
+            RESTART_ELECTION_TIMEOUT);
+    RaftLimits limits =
+        new RaftLimits(
+            SNAPSHOT_ENTRIES, 64, 128, 256 * 1024, 256, 64 * 1024, 4096, 16 * 1024 * 1024, 4096);
+    return new RaftSettings(timeouts, limits);
   }
 }
