--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/MembershipPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/membership/MembershipPart.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,8 +41,7 @@
   private final LocalHealth health = new LocalHealth();
   private final Dissemination dissemination;
   private final FailureDetector detector;
-  private final Map<String, Suspicion> suspicions = new TreeMap<>();
-  private final Map<String, Instant> removalTimes = new TreeMap<>();
+  private final MemberDeadlines deadlines;
   private final Map<String, Long> warnedIncarnations = new TreeMap<>();
   private Member self;
   private boolean superseded;
@@ -74,6 +72,7 @@
     this.configuration = configuration;
     this.settings = settings;
     random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    deadlines = new MemberDeadlines(settings);
     dissemination = new Dissemination(settings.updatesPerMessage());
     detector =
         new FailureDetector(self.name(), settings, table, health, random, new PeerMessenger());
@@ -293,13 +292,7 @@
     table.put(update);
     dissemination.add(update);
     registerAddress(update.member(), known);
-    suspicions.remove(update.name());
-    removalTimes.remove(update.name());
-    if (update.status() == MemberStatus.SUSPECTED) {
-      suspicions.put(update.name(), new Suspicion(settings, now, update.accuser()));
-    } else if (!update.status().isLive()) {
-      removalTimes.put(update.name(), now.plus(settings.memberRetention()));
-    }
+    deadlines.update(update, now);
     MembershipEventPublisher.raise(update, known, out);
     if (update.status() == MemberStatus.LEFT) {
       unregisterPeer(update.name());
@@ -307,9 +300,8 @@
   }
 
   private void confirm(MemberUpdate update, MemberUpdate known) {
-    Suspicion suspicion = suspicions.get(update.name());
     boolean same = update.status() == known.status() && update.member().equals(known.member());
-    if (suspicion != null && same && suspicion.confirm(update.accuser())) {
+    if (same && deadlines.confirmSuspicion(update.name(), update.accuser())) {
       dissemination.add(update);
     }
   }
@@ -371,29 +363,17 @@
   }
 
   private void expireSuspicions(Instant now) {
-    List<String> due = new ArrayList<>();
-    suspicions.forEach(
-        (node, suspicion) -> {
-          if (!now.isBefore(suspicion.deadline(health))) {
-            due.add(node);
-          }
-        });
-    for (String node : due) {
+    for (String node : deadlines.dueSuspicions(health, now)) {
       MemberUpdate known = requireKnown(node);
       merge(List.of(new MemberUpdate(known.member(), MemberStatus.DEAD, known.accuser())), now);
     }
   }
 
   private void removeExpired(Instant now) {
-    for (Iterator<Map.Entry<String, Instant>> it = removalTimes.entrySet().iterator();
-        it.hasNext(); ) {
-      Map.Entry<String, Instant> entry = it.next();
-      if (!now.isBefore(entry.getValue())) {
-        it.remove();
-        table.remove(entry.getKey());
-        warnedIncarnations.remove(entry.getKey());
-        unregisterPeer(entry.getKey());
-      }
+    for (String node : deadlines.takeExpired(now)) {
+      table.remove(node);
+      warnedIncarnations.remove(node);
+      unregisterPeer(node);
     }
   }
 
