Lines of an attempt's end name the connection and what it carried

Logs couldn't tell the hypotheses of docs/incidents/late-copies.md apart: the lines named the upstream and the attempt, but not the connection. The lines upstream_failed, not_run, attempt_failed, silent, larger_model and done now tell the connection's number, how many requests it had carried, whether one of them had the same id, and how many foreign answers were skipped on it. No decision changes.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/answer/ReceivedAnswer.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/answer/ReceivedAnswer.java
@@ -13,6 +13,7 @@
  * @param unfinishedBytes number of bytes at the end of an event stream that belong to an event
  *     without its end; 0 for other answers
  * @param connectionEnd how the connection ended
+ * @param use the use of the connection
  */
 public record ReceivedAnswer(
     AnswerFraming framing,
@@ -20,12 +21,24 @@
     long bytes,
     long events,
     int unfinishedBytes,
-    ConnectionEnd connectionEnd) {
+    ConnectionEnd connectionEnd,
+    ConnectionUse use) {
 
   /** Nothing was received. */
   public static final ReceivedAnswer NOTHING =
       new ReceivedAnswer(AnswerFraming.NO_HEAD, false, 0, 0, 0, ConnectionEnd.OPEN);
 
+  /** Creates the answer on a connection of which nothing is known. */
+  public ReceivedAnswer(
+      AnswerFraming framing,
+      boolean endReached,
+      long bytes,
+      long events,
+      int unfinishedBytes,
+      ConnectionEnd connectionEnd) {
+    this(framing, endReached, bytes, events, unfinishedBytes, connectionEnd, ConnectionUse.NONE);
+  }
+
   /** Returns whether the answer is whole, or why it isn't. */
   public AnswerEnd end() {
     if (framing == AnswerFraming.NO_HEAD) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.answer.ForwardedEvents;
 import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.command.RelayCommand;
@@ -63,6 +64,7 @@
    *     none
    * @param rateLimit rate limit that the upstream reports, or null if the reported value can't be
    *     parsed
+   * @param use the use of the connection
    */
   record AnswerBegan(
       long request,
@@ -70,9 +72,21 @@
       int status,
       boolean notRun,
       @Nullable Integer confidence,
-      @Nullable RateLimit rateLimit)
+      @Nullable RateLimit rateLimit,
+      ConnectionUse use)
       implements RelayEvent {
 
+    /** Creates the event for an answer on a connection of which nothing is known. */
+    public AnswerBegan(
+        long request,
+        int attempt,
+        int status,
+        boolean notRun,
+        @Nullable Integer confidence,
+        @Nullable RateLimit rateLimit) {
+      this(request, attempt, status, notRun, confidence, rateLimit, ConnectionUse.NONE);
+    }
+
     /** Creates the event for an answer that reports no rate limit. */
     public AnswerBegan(
         long request, int attempt, int status, boolean notRun, @Nullable Integer confidence) {
@@ -155,6 +169,18 @@
       UpstreamInstance upstream, @Nullable String forwarder, ConnectOutcome outcome)
       implements RelayEvent {}
 
+  /**
+   * An upstream sent an answer that isn't the one to the request in progress on its connection. The
+   * connection is not used again.
+   *
+   * @param upstream the upstream
+   * @param idle whether no request was in progress; the bytes may be no answer then
+   * @param carried whether the answer names a request that the connection has carried before
+   * @param use the use of the connection
+   */
+  record ExtraAnswer(UpstreamInstance upstream, boolean idle, boolean carried, ConnectionUse use)
+      implements RelayEvent {}
+
   /**
    * The answer of an attempt was read to its end.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/ActiveRelay.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.crash.RequestKeys;
 
 /** A caller's request in progress at an entry, with the state of its attempts. */
@@ -65,6 +66,9 @@
   /** Entry that opened the connection of the newest attempt, or null if this one did. */
   @Nullable String forwarder;
 
+  /** Use of the newest attempt's connection up to its answer, as far as it is known. */
+  ConnectionUse connectionUse = ConnectionUse.NONE;
+
   /** Grant of the scheduler that placed the newest attempt, or null if this entry placed it. */
   @Nullable SchedulerGrant grant;
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -113,6 +113,7 @@
     if (upstream == null) {
       return;
     }
+    relay.connectionUse = failed.answer().use();
     boolean ownPathFailed = isOwnPathFailure(relay, failed.failure(), now);
     if (!ownPathFailed) {
       recordFailure(relay, failed.failure(), now, output);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Output;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.effect.PeerEffect.SendToPeer;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.message.RelayMessage.AttemptProgress;
@@ -265,6 +266,7 @@
     relay.forwarder = view.paths().forwarder(relay.service.name(), now);
     relay.sentAt = now;
     relay.backoffRequested = false;
+    relay.connectionUse = ConnectionUse.NONE;
     relay.pendingWorkMillis = placement.workMillis();
     TrackedUpstream upstream = placement.upstream();
     upstream.recordSent(placement.workMillis(), now);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -220,6 +220,8 @@
       if (relay != null) {
         failures.onSilentStream(relay, silent, now, output);
       }
+    } else if (event instanceof RelayEvent.ExtraAnswer extra) {
+      trace.extraAnswer(extra, now, output);
     } else if (event instanceof RelayEvent.AnswerEnded ended) {
       ActiveRelay relay = active.find(ended.request(), ended.attempt());
       if (relay != null) {
@@ -272,6 +274,7 @@
     if (upstream == null) {
       return;
     }
+    relay.connectionUse = began.use();
     if (began.status() != MISDIRECTED_REQUEST) {
       rateLimits.recordAnswer(upstream, began, relay.request.id(), now, output);
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestCompleter.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestCompleter.java
@@ -158,7 +158,9 @@
             + " confidence="
             + relay.confidence
             + " "
-            + answer.facts();
+            + answer.facts()
+            + " "
+            + answer.use().facts();
     trace.answerEnded(answer, output);
     trace.ended("done", relay, facts, now, output);
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RequestTrace.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.crash.RequestKeys;
 import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.recovery.Release;
 
 /**
@@ -146,10 +147,29 @@
             + " upstream="
             + upstream
             + " "
-            + facts;
+            + facts
+            + " "
+            + relay.connectionUse.facts();
     log(true, event, relay, allFacts, now, output);
   }
 
+  /** Reports an answer that isn't the one to the request in progress on its connection. */
+  void extraAnswer(RelayEvent.ExtraAnswer extra, Instant now, Output output) {
+    String when = extra.idle() ? "idle" : "skipped";
+    output.effect(new TraceEffect.Count("relay_extra_answers", when, 1));
+    String message =
+        "event=extra_answer upstream="
+            + extra.upstream().id()
+            + " when="
+            + when
+            + " carried="
+            + extra.carried()
+            + " "
+            + extra.use().facts()
+            + configurationFacts(now);
+    output.effect(new TraceEffect.LogLine(true, PART, message));
+  }
+
   /** Counts the answer of an attempt by its framing and by whether it is whole. */
   void answerEnded(ReceivedAnswer answer, Output output) {
     String kind = answer.framing() + "_" + answer.end();
@@ -169,7 +189,9 @@
             + " wait_ms="
             + Math.round(placement.waitMillis())
             + " first_byte_ms="
-            + Math.round(placement.firstByteMillis());
+            + Math.round(placement.firstByteMillis())
+            + " "
+            + relay.connectionUse.facts();
     log(false, "larger_model", relay, facts, now, output);
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.answer.AnswerFraming;
 import org.skylarkfork.core.answer.ConnectionEnd;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.relay.AttemptFailure;
@@ -32,6 +33,7 @@
   private AnswerFraming framing = AnswerFraming.NO_HEAD;
   private long receivedBytes;
   private ConnectionEnd connectionEnd = ConnectionEnd.OPEN;
+  private ConnectionUse use = ConnectionUse.NONE;
   private boolean forwarding;
   private long lastBytesAt;
   private int reportedStalls;
@@ -92,6 +94,7 @@
   void onHead(HttpResponse answer, AnswerFraming answerFraming) {
     head = answer;
     framing = answerFraming;
+    recordUse();
     lastBytesAt = System.nanoTime();
     reportNotice(answer);
     boolean stream =
@@ -105,6 +108,13 @@
     }
   }
 
+  /** Records the use now, since the connection may carry the next request when the answer ends. */
+  private void recordUse() {
+    if (connection != null) {
+      use = connection.use();
+    }
+  }
+
   /**
    * Reports a notice before the rest of the answer is read: the connection is reused as soon as the
    * answer ends, and would carry the next request to an upstream that asked for none.
@@ -129,7 +139,8 @@
             answer.status().code(),
             dialect.reportsNotRun(answer),
             dialect.confidenceOf(answer),
-            dialect.rateLimitOf(answer)));
+            dialect.rateLimitOf(answer),
+            use));
   }
 
   void onBytes(ByteBuf bytes) {
@@ -216,12 +227,14 @@
         receivedBytes,
         splitter == null ? 0 : splitter.events(),
         splitter == null ? 0 : splitter.unfinishedBytes(),
-        connectionEnd);
+        connectionEnd,
+        use);
   }
 
   /** Ends the attempt, whose answer is not complete. */
   void onFailure(AttemptFailure failure, ConnectionEnd end) {
     connectionEnd = end;
+    recordUse();
     onFailure(failure);
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.answer.AnswerFraming;
 import org.skylarkfork.core.answer.ConnectionEnd;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.relay.AttemptFailure;
 import org.tinylog.Logger;
 
@@ -43,6 +44,8 @@
   private final UpstreamPool pool;
   private final RelayDialect dialect;
   private final InputEndObserver inputEnd;
+  private final long number;
+  private final CarriedRequests carried = new CarriedRequests();
   private @Nullable Channel channel;
   private @Nullable UpstreamAttempt attempt;
   private long idleTimeoutNanos;
@@ -55,6 +58,8 @@
   private boolean answering;
   private boolean skipping;
   private int skippedAnswers;
+  private boolean sameIdBefore;
+  private boolean idleAnswerReported;
   private AnswerFraming framing = AnswerFraming.NO_HEAD;
 
   /**
@@ -63,11 +68,17 @@
    * @param pool pool of the connection
    * @param dialect mapping of the headers
    * @param inputEnd receives the events of the channel before the decoder of answers
+   * @param number number of the connection in its pool, from 1
    * @param idleTimeoutNanos idle timeout if the upstream doesn't state one, in nanoseconds
    */
   UpstreamConnection(
-      UpstreamPool pool, RelayDialect dialect, InputEndObserver inputEnd, long idleTimeoutNanos) {
+      UpstreamPool pool,
+      RelayDialect dialect,
+      InputEndObserver inputEnd,
+      long number,
+      long idleTimeoutNanos) {
     this.inputEnd = inputEnd;
+    this.number = number;
     this.pool = pool;
     this.dialect = dialect;
     this.idleTimeoutNanos = idleTimeoutNanos;
@@ -84,6 +95,8 @@
     idleNanosBeforeSend = idleSince == 0 ? 0 : sentAt - idleSince;
     requestWritten = false;
     answering = false;
+    sameIdBefore = carried.contains(sender.requestId());
+    carried.add(sender.requestId());
     Channel open = openChannel();
     open.writeAndFlush(request).addListener(done -> requestWritten = done.isSuccess());
   }
@@ -95,6 +108,12 @@
     return channel;
   }
 
+  /** Returns the use of this connection as of the request in progress. */
+  ConnectionUse use() {
+    return new ConnectionUse(
+        number, Math.max(0, carried.count() - 1), sameIdBefore, skippedAnswers);
+  }
+
   /**
    * Abandons the attempt and closes the connection, so that the upstream stops processing the
    * request.
@@ -137,6 +156,7 @@
     try {
       if (attempt == null || !(message instanceof HttpObject part)) {
         // Unexpected bytes: the next answer on this connection could belong to another request.
+        reportIdleAnswer(message);
         close();
       } else if (part.decoderResult().isFailure()) {
         fail(AttemptFailure.NOT_AN_ANSWER);
@@ -172,7 +192,7 @@
     String id = dialect.requestIdOf(head);
     boolean foreign = id == null ? dialect.isSigned(head) : !id.equals(current.requestId());
     if (foreign) {
-      skipForeignAnswer();
+      skipForeignAnswer(id);
       return;
     }
     // An upstream that crashes while it writes the head leaves one that looks complete but is cut.
@@ -186,10 +206,23 @@
     current.onHead(head, framing);
   }
 
-  private void skipForeignAnswer() {
+  private void reportIdleAnswer(Object message) {
+    if (!idleAnswerReported) {
+      idleAnswerReported = true;
+      String id = message instanceof HttpResponse head ? dialect.requestIdOf(head) : null;
+      pool.reportExtraAnswer(true, hasCarried(id), use());
+    }
+  }
+
+  private boolean hasCarried(@Nullable String id) {
+    return id != null && carried.contains(id);
+  }
+
+  private void skipForeignAnswer(@Nullable String id) {
     skipping = true;
     reusable = false;
     skippedAnswers++;
+    pool.reportExtraAnswer(false, hasCarried(id), use());
     if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
       fail(AttemptFailure.NOT_AN_ANSWER);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -16,6 +16,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.runtime.transport.ForwardException;
 import org.skylarkfork.runtime.transport.ForwardResult;
@@ -41,11 +42,12 @@
   private final @Nullable InetSocketAddress address;
   private final RelayDialect dialect;
   private final boolean reuses;
-  private final Consumer<ConnectOutcome> observer;
+  private final Observer observer;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private final Deque<Acquisition> pending = new ArrayDeque<>();
   private final Set<Acquisition> connecting = new LinkedHashSet<>();
   private int openConnections;
+  private long lastNumber;
   private long lastUsedAt;
   private long maxIdleNanos = Long.MAX_VALUE;
   private long staleAt;
@@ -58,7 +60,7 @@
    * @param address address of the upstream, or null if it is invalid
    * @param dialect mapping of the headers
    * @param reuses whether a connection is used for more than one request
-   * @param observer receives the outcome of each opening of a connection
+   * @param observer receives what the pool's connections show
    */
   UpstreamPool(
       Bootstrap bootstrap,
@@ -66,7 +68,7 @@
       @Nullable InetSocketAddress address,
       RelayDialect dialect,
       boolean reuses,
-      Consumer<ConnectOutcome> observer) {
+      Observer observer) {
     this.reuses = reuses;
     this.observer = observer;
     this.bootstrap = bootstrap;
@@ -75,6 +77,21 @@
     this.dialect = dialect;
   }
 
+  /** Receives what the connections of a pool show of their upstream. */
+  interface Observer {
+    /** Reports the outcome of opening a connection. */
+    void connected(ConnectOutcome outcome);
+
+    /**
+     * Reports an answer that isn't the one to the request in progress on its connection.
+     *
+     * @param idle whether no request was in progress
+     * @param carried whether the answer names a request that the connection has carried before
+     * @param use the use of the connection
+     */
+    default void extraAnswer(boolean idle, boolean carried, ConnectionUse use) {}
+  }
+
   /** Receives a connection, or null if none could be opened. */
   interface ConnectionReceiver {
     void receive(@Nullable UpstreamConnection connection);
@@ -209,7 +226,7 @@
     openConnections++;
     InputEndObserver inputEnd = new InputEndObserver();
     UpstreamConnection connection =
-        new UpstreamConnection(this, dialect, inputEnd, DEFAULT_IDLE_NANOS);
+        new UpstreamConnection(this, dialect, inputEnd, ++lastNumber, DEFAULT_IDLE_NANOS);
     Bootstrap handled =
         bootstrap
             .clone()
@@ -231,7 +248,7 @@
         .addListener(
             done -> {
               ConnectOutcome outcome = outcomeOf(done);
-              observer.accept(outcome);
+              observer.connected(outcome);
               if (done.isSuccess()) {
                 receiver.accept(connection, outcome);
               } else {
@@ -274,6 +291,10 @@
     staleAt = System.nanoTime();
   }
 
+  void reportExtraAnswer(boolean idle, boolean carried, ConnectionUse use) {
+    observer.extraAnswer(idle, carried, use);
+  }
+
   /** Returns the maximum idle time of a connection that may be reused, in nanoseconds. */
   long maxIdleNanos(long now) {
     if (now - staleAt > STALE_RETENTION_NANOS) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPools.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.event.RelayEvent;
 import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.UpstreamInstance;
@@ -56,6 +57,22 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
   }
 
+  /** Turns what a pool's connections show into events. */
+  private record EventObserver(
+      Consumer<RelayEvent> events, UpstreamInstance upstream, @Nullable String forwarder)
+      implements UpstreamPool.Observer {
+
+    @Override
+    public void connected(ConnectOutcome outcome) {
+      events.accept(new RelayEvent.UpstreamConnected(upstream, forwarder, outcome));
+    }
+
+    @Override
+    public void extraAnswer(boolean idle, boolean carried, ConnectionUse use) {
+      events.accept(new RelayEvent.ExtraAnswer(upstream, idle, carried, use));
+    }
+  }
+
   private record PoolKey(String upstream, @Nullable String forwarder) {}
 
   /**
@@ -75,15 +92,13 @@
    */
   private UpstreamPool createPool(UpstreamInstance upstream, @Nullable String forwarder) {
     UpstreamConnector connector = forwarder == null ? ownLinks : forwarding.through(forwarder);
-    Consumer<ConnectOutcome> observer =
-        outcome -> events.accept(new RelayEvent.UpstreamConnected(upstream, forwarder, outcome));
     return new UpstreamPool(
         bootstrap,
         connector,
         UpstreamAddress.parse(upstream.address()),
         dialect,
         forwarder == null,
-        observer);
+        new EventObserver(events, upstream, forwarder));
   }
 
   /** Recalls the attempts that wait for a connection to an upstream. */
