Answers without end: bounds for what an attempt receives

Callers saw: an upstream that sends bytes without end held its caller until the deadline (504), and the entry buffered all of a plain answer until then, so that one upstream could take the entry's memory from all callers.

Cause: a plain answer was buffered without a bound, and nothing counted what the decoder of answers reads and drops (interim answers, answers to other requests, blank bytes): each part is bounded, their number wasn't.

Now an answer is buffered up to 16 MiB and all answers of an entry together up to 32 MiB, beyond which the largest is given up; up to 1 MiB may come beside the body of the answer. Beyond that the connection is closed and the attempt alone fails, as ANSWER_TOO_LONG or BUFFERS_FULL in `attempt_failed`: an idempotent request goes on elsewhere, another one ends with 502. An event over 1 MiB, an exception with a stack trace before, fails in the same way. BUFFERS_FULL doesn't count against the version, since other answers may have filled the buffers.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
@@ -29,7 +29,14 @@
   /** The received bytes are not a valid answer to this request. */
   NOT_AN_ANSWER(true, true),
   /** The answer ended before it was complete. */
-  BROKEN_OFF(true, true);
+  BROKEN_OFF(true, true),
+  /** The upstream sent more bytes than an answer, an event, or what comes beside them may have. */
+  ANSWER_TOO_LONG(true, true),
+  /**
+   * The entry's buffers of answers were full, and this answer was the largest; others may have
+   * filled them.
+   */
+  BUFFERS_FULL(true, false);
 
   private final boolean mayHaveRun;
   private final boolean countsAgainstVersion;
@@ -43,7 +50,8 @@
   public boolean isUnsent() {
     return switch (this) {
       case NOT_SENT, RECALLED, NOT_FORWARDED, FORWARD_REJECTED -> true;
-      case NO_ANSWER, STALE_CONNECTION, NOT_AN_ANSWER, BROKEN_OFF -> false;
+      case NO_ANSWER, STALE_CONNECTION, NOT_AN_ANSWER, BROKEN_OFF, ANSWER_TOO_LONG, BUFFERS_FULL ->
+          false;
     };
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EventSplitter.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/EventSplitter.java
@@ -53,14 +53,13 @@
   /**
    * Appends received bytes.
    *
-   * @throws IllegalStateException if more than 1 MiB is buffered
+   * @throws TooLongAnswerException if more than 1 MiB is buffered
    */
   void add(ByteBuf bytes) {
     pending.writeBytes(bytes);
     parse();
     if (pending.readableBytes() > MAX_EVENT_BYTES) {
-      throw new IllegalStateException(
-          "the buffered server-sent events are longer than " + MAX_EVENT_BYTES + " bytes");
+      throw new TooLongAnswerException("an event", MAX_EVENT_BYTES);
     }
   }
 
@@ -87,6 +86,11 @@
     return pending.readableBytes() - wholeBytes;
   }
 
+  /** Returns the size of the buffer in bytes. */
+  int bufferBytes() {
+    return pending.capacity();
+  }
+
   /** Returns the number of whole events received. */
   long events() {
     return events;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -53,6 +53,8 @@
   private final Supplier<List<String>> forwarders;
   private final Supplier<RelayLimits> limits;
   private final UpstreamPools pools;
+  private final AnswerBuffers buffers =
+      new AnswerBuffers(AnswerBuffers.MAX_ANSWER_BYTES, AnswerBuffers.MAX_TOTAL_BYTES);
   private final Map<Long, RelayExchange> exchanges = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
@@ -198,7 +200,8 @@
       caller.reject(HttpResponseStatus.BAD_REQUEST);
       return null;
     }
-    RelayExchange exchange = new RelayExchange(number, head, body, caller, dialect, pools, loop);
+    RelayExchange exchange =
+        new RelayExchange(number, head, body, caller, dialect, pools, buffers, loop);
     exchanges.put(number, exchange);
     eventLoop.execute(() -> submitArrival(request, exchange));
     return exchange;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -37,6 +37,7 @@
   private final CallerConnection caller;
   private final RelayDialect dialect;
   private final UpstreamPools pools;
+  private final AnswerBuffers buffers;
   private final EventLoopReducer loop;
   private final String requestId;
   private @Nullable UpstreamAttempt attempt;
@@ -52,6 +53,7 @@
       CallerConnection caller,
       RelayDialect dialect,
       UpstreamPools pools,
+      AnswerBuffers buffers,
       EventLoopReducer loop) {
     this.number = number;
     this.head = head;
@@ -59,6 +61,7 @@
     this.caller = caller;
     this.dialect = dialect;
     this.pools = pools;
+    this.buffers = buffers;
     this.loop = loop;
     this.requestId = head.headers().get(dialect.requestIdHeader(), "");
   }
@@ -92,7 +95,8 @@
    * available.
    */
   void startAttempt(int attemptNumber, AttemptTarget target) {
-    UpstreamAttempt startedAttempt = new UpstreamAttempt(this, attemptNumber, target, dialect);
+    UpstreamAttempt startedAttempt =
+        new UpstreamAttempt(this, attemptNumber, target, dialect, buffers);
     attempt = startedAttempt;
     sentAt = loop.now();
     pools
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -18,7 +18,7 @@
 import org.skylarkfork.core.relay.UpstreamNotice;
 
 /** An attempt of a request at an upstream, with the part of the answer that was received. */
-final class UpstreamAttempt implements UpstreamPool.ConnectionReceiver {
+final class UpstreamAttempt implements UpstreamPool.ConnectionReceiver, AnswerBuffers.Holder {
 
   private static final String EVENT_STREAM = "text/event-stream";
 
@@ -26,6 +26,7 @@
   private final int number;
   private final AttemptTarget target;
   private final RelayDialect dialect;
+  private final AnswerBuffers buffers;
   private @Nullable UpstreamConnection connection;
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf body;
@@ -41,11 +42,17 @@
   private boolean answerEnded;
   private boolean finished;
 
-  UpstreamAttempt(RelayExchange exchange, int number, AttemptTarget target, RelayDialect dialect) {
+  UpstreamAttempt(
+      RelayExchange exchange,
+      int number,
+      AttemptTarget target,
+      RelayDialect dialect,
+      AnswerBuffers buffers) {
     this.exchange = exchange;
     this.number = number;
     this.target = target;
     this.dialect = dialect;
+    this.buffers = buffers;
   }
 
   AttemptTarget target() {
@@ -154,6 +161,25 @@
     } else if (body != null) {
       body.writeBytes(bytes);
     }
+    recordBuffered();
+  }
+
+  private void recordBuffered() {
+    EventSplitter splitter = events;
+    if (splitter != null) {
+      buffers.resize(this, splitter.bufferBytes());
+    } else if (body != null) {
+      buffers.resize(this, body.capacity());
+    }
+  }
+
+  @Override
+  public void giveUp() {
+    UpstreamConnection open = connection;
+    if (open != null) {
+      open.abandon();
+    }
+    onFailure(AttemptFailure.BUFFERS_FULL);
   }
 
   /** Starts forwarding the answer to the caller. */
@@ -171,6 +197,7 @@
     } else {
       exchange.startStream(answer);
       forwardEvents();
+      recordBuffered();
       if (answerEnded) {
         endStream();
       }
@@ -289,6 +316,7 @@
   }
 
   private void releaseBuffers() {
+    buffers.remove(this);
     if (body != null) {
       body.release();
       body = null;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -46,6 +46,7 @@
   private final InputEndObserver inputEnd;
   private final long number;
   private final CarriedRequests carried = new CarriedRequests();
+  private final UnusedBytesLimit unusedBytes = new UnusedBytesLimit();
   private @Nullable Channel channel;
   private @Nullable UpstreamAttempt attempt;
   private long idleTimeoutNanos;
@@ -97,6 +98,7 @@
     answering = false;
     sameIdBefore = carried.contains(sender.requestId());
     carried.add(sender.requestId());
+    unusedBytes.restart();
     Channel open = openChannel();
     open.writeAndFlush(request).addListener(done -> requestWritten = done.isSuccess());
   }
@@ -149,6 +151,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
+    channel.pipeline().addFirst(unusedBytes);
   }
 
   @Override
@@ -203,6 +206,7 @@
     answering = true;
     updateKeepAlive(head);
     framing = framingOf(head);
+    unusedBytes.restart();
     current.onHead(head, framing);
   }
 
@@ -264,6 +268,7 @@
   private void onContent(ByteBuf bytes) {
     UpstreamAttempt current = attempt;
     if (!skipping && current != null && bytes.isReadable()) {
+      unusedBytes.restart();
       current.onBytes(bytes);
     }
   }
@@ -333,6 +338,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof TooLongAnswerException) {
+      fail(AttemptFailure.ANSWER_TOO_LONG);
+      return;
+    }
     connectionFailed = true;
     if (!(cause instanceof IOException)) {
       Logger.warn(cause, "upstream: connection failed");
