A connection never carries two requests of one id

Callers got an answer of another attempt of their request: a success where the upstream had answered the later attempt with a failure, a failure or "not run" where it had answered with a success.

Cause: answers are told apart by the request's id, which all attempts of a request share, and the pool gave the newest idle connection to the next attempt. The late second answer to the first attempt then was the first one with the right id on that connection.

Why it works: a connection remembers the ids that it has carried, and the pool passes over those that carried the request's, for new and for waiting acquisitions alike. However late a copy of an attempt's answer comes, no later attempt of that id is on its connection. The ids are bounded, so a connection is closed after 256 requests; a test guards against forgetting them. Calls of acquire in UpstreamPoolTest name an id; what they check is unchanged.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CarriedRequests.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CarriedRequests.java
@@ -10,7 +10,7 @@
  */
 final class CarriedRequests {
 
-  /** Maximum number of ids that are kept. */
+  /** Maximum number of ids, and so of requests that a connection carries. */
   static final int MAX_IDS = 256;
 
   private static final int INITIAL_IDS = 4;
@@ -21,13 +21,20 @@
   private long[] hashes = new long[INITIAL_IDS];
   private int count;
 
-  /** Adds the id of a request; beyond the maximum, it takes the place of the oldest. */
+  /** Adds the id of a request. */
   void add(String id) {
-    if (count >= hashes.length && hashes.length < MAX_IDS) {
-      hashes = Arrays.copyOf(hashes, hashes.length * 2);
+    if (isFull()) {
+      throw new IllegalStateException("the connection has carried its last request");
     }
-    hashes[count % hashes.length] = hash(id);
-    count++;
+    if (count == hashes.length) {
+      hashes = Arrays.copyOf(hashes, count * 2);
+    }
+    hashes[count++] = hash(id);
+  }
+
+  /** Returns whether no more ids can be added. */
+  boolean isFull() {
+    return count == MAX_IDS;
   }
 
   /** Returns the number of requests that were added. */
@@ -35,11 +42,10 @@
     return count;
   }
 
-  /** Returns whether the id is one of those that are kept. */
+  /** Returns whether the id was added. */
   boolean contains(String id) {
     long hash = hash(id);
-    int kept = Math.min(count, hashes.length);
-    for (int index = 0; index < kept; index++) {
+    for (int index = 0; index < count; index++) {
       if (hashes[index] == hash) {
         return true;
       }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -101,7 +101,7 @@
     sentAt = loop.now();
     pools
         .pool(target.upstream(), target.forwarder())
-        .acquire(target.fresh(), target.maxConnections(), startedAttempt);
+        .acquire(requestId, target.fresh(), target.maxConnections(), startedAttempt);
   }
 
   void sendOver(UpstreamConnection connection, UpstreamAttempt sender) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -110,6 +110,11 @@
     return channel;
   }
 
+  /** Returns whether this connection has carried a request with the id. */
+  boolean hasCarried(@Nullable String id) {
+    return id != null && carried.contains(id);
+  }
+
   /** Returns the use of this connection as of the request in progress. */
   ConnectionUse use() {
     return new ConnectionUse(
@@ -218,10 +223,6 @@
     }
   }
 
-  private boolean hasCarried(@Nullable String id) {
-    return id != null && carried.contains(id);
-  }
-
   private void skipForeignAnswer(@Nullable String id) {
     skipping = true;
     reusable = false;
@@ -287,7 +288,7 @@
     answering = false;
     // Until the request is completely written, the upstream expects the remainder of its body on
     // this connection and would mistake the next request for it.
-    if (reusable && requestWritten && framing != AnswerFraming.CONNECTION) {
+    if (reusable && requestWritten && !carried.isFull() && framing != AnswerFraming.CONNECTION) {
       pool.release(this);
     } else {
       close();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -114,11 +114,13 @@
 
   /** A request for a connection that waits for one, or for one to open. */
   private static final class Acquisition {
+    private final String requestId;
     private final int maxConnections;
     private final ConnectionReceiver receiver;
     private boolean recalled;
 
-    private Acquisition(int maxConnections, ConnectionReceiver receiver) {
+    private Acquisition(String requestId, int maxConnections, ConnectionReceiver receiver) {
+      this.requestId = requestId;
       this.maxConnections = maxConnections;
       this.receiver = receiver;
     }
@@ -127,20 +129,25 @@
   /**
    * Passes a connection to a receiver, immediately or when one becomes available.
    *
+   * <p>The connection has never carried a request with the same id: an upstream may answer a
+   * request twice, and all attempts of a request have its id, so that the second answer to one
+   * would be taken for the answer to the next on the same connection.
+   *
+   * @param requestId id of the request that the connection is to carry
    * @param fresh whether the connection must be new
    * @param maxConnections maximum number of open connections
    * @param receiver receives the connection, or null if none can be opened
    */
-  void acquire(boolean fresh, int maxConnections, ConnectionReceiver receiver) {
+  void acquire(String requestId, boolean fresh, int maxConnections, ConnectionReceiver receiver) {
     long now = System.nanoTime();
     lastUsedAt = now;
-    UpstreamConnection reusable = fresh ? null : takeNewestUsable(now);
+    UpstreamConnection reusable = fresh ? null : takeNewestUsable(requestId, now);
     if (reusable != null) {
       receiver.receive(reusable);
     } else if (openConnections < maxConnections || closeOldestIdle()) {
-      connect(new Acquisition(maxConnections, receiver));
+      connect(new Acquisition(requestId, maxConnections, receiver));
     } else if (pending.size() < MAX_PENDING) {
-      pending.addLast(new Acquisition(maxConnections, receiver));
+      pending.addLast(new Acquisition(requestId, maxConnections, receiver));
     } else {
       receiver.receive(null);
     }
@@ -176,15 +183,21 @@
     }
   }
 
-  private @Nullable UpstreamConnection takeNewestUsable(long now) {
-    while (!idle.isEmpty()) {
-      UpstreamConnection reusable = idle.removeLast();
-      if (reusable.isUsable(now)) {
-        return reusable;
+  private @Nullable UpstreamConnection takeNewestUsable(String requestId, long now) {
+    Deque<UpstreamConnection> passedOver = new ArrayDeque<>();
+    UpstreamConnection taken = null;
+    while (taken == null && !idle.isEmpty()) {
+      UpstreamConnection newest = idle.removeLast();
+      if (!newest.isUsable(now)) {
+        newest.close();
+      } else if (newest.hasCarried(requestId)) {
+        passedOver.addFirst(newest);
+      } else {
+        taken = newest;
       }
-      reusable.close();
     }
-    return null;
+    idle.addAll(passedOver);
+    return taken;
   }
 
   private boolean closeOldestIdle() {
@@ -322,7 +335,7 @@
   private void serveNextPending() {
     Acquisition next = pending.pollFirst();
     if (next != null) {
-      acquire(false, next.maxConnections, next.receiver);
+      acquire(next.requestId, false, next.maxConnections, next.receiver);
     }
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/LateCopyNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/LateCopyNodeTest.java
@@ -154,6 +154,19 @@
     assertEquals(answers.stream().filter(answer -> answer.endsWith("run 2")).count(), 1);
   }
 
+  /** Guards against ids that a connection has carried and that it no longer knows. */
+  @Test
+  public void connectionIsReplacedOnceItsIdsAreFull() throws Exception {
+    serveWith(new StutteringScript(runs, (run, head) -> answer(run, head, 200)));
+    sendUntilServed("/lookup/x", "first");
+    for (int request = 1; request < CarriedRequests.MAX_IDS; request++) {
+      exchange("/lookup/x", "more-" + request, "body");
+    }
+    assertEquals(upstreams.get(0).connections(), 1);
+    exchange("/lookup/x", "last", "body");
+    assertEquals(upstreams.get(0).connections(), 2);
+  }
+
   private static byte[] answer(int run, String head, int status) {
     return ScriptedUpstream.response(head, status, "run " + run);
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ScriptedUpstream.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ScriptedUpstream.java
@@ -94,6 +94,11 @@
     return "127.0.0.1:" + listener.getLocalPort();
   }
 
+  /** Returns the number of connections that were accepted. */
+  int connections() {
+    return sockets.size();
+  }
+
   /** Returns the heads of the received requests. */
   List<String> heads() {
     return heads;
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -55,7 +55,7 @@
         new UpstreamPool(
             new Bootstrap(), Bootstrap::connect, null, new RelayHeaders(), true, outcome -> {});
     List<Boolean> connected = new ArrayList<>();
-    pool.acquire(false, 2, connection -> connected.add(connection != null));
+    pool.acquire("one", false, 2, connection -> connected.add(connection != null));
     pool.probe(connected::add);
     assertEquals(connected, List.of(false, false));
   }
@@ -95,10 +95,10 @@
       CompletableFuture<Boolean> later = new CompletableFuture<>();
       loop.execute(
           () -> {
-            pool.acquire(false, 1, opening);
-            pool.acquire(false, 1, waiting);
+            pool.acquire("one", false, 1, opening);
+            pool.acquire("two", false, 1, waiting);
             pool.recallUnsent();
-            pool.acquire(false, 1, connection -> later.complete(connection != null));
+            pool.acquire("three", false, 1, connection -> later.complete(connection != null));
           });
       assertTrue(later.get(10, TimeUnit.SECONDS), "the opened connection is used");
       for (CountingReceiver recalled : List.of(opening, waiting)) {
