Tests: a target is reset only after its connection was reported as open

ForwardedConnectionsTest#resetOfTheTargetResetsAnOlderDaemon failed once beside other builds. The kernel accepts a connection before the forwarding daemon's own connect has ended; a reset in between makes that connect fail, and the daemon answers UNREACHABLE and closes in order, as it should. The test didn't read that answer and waited for a reset.

--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/ForwardedConnectionsTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/transport/ForwardedConnectionsTest.java
@@ -255,6 +255,8 @@
   public void resetOfTheTargetResetsAnOlderDaemon() throws Exception {
     try (Socket asking = askWithoutBlocks();
         Socket accepted = target().accept()) {
+      byte[] opened = reply(Frame.Kind.FORWARD);
+      assertEquals(asking.getInputStream().readNBytes(opened.length), opened);
       accepted.setSoLinger(true, 0);
       accepted.close();
       asking.getInputStream().readAllBytes();
