Answers without end: a bound on what drafts and plain services receive

Callers saw: an engine or plain service that sends interim answers (100) without end held its request until the request's or the attempt's time was over, and the daemon read all of it.

Cause: bodies are bounded, but the HTTP library drops interim answers, and a bound on bodies doesn't see them; the bound on an engine's silence begins anew with each read.

WireBytesLimit bounds what a connection receives for one request, on the wire: 32 MiB, twice the longest answer. Nothing of it is kept. The connection is closed and the attempt fails as one that was written and may have run.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -20,6 +20,12 @@
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+  /**
+   * Maximum number of bytes received for one request, which leaves chunks room beside an answer.
+   */
+  private static final long MAX_WIRE_BYTES = 2L * MAX_ANSWER_BYTES;
+
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1_000;
 
   private final ConnectionProvider pool;
@@ -68,7 +74,7 @@
    * be closed, and the upstream may have read the first one: the request would run twice.
    */
   private static HttpClient configured(HttpClient client) {
-    return InterimAnswerFilter.filtered(client)
+    return InterimAnswerFilter.filtered(WireBytesLimit.limited(client, MAX_WIRE_BYTES))
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
   }
