Drafts: a late second answer is not taken for another attempt's

Callers of the daemon's own interface could get the answer to another attempt of their request, or to another request, from upstreams that answer twice, the second time late: a cascade's larger model "answered" with the smaller one's text, a retry ended with the refusal of the first attempt, a request was told "not run" by a refusal that named another one, an order at an engine counted as done by the late end of a draft, an answer got the rating of the one before.

Cause: connections of the HTTP library's pool are used again, and what tells two answers apart is the request id only. It is the same for all attempts of a request, refusals and answers without an id were taken unseen, and ratings, orders and cancels have none.

Later attempts of a request and support calls now have a connection of their own; the effects say whether an earlier attempt was dispatched. A kept connection carries first attempts only, so no id twice. AnswerGuard keeps one only while each answer names its request, fails an attempt whose answer on it names none, and closes it at bytes out of turn. A refusal that names another request states nothing.

Existing tests changed: four constructions of effects have the new component.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallExecutor.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/CallExecutor.java
@@ -206,7 +206,8 @@
             upstream.host(),
             upstream.port(),
             active.request,
-            timeoutMillis));
+            timeoutMillis,
+            active.attempts > 1));
     if (active.idempotent && active.attempts == 1) {
       scheduleHedge(active, service, context);
     }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftExecutor.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/attempt/DraftExecutor.java
@@ -166,7 +166,8 @@
             version,
             active.answer.tokens(),
             active.priority,
-            Math.max(1, firstTokenTimeout.toMillis())));
+            Math.max(1, firstTokenTimeout.toMillis()),
+            active.attempts > 1));
   }
 
   /** Appends tokens of the running attempt, or aborts the attempt if there is a gap. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/UpstreamEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/UpstreamEffect.java
@@ -20,6 +20,7 @@
    * @param priority priority at the engine, from 0 (most urgent) to 9
    * @param timeoutMillis maximum time without a received byte before the attempt fails, in
    *     milliseconds
+   * @param laterAttempt whether an earlier attempt of the request was dispatched
    */
   record DispatchDraft(
       String attemptId,
@@ -30,7 +31,8 @@
       ModelVersion version,
       long resumeOffset,
       int priority,
-      long timeoutMillis)
+      long timeoutMillis,
+      boolean laterAttempt)
       implements UpstreamEffect {}
 
   /**
@@ -42,6 +44,7 @@
    * @param port port of the upstream
    * @param request the caller's request
    * @param timeoutMillis timeout of the complete call, in milliseconds
+   * @param laterAttempt whether an earlier attempt of the request was dispatched
    */
   record DispatchCall(
       String attemptId,
@@ -49,7 +52,8 @@
       String host,
       int port,
       CallerRequest request,
-      long timeoutMillis)
+      long timeoutMillis,
+      boolean laterAttempt)
       implements UpstreamEffect {}
 
   /**
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/DraftClient.java
@@ -105,7 +105,7 @@
       call.reached(AttemptStage.ANSWER_BEGUN);
       echoedId = response.responseHeaders().get(HttpNames.REQUEST_ID);
       if (response.status().code() != OK) {
-        return Refusals.read(response, content, call).then();
+        return Refusals.read(effect.request().requestId(), response, content, call);
       }
       return content.doOnNext(this::take).thenMany(Flux.<Void>empty());
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ServiceClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/ServiceClient.java
@@ -62,7 +62,8 @@
             .request(HttpMethod.valueOf(effect.request().method()))
             .uri("http://" + effect.host() + ":" + effect.port() + effect.request().path())
             .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-            .response((response, content) -> read(response, content, call))
+            .response(
+                (response, content) -> read(effect.request().requestId(), response, content, call))
             .transform(exchange::closedOnCancel)
             .then()
             .timeout(Duration.ofMillis(effect.timeoutMillis()))
@@ -77,10 +78,11 @@
     return header.value().chars().anyMatch(one -> one != '\t' && Character.isISOControl(one));
   }
 
-  private Mono<Void> read(HttpClientResponse response, ByteBufFlux content, UpstreamCall call) {
+  private Mono<Void> read(
+      String requestId, HttpClientResponse response, ByteBufFlux content, UpstreamCall call) {
     call.reached(AttemptStage.ANSWER_BEGUN);
     boolean notStarted =
-        "true".equalsIgnoreCase(response.responseHeaders().get(HttpNames.NOT_STARTED));
+        Refusals.isNotStarted(response) && !Refusals.namesOther(requestId, response);
     return BoundedBody.collect(content, maxAnswerBytes, this::tooLong)
         .doOnNext(
             body -> {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -11,6 +11,7 @@
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.UpstreamEvent;
 import org.tinylog.Logger;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.tcp.TcpClient;
@@ -27,9 +28,11 @@
   private static final long MAX_WIRE_BYTES = 2L * MAX_ANSWER_BYTES;
 
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1_000;
+  private static final String GUARD = "skylarkfork.answerGuard";
 
   private final ConnectionProvider pool;
   private final DraftClient drafts;
+  private final DraftClient draftsOnce;
   private final ServiceClient services;
   private final ServiceClient servicesOnce;
   private final SupportClient support;
@@ -61,12 +64,17 @@
             .pendingAcquireTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
             .maxIdleTime(Duration.ofSeconds(5))
             .build();
-    HttpClient pooled = configured(HttpClient.create(pool));
+    HttpClient pooled =
+        configured(HttpClient.create(pool))
+            .doOnChannelInit(
+                (observer, channel, address) ->
+                    channel.pipeline().addAfter(NettyPipeline.HttpCodec, GUARD, new AnswerGuard()));
     HttpClient fresh = configured(HttpClient.newConnection());
     this.drafts = new DraftClient(pooled, json, maxAnswerBytes);
+    this.draftsOnce = new DraftClient(fresh, json, maxAnswerBytes);
     this.services = new ServiceClient(pooled, maxAnswerBytes);
     this.servicesOnce = new ServiceClient(fresh, maxAnswerBytes);
-    this.support = new SupportClient(pooled, json, ratingAddress, events);
+    this.support = new SupportClient(fresh, json, ratingAddress, events);
   }
 
   /**
@@ -83,7 +91,7 @@
   public void execute(UpstreamEffect effect) {
     if (effect instanceof UpstreamEffect.DispatchDraft draft) {
       UpstreamCall call = begin(draft.attemptId(), draft);
-      drafts.send(draft, call);
+      (draft.laterAttempt() ? draftsOnce : drafts).send(draft, call);
     } else if (effect instanceof UpstreamEffect.DispatchCall call) {
       dispatch(call);
     } else if (effect instanceof UpstreamEffect.CancelAttempt cancel) {
@@ -117,13 +125,14 @@
 
   /**
    * Uses a new connection for each method that changes something: a kept one may be closed by the
-   * upstream at any time, after which nobody can tell whether the request was read.
+   * upstream at any time, after which nobody can tell whether the request was read. A later attempt
+   * gets one as well, since a late answer to an earlier attempt names the same request.
    */
   private void dispatch(UpstreamEffect.DispatchCall effect) {
     UpstreamCall call = begin(effect.attemptId(), null);
     boolean read =
         effect.request().method().equals("GET") || effect.request().method().equals("HEAD");
-    (read ? services : servicesOnce).send(effect, call);
+    (read && !effect.laterAttempt() ? services : servicesOnce).send(effect, call);
   }
 
   private UpstreamCall begin(String attemptId, UpstreamEffect.@Nullable DispatchDraft draft) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AttemptStageTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AttemptStageTest.java
@@ -67,7 +67,8 @@
         new ModelVersion("m", "1"),
         0,
         5,
-        15_000);
+        15_000,
+        false);
   }
 
   private UpstreamEffect call(String attemptId, String method, List<Header> headers) {
@@ -77,7 +78,8 @@
         "127.0.0.1",
         server.getLocalPort(),
         request(RequestKind.SERVICE, method, headers),
-        15_000);
+        15_000,
+        false);
   }
 
   private static CallerRequest request(RequestKind kind, String method, List<Header> headers) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CutServiceAnswerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/CutServiceAnswerTest.java
@@ -116,7 +116,7 @@
     CompletableFuture<Event> end = new CompletableFuture<>();
     try (UpstreamClient client = new UpstreamClient(new ObjectMapper(), null, end::complete)) {
       client.execute(
-          new UpstreamEffect.DispatchCall("r.1", "s1", "127.0.0.1", port, request(), 5_000));
+          new UpstreamEffect.DispatchCall("r.1", "s1", "127.0.0.1", port, request(), 5_000, false));
       return end.get(30, TimeUnit.SECONDS);
     }
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/UpstreamClientTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/UpstreamClientTest.java
@@ -97,7 +97,8 @@
               new ModelVersion("m", "1"),
               0,
               5,
-              400));
+              400,
+              false));
       return end.get(30, TimeUnit.SECONDS);
     } finally {
       server.disposeNow();
