Roll-outs: a version is tried on some sessions before all requests move

Cause: the move asked whether the old version had been measured, not whether the new one had been tried. Requests with a session take no part in the canary phase, so a service whose requests all have one went from nothing to everything by the clock. And a slow version showed itself late: only answers counted, the first of which are the fast ones.

After half of the time a share of the sessions now moves for a trial, by a stable hash, and stays. All requests move once 14 answers of the trial are good, also if each attempt that has waited for longer than usual turns out slow. Spent exposure without proof rolls back. Entries report attempts sent, in progress, waiting and abandoned, so that a version is found slow before its answers arrive. At the deadline an old version that no entry uses isn't waited for. Records and counts have new components, which older daemons skip.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/command/RelayCommand.java
@@ -35,7 +35,7 @@
   record BeginRollOut(String service, String target, long deadlineMillis) implements RelayCommand {}
 
   /**
-   * Records the next phase of a roll-out; ignored if that roll-out has ended or another one to the
+   * Records the next step of a roll-out; ignored if that roll-out has ended or another one to the
    * same version has started since.
    *
    * @param service the service
@@ -45,18 +45,31 @@
    *     submitted this command
    * @param baseline results of the version that is replaced, as of this command; null if an older
    *     leader submitted it
+   * @param sessionShare share of sessions that take part in the canary phase from now on, in
+   *     ten-thousandths; 0 in other phases and from older leaders
    */
   record AdvanceRollOut(
       String service,
       String target,
       RollOutPhase phase,
       long startIndex,
-      @Nullable VersionTotals baseline)
+      @Nullable VersionTotals baseline,
+      int sessionShare)
       implements RelayCommand {
 
     /** Creates the command as older leaders submitted it. */
     public AdvanceRollOut(String service, String target, RollOutPhase phase) {
-      this(service, target, phase, 0, null);
+      this(service, target, phase, 0, null, 0);
+    }
+
+    /** Creates a command that leaves the share of sessions in the canary phase as it is. */
+    public AdvanceRollOut(
+        String service,
+        String target,
+        RollOutPhase phase,
+        long startIndex,
+        @Nullable VersionTotals baseline) {
+      this(service, target, phase, startIndex, baseline, 0);
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -317,4 +317,11 @@
       counts.recordAnswer(silent.instance(), waitedMillis);
     }
   }
+
+  /** Records that the attempt in progress ends because the request's deadline or caller is gone. */
+  void recordAbandoned(ActiveRelay relay, Instant now) {
+    if (relay.forwarder == null && !sender.isOnCutLinks(relay)) {
+      counts.recordAbandoned(relay.request.number(), now);
+    }
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptSender.java
@@ -36,6 +36,7 @@
   private final SchedulerClient schedulers;
   private final CallSlots slots;
   private final VersionSelector versions;
+  private final VersionStatistics counts;
   private final SentPrefixes prompts;
   private final RequestTrace trace;
 
@@ -46,6 +47,7 @@
       SchedulerClient schedulers,
       CallSlots slots,
       VersionSelector versions,
+      VersionStatistics counts,
       SentPrefixes prompts,
       RequestTrace trace) {
     this.view = view;
@@ -54,6 +56,7 @@
     this.schedulers = schedulers;
     this.slots = slots;
     this.versions = versions;
+    this.counts = counts;
     this.prompts = prompts;
     this.trace = trace;
   }
@@ -270,6 +273,7 @@
     relay.pendingWorkMillis = placement.workMillis();
     TrackedUpstream upstream = placement.upstream();
     upstream.recordSent(placement.workMillis(), now);
+    counts.recordSent(relay.request.number(), upstream.instance(), now);
     if (grant == null) {
       picker.recordSent(relay.service, placement, now);
     }
@@ -310,6 +314,7 @@
       return;
     }
     placement.upstream().recordBegun(relay.pendingWorkMillis);
+    counts.recordFirstByte(relay.request.number());
     relay.pendingWorkMillis = 0;
     if (relay.forwarder == null) {
       view.paths().recordAnswer(relay.service.name(), now);
@@ -406,6 +411,7 @@
     relay.grant = null;
     TrackedUpstream upstream = relay.upstream();
     if (upstream != null) {
+      counts.recordEnded(relay.request.number());
       upstream.recordEnded(relay.pendingWorkMillis);
       relay.triedUpstreams.add(upstream.instance().id());
       relay.placement = null;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayControlPart.java
@@ -460,7 +460,8 @@
             rollOut.target(),
             decision.phase(),
             rollOut.startIndex(),
-            decision.baseline()),
+            decision.baseline(),
+            decision.sessionShare()),
         now,
         output);
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayEntryPart.java
@@ -359,7 +359,7 @@
                 leader == null,
                 lag.busy() || !paths.cutServices().isEmpty(),
                 neighbourhood.version(),
-                node.equals(leader) ? counts.allCounts() : List.of(),
+                node.equals(leader) ? counts.report(paths, now) : List.of(),
                 node.equals(leader) ? directory.limitsUnknownToLeader(now) : List.of(),
                 node.equals(leader) ? directory.leavingUnknownToLeader() : List.of(),
                 self.capacity(),
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayMachine.java
@@ -164,11 +164,16 @@
 
   private CommandResult advanceRollOut(RelayCommand.AdvanceRollOut advance) {
     @Nullable ServiceRollOut known = rollOuts.get(advance.service());
-    if (known != null && isMeant(advance, known) && advance.phase().compareTo(known.phase()) > 0) {
+    if (known == null || !isMeant(advance, known)) {
+      return new CommandResult.Done();
+    }
+    if (advance.phase().compareTo(known.phase()) > 0) {
       ServiceRollOut advanced = known.withPhase(advance.phase());
       boolean isMove = advance.phase() == RollOutPhase.MOVING;
       rollOuts.put(
           advance.service(), isMove ? advanced.withBaseline(advance.baseline()) : advanced);
+    } else if (advance.phase() == known.phase() && advance.sessionShare() > known.sessionShare()) {
+      rollOuts.put(advance.service(), known.withSessionShare(advance.sessionShare()));
     }
     return new CommandResult.Done();
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayRequestPart.java
@@ -150,7 +150,7 @@
     this.schedulers = new SchedulerClient(view);
     this.slots = new CallSlots(view, zone, picker, callSlots);
     this.sender =
-        new AttemptSender(view, zone, picker, schedulers, slots, versions, prompts, trace);
+        new AttemptSender(view, zone, picker, schedulers, slots, versions, counts, prompts, trace);
     this.completer = new RequestCompleter(active, sender, answerTimes, returns, trace);
     this.starter = new AttemptStarter(sender, completer, budget);
     this.failures =
@@ -390,6 +390,7 @@
         failures.checkOwnLinks(relay, now, output);
         failures.checkFirstByteTimeout(relay, now, output);
       } else if (!relay.forwarding) {
+        failures.recordAbandoned(relay, now);
         Refusal refusal = relay.sentAttempts > 0 ? Refusal.TIME_OUT : Refusal.TOO_LATE;
         completer.endWithRefusal(relay, refusal, now, output);
       } else if (now.isAfter(relay.deadline.plus(MAX_OVERRUN))) {
@@ -404,6 +405,7 @@
     }
     ActiveRelay relay = active.find(request);
     if (relay != null) {
+      failures.recordAbandoned(relay, now);
       completer.callerLeft(relay, now, output);
     }
   }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/VersionSelector.java
@@ -7,8 +7,6 @@
 /** Selects the versions of a service that may receive a request, during and after a roll-out. */
 final class VersionSelector {
 
-  private static final int BUCKETS = 10_000;
-
   private final RelayView view;
   private final double canaryShare;
 
@@ -38,7 +36,7 @@
     }
     String target = rollOut.target();
     return switch (rollOut.phase()) {
-      case CANARY -> isCanary(request) ? target::equals : rollOut::isOldVersion;
+      case CANARY -> isCanary(request, rollOut) ? target::equals : rollOut::isOldVersion;
       case MOVING, SUCCEEDED -> target::equals;
       case ROLLED_BACK -> rollOut::isOldVersion;
     };
@@ -56,13 +54,19 @@
   /**
    * Returns whether a request goes to the new version in the canary phase.
    *
-   * <p>A session that moved to the new version and back would change its version midway, so only
-   * requests without a session go to the new version.
+   * <p>A session that moved to the new version and back would change its version midway. So which
+   * sessions go to it depends on the session alone, and their share only grows.
    */
-  private boolean isCanary(RelayRequest request) {
-    if (request.session() != null) {
-      return false;
+  private boolean isCanary(RelayRequest request, ServiceRollOut rollOut) {
+    String session = request.session();
+    if (session != null) {
+      return part(rollOut.target(), session) < rollOut.sessionShare();
     }
-    return Math.floorMod(StableHash.of(request.id()), BUCKETS) < canaryShare * BUCKETS;
+    double canaryParts = canaryShare * ServiceRollOut.SESSION_PARTS;
+    return part(request.id()) < Math.max(canaryParts, rollOut.sessionShare());
+  }
+
+  private static int part(String... texts) {
+    return Math.floorMod(StableHash.of(texts), ServiceRollOut.SESSION_PARTS);
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -12,6 +12,9 @@
 /**
  * Decides on running roll-outs, at the leader of the control VMs.
  *
+ * <p>A version goes from one share of the requests to the next by what it answered at the one
+ * before, and gets no more requests than the exposure limit allows until it has proved good.
+ *
  * <p>A new version is declared good only by a comparison: it answered requests after the move, and
  * the results of the old version are known. What a leader lacks for that comes from the replicated
  * roll-out and from the entries, both of which outlive the leader. The new version's results are
@@ -28,6 +31,9 @@
   /** Minimum time for which a leader watches the new version, so that all entries report to it. */
   private static final Duration MIN_WATCHED_TIME = Duration.ofSeconds(2);
 
+  /** Share of the roll-out's time from which few answers prove a version that gets few requests. */
+  private static final double LATE_SHARE = 0.75;
+
   private final Map<String, RollOutObservation> observationByService = new HashMap<>();
   private final RollOutSettings settings;
   private Instant agedAt = Instant.EPOCH;
@@ -67,7 +73,7 @@
       known = new RollOutObservation(rollOut, now);
       observationByService.put(rollOut.service(), known);
     }
-    known.observePhase(rollOut.phase(), now);
+    known.observeStep(rollOut, now);
     return known;
   }
 
@@ -88,7 +94,9 @@
     VersionTotals baseline = baseline(rollOut, observed);
     Outcome recent =
         VersionComparison.compare(
-            observed.recent(), new AnswerStatistics(baseline), VersionComparison.MIN_TIMED_ANSWERS);
+            observed.recent(now),
+            new AnswerStatistics(baseline),
+            VersionComparison.MIN_TIMED_ANSWERS);
     if (recent == Outcome.WORSE) {
       return new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.WORSE, baseline);
     }
@@ -108,12 +116,15 @@
   private @Nullable RollOutDecision decideCanary(
       ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
     long ageMillis = observed.age(now).toMillis();
-    if (ageMillis < settings.moveAfterMillis(rollOut.deadlineMillis())) {
+    if (ageMillis < settings.sessionsAfterMillis(rollOut.deadlineMillis())) {
       return null;
     }
+    boolean isWatched = observed.watched(now).compareTo(MIN_WATCHED_TIME) >= 0;
     boolean isBaselineKnown = isMeasured(baseline) || isSilent(baseline, observed.newVersion());
-    if (isBaselineKnown) {
-      return new RollOutDecision(RollOutPhase.MOVING, Reason.CANARY_ENDED, baseline);
+    if (isBaselineKnown && isWatched) {
+      return rollOut.sessionShare() == 0
+          ? beginTrial(rollOut, observed, baseline, now)
+          : decideTrial(rollOut, observed, baseline, now);
     }
     boolean isOverdue = isOverdue(rollOut, observed, now) && isLong(observed.watched(now));
     return isOverdue
@@ -121,17 +132,82 @@
         : null;
   }
 
+  /**
+   * Sends some sessions to the new version, or all if so few requests are left until the deadline
+   * that all of them may be exposed.
+   */
+  private RollOutDecision beginTrial(
+      ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
+    ExposureBudget budget = budget(rollOut, observed, now);
+    long deadlineMillis = rollOut.deadlineMillis();
+    if (budget.covers((double) deadlineMillis - settings.sessionsAfterMillis(deadlineMillis))) {
+      return new RollOutDecision(RollOutPhase.MOVING, Reason.FEW_REQUESTS, baseline);
+    }
+    double trialMillis = ExposureBudget.detectionMillis(oldMeanMillis(baseline));
+    double share = budget.sessionShare(trialMillis, settings.canaryShare());
+    return new RollOutDecision(
+        RollOutPhase.CANARY,
+        Reason.TRIAL_BEGAN,
+        baseline,
+        (int) (share * ServiceRollOut.SESSION_PARTS));
+  }
+
+  private @Nullable RollOutDecision decideTrial(
+      ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
+    if (isProvenByTrial(rollOut, observed, baseline, now)) {
+      return new RollOutDecision(RollOutPhase.MOVING, Reason.CANARY_ENDED, baseline);
+    }
+    ExposureBudget budget = budget(rollOut, observed, now);
+    if (budget.isSpent((double) rollOut.sessionShare() / ServiceRollOut.SESSION_PARTS)) {
+      return new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.EXPOSURE_SPENT, baseline);
+    }
+    boolean isOverdue = isOverdue(rollOut, observed, now) && isLong(observed.watchedStep(now));
+    return isOverdue
+        ? new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.NOT_COMPARED, baseline)
+        : null;
+  }
+
+  /**
+   * Returns whether the new version answered well in the trial, even if all attempts in progress
+   * turn out to be slow. Late in the trial few answers suffice.
+   */
+  private static boolean isProvenByTrial(
+      ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
+    boolean isLate = observed.age(now).toMillis() >= LATE_SHARE * rollOut.deadlineMillis();
+    int minAnswers = isLate ? MIN_TIMED_ANSWERS_AT_DEADLINE : VersionComparison.MIN_TIMED_ANSWERS;
+    if (observed.sinceStep(now).timedAnswers() < minAnswers) {
+      return false;
+    }
+    double slowMillis = ExposureBudget.slowMillis(oldMeanMillis(baseline));
+    Outcome outcome =
+        VersionComparison.compare(
+            observed.sinceStepIfSlow(slowMillis, now), new AnswerStatistics(baseline), minAnswers);
+    return outcome == Outcome.NOT_WORSE || outcome == Outcome.UNKNOWN && !isMeasured(baseline);
+  }
+
+  private ExposureBudget budget(ServiceRollOut rollOut, RollOutObservation observed, Instant now) {
+    double perMilli = observed.requestsPerMilli(now);
+    double allowed = settings.exposure().allowed(perMilli, rollOut.deadlineMillis());
+    return new ExposureBudget(allowed, observed.exposed(), perMilli);
+  }
+
+  private static double oldMeanMillis(VersionTotals baseline) {
+    AnswerStatistics old = new AnswerStatistics(baseline);
+    return old.timedAnswers() > 0 ? old.meanMillis() : 0;
+  }
+
   private @Nullable RollOutDecision decideMoving(
       ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
-    if (!isOldVersionFinished(observed, now)) {
+    boolean isOverdue = isOverdue(rollOut, observed, now);
+    if (!isOldVersionFinished(observed, isOverdue, now)) {
       return null;
     }
-    boolean isOverdue = isOverdue(rollOut, observed, now);
     int minAnswers =
         isOverdue ? MIN_TIMED_ANSWERS_AT_DEADLINE : VersionComparison.MIN_TIMED_ANSWERS;
-    boolean isTried = observed.sinceMove().timedAnswers() >= minAnswers;
+    boolean isTried = observed.sinceStep(now).timedAnswers() >= minAnswers;
     Outcome outcome =
-        VersionComparison.compare(sample(observed), new AnswerStatistics(baseline), minAnswers);
+        VersionComparison.compare(
+            sample(observed, now), new AnswerStatistics(baseline), minAnswers);
     if (outcome == Outcome.WORSE) {
       return new RollOutDecision(RollOutPhase.ROLLED_BACK, Reason.WORSE, baseline);
     }
@@ -147,9 +223,10 @@
   }
 
   /** Returns the newest results of the new version that suffice for a comparison. */
-  private static AnswerStatistics sample(RollOutObservation observed) {
-    boolean hasRecent = observed.recent().timedAnswers() >= VersionComparison.MIN_TIMED_ANSWERS;
-    return hasRecent ? observed.recent() : observed.sinceMove();
+  private static AnswerStatistics sample(RollOutObservation observed, Instant now) {
+    AnswerStatistics recent = observed.recent(now);
+    boolean hasRecent = recent.timedAnswers() >= VersionComparison.MIN_TIMED_ANSWERS;
+    return hasRecent ? recent : observed.sinceStep(now);
   }
 
   /**
@@ -180,10 +257,15 @@
     return age.toMillis() >= rollOut.deadlineMillis();
   }
 
-  /** Returns whether requests on the old version had the time to finish. */
-  private boolean isOldVersionFinished(RollOutObservation observed, Instant now) {
-    Duration watched = observed.watchedMove(now);
-    boolean isReported = isLong(observed.reportedMove(now));
+  /**
+   * Returns whether requests on the old version had the time to finish. At the deadline it suffices
+   * that the entries report none.
+   */
+  private boolean isOldVersionFinished(
+      RollOutObservation observed, boolean isOverdue, Instant now) {
+    Duration watched = observed.watchedStep(now);
+    boolean isReported =
+        isLong(observed.reportedMove(now)) || isOverdue && observed.isOldVersionUnused();
     return isLong(watched) || isReported && watched.compareTo(MIN_WATCHED_TIME) >= 0;
   }
 
@@ -196,13 +278,19 @@
   public String describe(ServiceRollOut rollOut, Instant now) {
     RollOutObservation observed = observation(rollOut, now);
     return "recent="
-        + observed.recent()
-        + " since_move="
-        + observed.sinceMove()
+        + observed.recent(now)
+        + " since_step="
+        + observed.sinceStep(now)
         + " old="
         + new AnswerStatistics(baseline(rollOut, observed))
         + " old_from="
         + (rollOut.baseline() == null ? "entries" : "log")
+        + " sessions="
+        + rollOut.sessionShare()
+        + " exposed="
+        + observed.exposed()
+        + " allowed="
+        + Math.round(budget(rollOut, observed, now).allowed())
         + " age_ms="
         + observed.age(now).toMillis()
         + " watched_ms="
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutObservation.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutObservation.java
@@ -21,27 +21,49 @@
   /** Maximum age that an entry's report is taken for, so that no time overflows. */
   private static final Duration MAX_AGE = Duration.ofDays(3650);
 
+  /** Age of an entry's report from which its attempts in progress are considered outdated. */
+  private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(2);
+
+  /** Minimum time for which an entry has counted before it says how many requests there are. */
+  private static final long MIN_COUNTED_MILLIS = 500;
+
   private final ServiceRollOut rollOut;
   private final Instant since;
   private Instant startedAt;
-  private @Nullable Instant movingSince;
+  private @Nullable Instant stepSince;
+  private RollOutPhase phase = RollOutPhase.CANARY;
+  private int sessionShare;
+  private long exposed;
   private final Map<String, EntryReport> reportByEntry = new HashMap<>();
   private final AnswerStatistics recent = new AnswerStatistics();
-  private final AnswerStatistics sinceMove = new AnswerStatistics();
+  private AnswerStatistics sinceStep = new AnswerStatistics();
 
   /**
    * The newest report of one run of an entry.
    *
-   * @param totalsByVersion counts since the start of the roll-out
+   * @param countsByVersion counts since the start of the roll-out
    * @param target counts of the new version among them
-   * @param movedAt time at which the entry stopped to send requests to the old version, {@link
-   *     Instant#MAX} if it still does; null if it reported no age
+   * @param age for how long the entry has known the roll-out, or null if it reported none
+   * @param at time at which the leader received the report
    */
   private record EntryReport(
       long incarnation,
-      Map<String, VersionTotals> totalsByVersion,
-      VersionTotals target,
-      @Nullable Instant movedAt) {}
+      Map<String, VersionCounts> countsByVersion,
+      VersionCounts target,
+      @Nullable RollOutAge age,
+      Instant at) {
+
+    /** Returns when the entry stopped to send requests to the old version, or null before that. */
+    @Nullable Instant movedAt() {
+      return age == null || age.movedMillis() <= 0
+          ? null
+          : at.minusMillis(bounded(age.movedMillis()));
+    }
+
+    long sent() {
+      return countsByVersion.values().stream().mapToLong(VersionCounts::sent).sum();
+    }
+  }
 
   /**
    * Creates an observation without results.
@@ -59,56 +81,70 @@
     return rollOut.isSameAs(other);
   }
 
-  /** Records that the leader sees the roll-out in a phase. */
-  void observePhase(RollOutPhase phase, Instant now) {
-    if (phase == RollOutPhase.MOVING && movingSince == null) {
-      movingSince = now;
+  /** Records which step of the roll-out the leader sees. */
+  void observeStep(ServiceRollOut seen, Instant now) {
+    if (seen.phase() != phase || seen.sessionShare() != sessionShare) {
+      phase = seen.phase();
+      sessionShare = seen.sessionShare();
+      stepSince = now;
+      sinceStep = new AnswerStatistics();
     }
   }
 
   /**
    * Records what a run of an entry has counted since the start of the roll-out.
    *
-   * <p>Messages may overtake each other. A report with fewer answers than the one before is older
-   * than that and is ignored; its answers would count twice.
+   * <p>Messages may overtake each other. A report with fewer answers or requests than the one
+   * before is older than that and is ignored; its answers would count twice.
    */
   void record(EntryCounts report, Instant now) {
-    Map<String, VersionTotals> totalsByVersion = totalsByVersion(report.counts());
-    VersionTotals target = totalsByVersion.getOrDefault(rollOut.target(), VersionTotals.NONE);
+    Map<String, VersionCounts> countsByVersion = countsByVersion(report.counts());
+    VersionCounts target = countsByVersion.getOrDefault(rollOut.target(), noCounts());
     EntryReport before = reportByEntry.get(report.entry());
     boolean isSameRun = before != null && before.incarnation == report.incarnation();
-    VersionTotals earlier = isSameRun ? before.target() : VersionTotals.NONE;
-    if (target.answers() < earlier.answers()) {
+    VersionCounts earlier = isSameRun ? before.target() : noCounts();
+    if (target.answers() < earlier.answers() || target.sent() < earlier.sent()) {
       return;
     }
+    RollOutAge age = recordAge(report.ages(), now);
     reportByEntry.put(
-        report.entry(),
-        new EntryReport(
-            report.incarnation(), totalsByVersion, target, recordAge(report.ages(), now)));
-    VersionTotals added = target.minus(earlier);
-    recent.add(added);
-    if (isSameRun && movingSince != null) {
-      sinceMove.add(added);
+        report.entry(), new EntryReport(report.incarnation(), countsByVersion, target, age, now));
+    exposed += target.sent() - earlier.sent();
+    add(recent, target, earlier);
+    if (isSameRun && stepSince != null) {
+      add(sinceStep, target, earlier);
     }
   }
 
-  private Map<String, VersionTotals> totalsByVersion(List<VersionCounts> counts) {
-    Map<String, VersionTotals> totalsByVersion = new HashMap<>();
+  private static void add(AnswerStatistics sum, VersionCounts newest, VersionCounts earlier) {
+    sum.add(VersionTotals.of(newest).minus(VersionTotals.of(earlier)));
+    AttemptCounts now = newest.attempts();
+    AttemptCounts before = earlier.attempts();
+    sum.addUnanswered(
+        now.abandoned() - before.abandoned(), now.abandonedMillis() - before.abandonedMillis());
+  }
+
+  private VersionCounts noCounts() {
+    return new VersionCounts(rollOut.service(), rollOut.target(), 0, 0, 0);
+  }
+
+  private Map<String, VersionCounts> countsByVersion(List<VersionCounts> counts) {
+    Map<String, VersionCounts> countsByVersion = new HashMap<>();
     for (VersionCounts count : counts) {
       if (count.service().equals(rollOut.service())) {
-        totalsByVersion.put(count.version(), VersionTotals.of(count));
+        countsByVersion.put(count.version(), count);
       }
     }
-    return totalsByVersion;
+    return countsByVersion;
   }
 
-  /** Returns the time of the move by an entry's report, or null if it says nothing of it. */
-  private @Nullable Instant recordAge(List<RollOutAge> ages, Instant now) {
+  /** Returns the age of the roll-out by an entry's report, or null if it says nothing of it. */
+  private @Nullable RollOutAge recordAge(List<RollOutAge> ages, Instant now) {
     for (RollOutAge age : ages) {
       if (age.service().equals(rollOut.service()) && age.startIndex() == rollOut.startIndex()) {
         Instant reportedStart = now.minusMillis(bounded(age.millis()));
         startedAt = reportedStart.isBefore(startedAt) ? reportedStart : startedAt;
-        return age.movedMillis() <= 0 ? Instant.MAX : now.minusMillis(bounded(age.movedMillis()));
+        return age;
       }
     }
     return null;
@@ -124,22 +160,47 @@
   }
 
   /** Returns the results of the new version, weighted towards the last seconds. */
-  AnswerStatistics recent() {
-    return recent;
+  AnswerStatistics recent(Instant now) {
+    return withPending(recent, now);
+  }
+
+  /** Returns the results of the new version that were reported in the present step. */
+  AnswerStatistics sinceStep(Instant now) {
+    return withPending(sinceStep, now);
+  }
+
+  /**
+   * Returns the results of the new version that were reported in the present step, as if attempts
+   * in progress were answered, but not before they have waited for some time.
+   */
+  AnswerStatistics sinceStepIfSlow(double minMillis, Instant now) {
+    AttemptCounts pending = pending(now);
+    double millis = Math.max(pending.waitedMillis(), pending.unanswered() * minMillis);
+    return sinceStep.withAnswers(pending.unanswered(), millis);
+  }
+
+  private AnswerStatistics withPending(AnswerStatistics results, Instant now) {
+    AttemptCounts pending = pending(now);
+    return results.withUnanswered(pending.unanswered(), pending.waitedMillis());
   }
 
-  /** Returns the results of the new version that were reported while all requests went to it. */
-  AnswerStatistics sinceMove() {
-    return sinceMove;
+  private AttemptCounts pending(Instant now) {
+    AttemptCounts pending = AttemptCounts.NONE;
+    for (EntryReport report : reportByEntry.values()) {
+      if (!now.isAfter(report.at.plus(MAX_REPORT_AGE))) {
+        pending = pending.plus(report.target.attempts());
+      }
+    }
+    return pending;
   }
 
   /** Returns the results of the old version from the start of the roll-out. */
   VersionTotals oldVersion() {
     VersionTotals sum = VersionTotals.NONE;
     for (EntryReport report : reportByEntry.values()) {
-      for (Map.Entry<String, VersionTotals> version : report.totalsByVersion.entrySet()) {
-        if (rollOut.isOldVersion(version.getKey())) {
-          sum = sum.plus(version.getValue());
+      for (VersionCounts counts : report.countsByVersion.values()) {
+        if (rollOut.isOldVersion(counts.version())) {
+          sum = sum.plus(VersionTotals.of(counts));
         }
       }
     }
@@ -150,7 +211,25 @@
   VersionTotals newVersion() {
     VersionTotals sum = VersionTotals.NONE;
     for (EntryReport report : reportByEntry.values()) {
-      sum = sum.plus(report.target);
+      sum = sum.plus(VersionTotals.of(report.target));
+    }
+    return sum;
+  }
+
+  /** Returns the number of requests that the new version got, answered or not. */
+  long exposed() {
+    return exposed;
+  }
+
+  /**
+   * Returns the number of requests to the service in a millisecond. Each entry counts over its own
+   * time, since one that restarted has counted for a shorter one.
+   */
+  double requestsPerMilli(Instant now) {
+    double sum = 0;
+    for (EntryReport report : reportByEntry.values()) {
+      long millis = report.age == null ? age(now).toMillis() : bounded(report.age.millis());
+      sum += (double) report.sent() / Math.max(MIN_COUNTED_MILLIS, millis);
     }
     return sum;
   }
@@ -165,9 +244,9 @@
     return Duration.between(since, now);
   }
 
-  /** Returns the time since the leader first saw the move; zero before. */
-  Duration watchedMove(Instant now) {
-    return movingSince == null ? Duration.ZERO : Duration.between(movingSince, now);
+  /** Returns the time since the leader first saw the present step; zero before the first one. */
+  Duration watchedStep(Instant now) {
+    return stepSince == null ? Duration.ZERO : Duration.between(stepSince, now);
   }
 
   /**
@@ -177,11 +256,27 @@
   Duration reportedMove(Instant now) {
     Instant last = Instant.MIN;
     for (EntryReport report : reportByEntry.values()) {
-      if (report.movedAt == null || report.movedAt.isAfter(now)) {
+      Instant movedAt = report.movedAt();
+      if (movedAt == null || movedAt.isAfter(now)) {
         return Duration.ZERO;
       }
-      last = report.movedAt.isAfter(last) ? report.movedAt : last;
+      last = movedAt.isAfter(last) ? movedAt : last;
     }
     return reportByEntry.isEmpty() ? Duration.ZERO : Duration.between(last, now);
   }
+
+  /** Returns whether each entry has reported that it moved and that the old version is unused. */
+  boolean isOldVersionUnused() {
+    for (EntryReport report : reportByEntry.values()) {
+      if (report.movedAt() == null || hasOpenAttemptAtOldVersion(report)) {
+        return false;
+      }
+    }
+    return !reportByEntry.isEmpty();
+  }
+
+  private boolean hasOpenAttemptAtOldVersion(EntryReport report) {
+    return report.countsByVersion.values().stream()
+        .anyMatch(counts -> rollOut.isOldVersion(counts.version()) && counts.attempts().open() > 0);
+  }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/ServiceRollOut.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/ServiceRollOut.java
@@ -20,6 +20,8 @@
  * @param baseline results of the other versions from the start of the roll-out to the move; null
  *     before the move or if an older version recorded the move
  * @param rolledBack versions of the service that earlier roll-outs rolled back, oldest first
+ * @param sessionShare share of sessions that take part in the canary phase, in ten-thousandths; 0
+ *     in the first half of the roll-out's time and in records of older versions
  */
 public record ServiceRollOut(
     String service,
@@ -28,7 +30,11 @@
     RollOutPhase phase,
     long startIndex,
     @Nullable VersionTotals baseline,
-    List<String> rolledBack) {
+    List<String> rolledBack,
+    int sessionShare) {
+
+  /** Number of parts of which {@link #sessionShare} counts some. */
+  public static final int SESSION_PARTS = 10_000;
 
   /** Copies the list. */
   public ServiceRollOut {
@@ -40,16 +46,34 @@
     this(service, target, deadlineMillis, phase, 0, null, List.of());
   }
 
+  /** Creates a roll-out in which no sessions take part in the canary phase. */
+  public ServiceRollOut(
+      String service,
+      String target,
+      long deadlineMillis,
+      RollOutPhase phase,
+      long startIndex,
+      @Nullable VersionTotals baseline,
+      List<String> rolledBack) {
+    this(service, target, deadlineMillis, phase, startIndex, baseline, rolledBack, 0);
+  }
+
   /** Returns this roll-out in another phase. */
   public ServiceRollOut withPhase(RollOutPhase newPhase) {
     return new ServiceRollOut(
-        service, target, deadlineMillis, newPhase, startIndex, baseline, rolledBack);
+        service, target, deadlineMillis, newPhase, startIndex, baseline, rolledBack, sessionShare);
   }
 
   /** Returns this roll-out with the results of the other versions until the move. */
   public ServiceRollOut withBaseline(@Nullable VersionTotals newBaseline) {
     return new ServiceRollOut(
-        service, target, deadlineMillis, phase, startIndex, newBaseline, rolledBack);
+        service, target, deadlineMillis, phase, startIndex, newBaseline, rolledBack, sessionShare);
+  }
+
+  /** Returns this roll-out with another share of sessions in the canary phase. */
+  public ServiceRollOut withSessionShare(int newShare) {
+    return new ServiceRollOut(
+        service, target, deadlineMillis, phase, startIndex, baseline, rolledBack, newShare);
   }
 
   /** Returns whether this roll-out is not decided yet. */
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionComparison.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionComparison.java
@@ -3,7 +3,7 @@
 /** Compares the results of a new version with those of the version that it replaces. */
 final class VersionComparison {
 
-  /** Minimum number of timed answers of each version for a comparison of latency. */
+  /** Minimum number of timed or unanswered attempts of each version to compare its latency. */
   static final int MIN_TIMED_ANSWERS = 14;
 
   /** Minimum number of failures of a bad version; fewer are too often due to chance. */
@@ -35,17 +35,23 @@
    * @param target results of the new version
    * @param others results of the old version
    * @param minTimedAnswers number of timed answers of the new version below which it isn't known
-   *     whether it is as good as the old one
+   *     whether it is as good as the old one; as many answered or waiting ones may prove it slower
    */
   static Outcome compare(AnswerStatistics target, AnswerStatistics others, int minTimedAnswers) {
     if (failsMoreOften(target, others)) {
       return Outcome.WORSE;
     }
-    if (target.timedAnswers() < minTimedAnswers || others.timedAnswers() < MIN_TIMED_ANSWERS) {
+    if (target.boundedAttempts() < minTimedAnswers || others.timedAnswers() < MIN_TIMED_ANSWERS) {
       return Outcome.UNKNOWN;
     }
-    boolean isSlower = target.meanMillis() > MAX_LATENCY_RATIO * others.meanMillis();
-    return isSlower ? Outcome.WORSE : Outcome.NOT_WORSE;
+    double maxMillis = MAX_LATENCY_RATIO * others.meanMillis();
+    if (target.minMeanMillis() > maxMillis) {
+      return Outcome.WORSE;
+    }
+    boolean isAnswered = target.timedAnswers() >= minTimedAnswers;
+    return isAnswered && target.estimatedMeanMillis() <= maxMillis
+        ? Outcome.NOT_WORSE
+        : Outcome.UNKNOWN;
   }
 
   private static boolean failsMoreOften(AnswerStatistics target, AnswerStatistics others) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelayMachineTest.java
@@ -11,6 +11,7 @@
 import org.skylarkfork.core.command.RelayResult;
 import org.skylarkfork.core.crash.RequestKey;
 import org.skylarkfork.core.rollout.RollOutPhase;
+import org.skylarkfork.core.rollout.VersionTotals;
 import org.skylarkfork.core.upstream.UpstreamRun;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -68,6 +69,24 @@
     assertEquals(machine.rollOuts().get(0).phase(), RollOutPhase.ROLLED_BACK);
   }
 
+  private static RelayCommand trial(int sessionShare) {
+    return new RelayCommand.AdvanceRollOut(
+        "service", "v2", RollOutPhase.CANARY, 0, VersionTotals.NONE, sessionShare);
+  }
+
+  /** Guards against sessions that a late command sends back to the old version. */
+  @Test
+  public void shareOfSessionsOnlyGrows() {
+    apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
+    for (int share : new int[] {1000, 3000, 2000, 0}) {
+      apply(trial(share));
+    }
+    assertEquals(machine.rollOuts().get(0).sessionShare(), 3000);
+    apply(new RelayCommand.AdvanceRollOut("service", "v2", RollOutPhase.MOVING));
+    apply(trial(5000));
+    assertEquals(machine.rollOuts().get(0).phase(), RollOutPhase.MOVING);
+  }
+
   @Test
   public void secondRollOutWaitsForTheFirst() {
     apply(new RelayCommand.BeginRollOut("service", "v2", 10_000));
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/CommandPacking.java
@@ -98,12 +98,13 @@
           .text(begin.target())
           .number(begin.deadlineMillis());
     } else if (command instanceof RelayCommand.AdvanceRollOut advance) {
-      out.tagged(ADVANCE_ROLL_OUT, 5)
+      out.tagged(ADVANCE_ROLL_OUT, 6)
           .text(advance.service())
           .text(advance.target())
           .text(advance.phase().name())
           .number(advance.startIndex())
-          .optional(advance.baseline(), RelayValues::writeTotals);
+          .optional(advance.baseline(), RelayValues::writeTotals)
+          .number(advance.sessionShare());
     } else if (command instanceof RelayCommand.ReadRollOut read) {
       out.tagged(READ_ROLL_OUT, 1).text(read.service());
     } else if (command instanceof RelayCommand.UpstreamLeaves leaves) {
@@ -166,7 +167,8 @@
             in.text(),
             RelayValues.constant(RollOutPhase.class, in.text()),
             components.consumeIfPresent() ? in.number() : 0,
-            components.consumeIfPresent() ? in.optional(RelayValues::readTotals) : null);
+            components.consumeIfPresent() ? in.optional(RelayValues::readTotals) : null,
+            components.consumeIfPresent() ? in.smallNumber() : 0);
       case READ_ROLL_OUT:
         components.consume(1);
         return new RelayCommand.ReadRollOut(in.text());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/packed/RelayValues.java
@@ -21,6 +21,7 @@
 import org.skylarkfork.core.relay.UpstreamInstance;
 import org.skylarkfork.core.relay.UpstreamStatus;
 import org.skylarkfork.core.relay.WeightedService;
+import org.skylarkfork.core.rollout.AttemptCounts;
 import org.skylarkfork.core.rollout.RollOutAge;
 import org.skylarkfork.core.rollout.RollOutPhase;
 import org.skylarkfork.core.rollout.ServiceRollOut;
@@ -43,6 +44,9 @@
   /** Number of components of a roll-out in each version of the format. */
   private static final int ROLL_OUT_COMPONENTS = 4;
 
+  /** Number of components of a version's counts as older daemons report them. */
+  private static final int COUNTS_COMPONENTS = 5;
+
   /**
    * Cache of the configuration that was serialized or deserialized last.
    *
@@ -242,14 +246,15 @@
   }
 
   static void writeRollOut(ServiceRollOut rollOut, PackedWriter out) {
-    out.record(ROLL_OUT_COMPONENTS + 3)
+    out.record(ROLL_OUT_COMPONENTS + 4)
         .text(rollOut.service())
         .text(rollOut.target())
         .number(rollOut.deadlineMillis())
         .text(rollOut.phase().name())
         .number(rollOut.startIndex())
         .optional(rollOut.baseline(), RelayValues::writeTotals)
-        .list(rollOut.rolledBack(), (version, to) -> to.text(version));
+        .list(rollOut.rolledBack(), (version, to) -> to.text(version))
+        .number(rollOut.sessionShare());
   }
 
   static ServiceRollOut readRollOut(PackedReader in) {
@@ -263,7 +268,8 @@
                 constant(RollOutPhase.class, from.text()),
                 components.consumeIfPresent() ? from.number() : 0,
                 components.consumeIfPresent() ? from.optional(RelayValues::readTotals) : null,
-                components.consumeIfPresent() ? from.list(PackedReader::text) : List.of()));
+                components.consumeIfPresent() ? from.list(PackedReader::text) : List.of(),
+                components.consumeIfPresent() ? from.smallNumber() : 0));
   }
 
   static void writeAge(RollOutAge age, PackedWriter out) {
@@ -399,19 +405,48 @@
   }
 
   static void writeCounts(VersionCounts counts, PackedWriter out) {
-    out.record(5)
+    out.record(COUNTS_COMPONENTS + 1)
         .text(counts.service())
         .text(counts.version())
         .number(counts.answers())
         .number(counts.failures())
         .number(counts.firstByteMillis());
+    writeAttempts(counts.attempts(), out);
   }
 
   static VersionCounts readCounts(PackedReader in) {
+    return in.extensibleRecord(
+        COUNTS_COMPONENTS,
+        (from, components) ->
+            new VersionCounts(
+                from.text(),
+                from.text(),
+                from.number(),
+                from.number(),
+                from.number(),
+                components.consumeIfPresent() ? readAttempts(from) : AttemptCounts.NONE));
+  }
+
+  private static void writeAttempts(AttemptCounts attempts, PackedWriter out) {
+    out.record(6)
+        .number(attempts.sent())
+        .number(attempts.open())
+        .number(attempts.unanswered())
+        .number(attempts.waitedMillis())
+        .number(attempts.abandoned())
+        .number(attempts.abandonedMillis());
+  }
+
+  private static AttemptCounts readAttempts(PackedReader in) {
     return in.record(
-        5,
+        6,
         from ->
-            new VersionCounts(
-                from.text(), from.text(), from.number(), from.number(), from.number()));
+            new AttemptCounts(
+                from.number(),
+                from.number(),
+                from.number(),
+                from.number(),
+                from.number(),
+                from.number()));
   }
 }
