Bytes that belong to no request are not joined with the next answer

Callers got a success where the upstream had answered with a failure: with the right id, after one attempt.

Cause: the decoder passes on nothing of a head that isn't complete. A copy cut in its head, after an answer or while no request was in progress, stayed in it unseen, and the connection was used again; the next answer's head was read as the rest. The same where a cut copy came ahead of an answer.

Evidence: CutCopyNodeTest cuts a copy at each place of its head.

Why it works: bytes after an answer in one read, and bytes while idle, close the connection before anything is sent on it; a head with a second status line or id is no answer, and the attempt fails. The scripted upstream sends without delay, so that a copy of its own arrives before the next request.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -44,6 +44,7 @@
   private final UpstreamPool pool;
   private final RelayDialect dialect;
   private final InputEndObserver inputEnd;
+  private final AnswerDecoder decoder;
   private final long number;
   private final CarriedRequests carried = new CarriedRequests();
   private final UnusedBytesLimit unusedBytes = new UnusedBytesLimit();
@@ -69,6 +70,7 @@
    * @param pool pool of the connection
    * @param dialect mapping of the headers
    * @param inputEnd receives the events of the channel before the decoder of answers
+   * @param decoder decoder of this connection's answers
    * @param number number of the connection in its pool, from 1
    * @param idleTimeoutNanos idle timeout if the upstream doesn't state one, in nanoseconds
    */
@@ -76,9 +78,11 @@
       UpstreamPool pool,
       RelayDialect dialect,
       InputEndObserver inputEnd,
+      AnswerDecoder decoder,
       long number,
       long idleTimeoutNanos) {
     this.inputEnd = inputEnd;
+    this.decoder = decoder;
     this.number = number;
     this.pool = pool;
     this.dialect = dialect;
@@ -163,9 +167,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
       if (attempt == null || !(message instanceof HttpObject part)) {
-        // Unexpected bytes: the next answer on this connection could belong to another request.
-        reportIdleAnswer(message);
-        close();
+        onIdleAnswer(message);
       } else if (part.decoderResult().isFailure()) {
         fail(AttemptFailure.NOT_AN_ANSWER);
       } else {
@@ -197,6 +199,10 @@
       skipping = true;
       return;
     }
+    if (JoinedHeads.isJoined(head, dialect.requestIdHeader())) {
+      fail(AttemptFailure.NOT_AN_ANSWER);
+      return;
+    }
     String id = dialect.requestIdOf(head);
     boolean foreign = id == null ? dialect.isSigned(head) : !id.equals(current.requestId());
     if (foreign) {
@@ -215,12 +221,23 @@
     current.onHead(head, framing);
   }
 
-  private void reportIdleAnswer(Object message) {
-    if (!idleAnswerReported) {
+  /** Returns whether no request is in progress. */
+  boolean isIdle() {
+    return attempt == null;
+  }
+
+  /** Closes the connection: its next answer could belong to another request. */
+  void onIdleBytes() {
+    onIdleAnswer(null);
+  }
+
+  private void onIdleAnswer(@Nullable Object message) {
+    if (reusable && !idleAnswerReported) {
       idleAnswerReported = true;
       String id = message instanceof HttpResponse head ? dialect.requestIdOf(head) : null;
       pool.reportExtraAnswer(true, hasCarried(id), use());
     }
+    close();
   }
 
   private void skipForeignAnswer(@Nullable String id) {
@@ -286,9 +303,9 @@
     final ConnectionEnd end = connectionEnd();
     attempt = null;
     answering = false;
-    // Until the request is completely written, the upstream expects the remainder of its body on
-    // this connection and would mistake the next request for it.
-    if (reusable && requestWritten && !carried.isFull() && framing != AnswerFraming.CONNECTION) {
+    if (decoder.hasUndecodedBytes()) {
+      onIdleBytes();
+    } else if (isReleasable()) {
       pool.release(this);
     } else {
       close();
@@ -296,6 +313,12 @@
     current.onEnd(end);
   }
 
+  private boolean isReleasable() {
+    // Until the request is completely written, the upstream expects the remainder of its body on
+    // this connection and would mistake the next request for it.
+    return reusable && requestWritten && !carried.isFull() && framing != AnswerFraming.CONNECTION;
+  }
+
   private void fail(AttemptFailure failure) {
     UpstreamAttempt current = attempt;
     final ConnectionEnd end = connectionFailed ? ConnectionEnd.LOST : connectionEnd();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -238,8 +237,9 @@
     }
     openConnections++;
     InputEndObserver inputEnd = new InputEndObserver();
+    AnswerDecoder decoder = new AnswerDecoder();
     UpstreamConnection connection =
-        new UpstreamConnection(this, dialect, inputEnd, ++lastNumber, DEFAULT_IDLE_NANOS);
+        new UpstreamConnection(this, dialect, inputEnd, decoder, ++lastNumber, DEFAULT_IDLE_NANOS);
     Bootstrap handled =
         bootstrap
             .clone()
@@ -252,7 +252,8 @@
                         .addLast(
                             inputEnd,
                             new HttpRequestEncoder(),
-                            new HttpResponseDecoder(HttpDecoderLimits.decoderConfig()),
+                            new IdleBytesObserver(connection),
+                            decoder,
                             connection);
                   }
                 });
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ScriptedUpstream.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ScriptedUpstream.java
@@ -115,6 +115,7 @@
     try {
       while (true) {
         Socket socket = listener.accept();
+        socket.setTcpNoDelay(true);
         sockets.add(socket);
         startDaemonThread(() -> serve(socket));
       }
