A request that waits for a new connection gets a new one

A booking takes a new connection, so that it can't be lost on one that its upstream drops as idle, nor meet what is left of others. If it had to wait for one, the pool forgot that and gave it the next that was released. A waiting acquisition keeps what it asked for; the pool closes an idle connection and opens another in its place.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -114,12 +114,15 @@
   /** A request for a connection that waits for one, or for one to open. */
   private static final class Acquisition {
     private final String requestId;
+    private final boolean fresh;
     private final int maxConnections;
     private final ConnectionReceiver receiver;
     private boolean recalled;
 
-    private Acquisition(String requestId, int maxConnections, ConnectionReceiver receiver) {
+    private Acquisition(
+        String requestId, boolean fresh, int maxConnections, ConnectionReceiver receiver) {
       this.requestId = requestId;
+      this.fresh = fresh;
       this.maxConnections = maxConnections;
       this.receiver = receiver;
     }
@@ -144,9 +147,9 @@
     if (reusable != null) {
       receiver.receive(reusable);
     } else if (openConnections < maxConnections || closeOldestIdle()) {
-      connect(new Acquisition(requestId, maxConnections, receiver));
+      connect(new Acquisition(requestId, fresh, maxConnections, receiver));
     } else if (pending.size() < MAX_PENDING) {
-      pending.addLast(new Acquisition(requestId, maxConnections, receiver));
+      pending.addLast(new Acquisition(requestId, fresh, maxConnections, receiver));
     } else {
       receiver.receive(null);
     }
@@ -336,7 +339,7 @@
   private void serveNextPending() {
     Acquisition next = pending.pollFirst();
     if (next != null) {
-      acquire(next.requestId, false, next.maxConnections, next.receiver);
+      acquire(next.requestId, next.fresh, next.maxConnections, next.receiver);
     }
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UpstreamPoolTest.java
@@ -1,6 +1,7 @@
 package org.skylarkfork.runtime.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.bootstrap.Bootstrap;
@@ -109,4 +110,30 @@
       loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
     }
   }
+
+  /** Guards against a booking that waited and is lost on a connection which had been idle. */
+  @Test
+  public void waitingAcquisitionOfNewConnectionGetsNoUsedOne() throws Exception {
+    EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
+      Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class);
+      UpstreamPool pool =
+          new UpstreamPool(
+              bootstrap, Bootstrap::connect, address, new RelayHeaders(), true, outcome -> {});
+      CompletableFuture<@Nullable UpstreamConnection> first = new CompletableFuture<>();
+      CompletableFuture<@Nullable UpstreamConnection> waiting = new CompletableFuture<>();
+      loop.execute(
+          () -> {
+            pool.acquire("one", false, 1, first::complete);
+            pool.acquire("two", true, 1, waiting::complete);
+          });
+      UpstreamConnection used = first.get(10, TimeUnit.SECONDS);
+      loop.execute(() -> pool.release(used));
+      assertNotSame(waiting.get(10, TimeUnit.SECONDS), used);
+    } finally {
+      loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+  }
 }
