An answer that is given up for full buffers doesn't count against its upstream

Found by review: the buffers of an entry may be filled by others, and the largest answer, which is given up, may be a sound one. Its upstream was counted as failing and as possibly ended. A test's calls name the new component of two effects.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
@@ -60,6 +60,11 @@
     return mayHaveRun;
   }
 
+  /** Returns whether the upstream may have ended while it ran the request. */
+  public boolean mayBeCrash() {
+    return mayHaveRun && this != BUFFERS_FULL;
+  }
+
   /** Returns whether the failure counts against the version that the upstream runs. */
   public boolean countsAgainstVersion() {
     return countsAgainstVersion;
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -120,6 +120,8 @@
     }
     if (failed.failure().mayHaveRun()) {
       relay.mayHaveRun = true;
+    }
+    if (failed.failure().mayBeCrash()) {
       crashes.recordLoss(suspected(upstream.instance()), relay.keys, relay.sentAt, now, output);
     }
     countAgainstVersion(relay, upstream.instance(), failed, now);
@@ -182,7 +184,7 @@
   private void recordFailure(
       ActiveRelay relay, AttemptFailure failure, Instant now, Output output) {
     switch (failure) {
-      case STALE_CONNECTION, RECALLED, NOT_FORWARDED, FORWARD_REJECTED -> {}
+      case STALE_CONNECTION, RECALLED, NOT_FORWARDED, FORWARD_REJECTED, BUFFERS_FULL -> {}
       case NOT_SENT -> sender.recordFailure(relay, AttemptProgress.UNREACHABLE, now, output);
       default -> sender.recordFailure(relay, AttemptProgress.FAILED, now, output);
     }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/BrokenAnswerTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/BrokenAnswerTest.java
@@ -84,6 +84,16 @@
     assertEquals(failures(), before + 1);
   }
 
+  /** Guards against a sound upstream that is avoided since others' answers filled the buffers. */
+  @Test
+  public void answerThatIsGivenUpForItsSizeDoesNotCountAgainstTheUpstream() {
+    entry.send(1, "/book/x");
+    entry.fails(1, 1, AttemptFailure.BUFFERS_FULL, null);
+    for (TrackedUpstream upstream : entry.view.upstreams("service")) {
+      assertEquals(upstream.failureShare(), 0.0);
+    }
+  }
+
   private long failures() {
     return entry.counts.allCounts().stream().mapToLong(VersionCounts::failures).sum();
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -182,8 +182,11 @@
     onFailure(AttemptFailure.BUFFERS_FULL);
   }
 
-  /** Starts forwarding the answer to the caller. */
+  /** Starts forwarding the answer to the caller, unless the attempt has failed in the meantime. */
   void forward() {
+    if (finished) {
+      return;
+    }
     forwarding = true;
     HttpResponse answer = head;
     if (answer == null) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EndlessServiceAnswerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/EndlessServiceAnswerTest.java
@@ -121,9 +121,19 @@
     String address = "127.0.0.1";
     CallerRequest request = request(kind);
     return kind == RequestKind.SERVICE
-        ? new UpstreamEffect.DispatchCall("r.1", "s1", address, port, request, SILENCE_MILLIS)
+        ? new UpstreamEffect.DispatchCall(
+            "r.1", "s1", address, port, request, SILENCE_MILLIS, false)
         : new UpstreamEffect.DispatchDraft(
-            "r.1", "e1", address, port, request, new ModelVersion("m", "1"), 0, 5, SILENCE_MILLIS);
+            "r.1",
+            "e1",
+            address,
+            port,
+            request,
+            new ModelVersion("m", "1"),
+            0,
+            5,
+            SILENCE_MILLIS,
+            false);
   }
 
   private static CallerRequest request(RequestKind kind) {
