An answer that can't be attributed isn't the next request's

An answer without an id is accepted on a connection's first request only; later it ends the attempt as NOT_AN_ANSWER and the connection. AnswerGuard, which had that rule, now rejects joined heads as well (JoinedHeads, shared).

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AnswerGuard.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AnswerGuard.java
@@ -50,7 +50,7 @@
     if (message instanceof HttpResponse head && !accepts(head)) {
       inProgress = false;
       ReferenceCountUtil.release(message);
-      context.fireExceptionCaught(new IOException("the answer names no request"));
+      context.fireExceptionCaught(new IOException("the answer can't be attributed to the request"));
       context.close();
       return;
     }
@@ -67,6 +67,9 @@
     if (interim) {
       return true;
     }
+    if (JoinedHeads.isJoined(head, HttpNames.REQUEST_ID)) {
+      return false;
+    }
     String named = head.headers().get(HttpNames.REQUEST_ID);
     if (named == null || !named.equals(requestId)) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/JoinedHeads.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/JoinedHeads.java
@@ -1,4 +1,4 @@
-package org.skylarkfork.runtime.relay;
+package org.skylarkfork.runtime.http;
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
@@ -7,7 +7,7 @@
 /**
  * Recognizes heads that the decoder has joined from a cut head and the head of the answer after it.
  */
-final class JoinedHeads {
+public final class JoinedHeads {
 
   private static final String VERSION = "HTTP/1.";
 
@@ -21,7 +21,7 @@
    * @param head the head
    * @param requestIdHeader name of the header of the request id
    */
-  static boolean isJoined(HttpResponse head, String requestIdHeader) {
+  public static boolean isJoined(HttpResponse head, String requestIdHeader) {
     return hasStatusLine(head.status().reasonPhrase())
         || head.headers().getAll(requestIdHeader).size() > 1
         || head.headers().entries().stream().anyMatch(JoinedHeads::hasStatusLine);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -20,6 +20,7 @@
 import org.skylarkfork.core.answer.ConnectionEnd;
 import org.skylarkfork.core.answer.ConnectionUse;
 import org.skylarkfork.core.relay.AttemptFailure;
+import org.skylarkfork.runtime.http.JoinedHeads;
 import org.tinylog.Logger;
 
 /** A connection to an upstream, which carries one request at a time. */
@@ -204,6 +205,11 @@
       return;
     }
     String id = dialect.requestIdOf(head);
+    if (id == null && carried.count() > 1) {
+      // It may be the late second answer to any earlier request.
+      fail(AttemptFailure.NOT_AN_ANSWER);
+      return;
+    }
     boolean foreign = id == null ? dialect.isSigned(head) : !id.equals(current.requestId());
     if (foreign) {
       skipForeignAnswer(id);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AnswerGuardTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AnswerGuardTest.java
@@ -82,6 +82,20 @@
     assertFalse(channel.isOpen());
   }
 
+  /** Guards against a success that is joined from a cut copy and the failure after it. */
+  @Test
+  public void joinedHeadEndsTheConnection() {
+    request("r");
+    answer(HttpResponseStatus.OK, "r");
+    request("q");
+    DefaultFullHttpResponse joined =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    joined.headers().set(HttpNames.REQUEST_ID, "q");
+    joined.headers().set("Server", "anyHTTP/1.1 404 Not Found");
+    expectThrows(IOException.class, () -> channel.writeInbound(joined));
+    assertFalse(channel.isOpen());
+  }
+
   /** Guards against an interim answer that counts as the end of its request. */
   @Test
   public void answerAfterInterimOneIsPassedOn() {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/LateCopyNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/LateCopyNodeTest.java
@@ -82,6 +82,23 @@
     assertTrue(answer.endsWith("run 2"), answer);
   }
 
+  /** Guards against a late failure without an id that ends a request which succeeded. */
+  @Test
+  public void lateFailureWithoutAnIdIsNotTheNextAnswer() throws Exception {
+    serveWith(
+        (requestNumber, head, out) -> {
+          boolean isSecond = ScriptedUpstream.requestIdIn(head).equals("second");
+          if (isSecond && runs.next("second") == 1) {
+            out.write(ScriptedUpstream.bytes("HTTP/1.1 404 Any\r\nContent-Length: 4\r\n\r\nlate"));
+          }
+          out.write(ScriptedUpstream.response(head, 200, "own"));
+          return true;
+        });
+    sendUntilServed("/lookup/x", "first");
+    String answer = exchange("/lookup/x", "second", "body");
+    assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+  }
+
   /** Guards against a caller's repeat with the same id that gets the first answer's late copy. */
   @Test
   public void repeatThatFailsIsNotAnsweredWithTheFirstSuccess() throws Exception {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/StutteringScript.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/StutteringScript.java
@@ -51,7 +51,7 @@
   static final class Runs {
     private final Map<String, Integer> counts = new HashMap<>();
 
-    private synchronized int next(String id) {
+    synchronized int next(String id) {
       return counts.merge(id, 1, Integer::sum);
     }
   }
