Roll-outs: a version in between stays on trial while there is time

Later 2.5 times and three answers suffice as before, so that a good version with cold caches isn't held back.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -169,7 +169,8 @@
 
   /**
    * Returns whether the new version answered well in the trial, even if all attempts in progress
-   * turn out to be slow. Late in the trial few answers suffice.
+   * turn out to be slow. While there is time, a version in between is tried further; late in the
+   * trial few answers suffice.
    */
   private static boolean isProvenByTrial(
       ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
@@ -179,10 +180,13 @@
       return false;
     }
     double slowMillis = ExposureBudget.slowMillis(oldMeanMillis(baseline));
-    Outcome outcome =
-        VersionComparison.compare(
-            observed.sinceStepIfSlow(slowMillis, now), new AnswerStatistics(baseline), minAnswers);
-    return outcome == Outcome.NOT_WORSE || outcome == Outcome.UNKNOWN && !isMeasured(baseline);
+    AnswerStatistics old = new AnswerStatistics(baseline);
+    AnswerStatistics trial = observed.sinceStepIfSlow(slowMillis, now);
+    Outcome outcome = VersionComparison.compare(trial, old, minAnswers);
+    if (!isMeasured(baseline)) {
+      return outcome == Outcome.UNKNOWN;
+    }
+    return outcome == Outcome.NOT_WORSE && (isLate || VersionComparison.isClearlyGood(trial, old));
   }
 
   private ExposureBudget budget(ServiceRollOut rollOut, RollOutObservation observed, Instant now) {
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionComparison.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/VersionComparison.java
@@ -12,6 +12,9 @@
   /** Ratio of mean latencies above which the new version is bad; a new engine is cold at first. */
   private static final double MAX_LATENCY_RATIO = 2.5;
 
+  /** Ratio of mean latencies up to which chance in a few answers doesn't hide a bad version. */
+  private static final double CLEARLY_GOOD_RATIO = 1.5;
+
   /** Minimum expected failure rate, which also stands in for an old version without statistics. */
   private static final double MIN_EXPECTED_FAILURE_RATE = 0.02;
 
@@ -54,6 +57,13 @@
         : Outcome.UNKNOWN;
   }
 
+  /**
+   * Returns whether a new version's latency is so good that more answers would hardly prove it bad.
+   */
+  static boolean isClearlyGood(AnswerStatistics target, AnswerStatistics others) {
+    return target.estimatedMeanMillis() <= CLEARLY_GOOD_RATIO * others.meanMillis();
+  }
+
   private static boolean failsMoreOften(AnswerStatistics target, AnswerStatistics others) {
     double failureRate =
         others.answers() < 1
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/rollout/RollOutEvaluatorTest.java
@@ -486,4 +486,15 @@
       }
     }
   }
+
+  /** Guards against a slow version whose few slow answers in the trial are too few by chance. */
+  @Test
+  public void versionInBetweenStaysOnTrialWhileThereIsTime() {
+    addCounts("v1", 1000, 0, 100);
+    beginTrialAfter(13);
+    addCounts("v2", 30, 0, 220);
+    assertNull(decideAfter(13));
+    assertNull(decideAfter(17));
+    assertDecision(decideAfter(18), RollOutPhase.MOVING, Reason.CANARY_ENDED);
+  }
 }
