Roll-outs: an unused old version is left 1.5 s before the deadline

That an old version which no entry uses isn't waited for holds from 1.5 s before the deadline now, in place of 0.5 s, so that a trial may take a second longer. The new version is still watched for 2 s at the least.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/rollout/RollOutEvaluator.java
@@ -28,6 +28,9 @@
   /** Time before the deadline at which a decision is due, for its replication. */
   private static final Duration DEADLINE_MARGIN = Duration.ofMillis(500);
 
+  /** Time before the deadline from which an old version that no entry uses isn't waited for. */
+  private static final Duration UNUSED_MARGIN = Duration.ofMillis(1500);
+
   /** Minimum time for which a leader watches the new version, so that all entries report to it. */
   private static final Duration MIN_WATCHED_TIME = Duration.ofSeconds(2);
 
@@ -203,7 +206,7 @@
   private @Nullable RollOutDecision decideMoving(
       ServiceRollOut rollOut, RollOutObservation observed, VersionTotals baseline, Instant now) {
     boolean isOverdue = isOverdue(rollOut, observed, now);
-    if (!isOldVersionFinished(observed, isOverdue, now)) {
+    if (!isOldVersionFinished(rollOut, observed, now)) {
       return null;
     }
     int minAnswers =
@@ -262,14 +265,16 @@
   }
 
   /**
-   * Returns whether requests on the old version had the time to finish. At the deadline it suffices
-   * that the entries report none.
+   * Returns whether requests on the old version had the time to finish. Shortly before the deadline
+   * it suffices that the entries report none.
    */
   private boolean isOldVersionFinished(
-      RollOutObservation observed, boolean isOverdue, Instant now) {
+      ServiceRollOut rollOut, RollOutObservation observed, Instant now) {
     Duration watched = observed.watchedStep(now);
+    Duration age = observed.age(now).plus(UNUSED_MARGIN);
+    boolean isDueSoon = age.toMillis() >= rollOut.deadlineMillis();
     boolean isReported =
-        isLong(observed.reportedMove(now)) || isOverdue && observed.isOldVersionUnused();
+        isLong(observed.reportedMove(now)) || isDueSoon && observed.isOldVersionUnused();
     return isLong(watched) || isReported && watched.compareTo(MIN_WATCHED_TIME) >= 0;
   }
 
