The log of a control VM in memory is bounded by the size of its commands

What operators saw: a control VM ends by itself under few changes of a large configuration, with status 3 and "Terminating due to java.lang.OutOfMemoryError: Java heap space"; all three do, with no fault near. Configurations get no answer meanwhile, and a restart reads the same log again.

What is on its way to a replica whose disk stands still had a number as its only bound as well.

The size of the log is a metric of the daemon.

Not taken: differences in place of whole configurations in the log, another format on disk and wire for the same bound.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Applier.java
@@ -40,12 +40,18 @@
       appliedIndex = entry.index();
       proposals.applied(entry.index(), result, context);
     }
-    if (saving == null
-        && appliedIndex - snapshotIndex() >= replica.settings.limits().snapshotEntries()) {
+    if (saving == null && isSnapshotDue()) {
       takeSnapshot(context);
     }
   }
 
+  private boolean isSnapshotDue() {
+    RaftLimits limits = replica.settings.limits();
+    long covered = snapshotIndex();
+    return appliedIndex - covered >= limits.snapshotEntries()
+        || replica.log.bytesBetween(covered, appliedIndex) >= limits.snapshotBytes();
+  }
+
   private CommandResult apply(LogEntry entry, EventContext context) {
     CommandResult result = new CommandResult.Done();
     if (entry.command() instanceof GroupCommand.NoOperation) {
@@ -104,6 +110,8 @@
       return;
     }
     replica.snapshotSaved(snapshot);
-    replica.log.compact(index - replica.settings.limits().trailingEntries());
+    RaftLimits limits = replica.settings.limits();
+    replica.log.compact(
+        replica.log.startOfTrailing(index, limits.trailingEntries(), limits.trailingBytes()));
   }
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupStatus.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupStatus.java
@@ -14,6 +14,7 @@
  * @param commitIndex highest index known to be committed
  * @param lastIndex last index of the replica's log
  * @param syncedIndex last index that is synced to the replica's disk
+ * @param logBytes size of the commands of the log that are held in memory, in bytes
  * @param snapshotIndex last index that the saved snapshot covers, 0 if there is no snapshot
  * @param members members according to the latest change in the replica's log
  * @param membersIndex index of the entry that contains this change; committed once {@code
@@ -29,6 +30,7 @@
     long commitIndex,
     long lastIndex,
     long syncedIndex,
+    long logBytes,
     long snapshotIndex,
     Members members,
     long membersIndex,
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -81,6 +81,7 @@
         replica.commitIndex(),
         replica.log.lastIndex(),
         replica.durability.syncedIndex(),
+        replica.log.bytes(),
         snapshot == null ? 0 : snapshot.index(),
         replica.members.latest(),
         replica.members.latestIndex(),
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftLog.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftLog.java
@@ -18,6 +18,9 @@
   private long baseTerm;
   private Instant baseStamp = Instant.EPOCH;
 
+  /** Size of all commands up to {@link #baseIndex}, in bytes. */
+  private long baseBytes;
+
   RaftLog(GroupCodec codec) {
     this.codec = codec;
   }
@@ -63,7 +66,8 @@
     Invariants.check(entry.term() >= lastTerm(), "terms never decrease along the log");
     Invariants.check(
         !entry.stampedAt().isBefore(lastStamp()), "timestamps never decrease along the log");
-    slots.add(new Slot(entry, codec.sizeOf(entry.command())));
+    int size = codec.sizeOf(entry.command());
+    slots.add(new Slot(entry, size, bytesUpTo(lastIndex()) + size));
   }
 
   void truncateFrom(long index) {
@@ -75,7 +79,8 @@
     if (index <= baseIndex) {
       return;
     }
-    LogEntry last = entry(index);
+    final LogEntry last = entry(index);
+    baseBytes = bytesUpTo(index);
     slots.subList(0, (int) (index - baseIndex)).clear();
     baseIndex = index;
     baseTerm = last.term();
@@ -112,5 +117,37 @@
     return slots.get((int) (index - baseIndex - 1)).size;
   }
 
-  private record Slot(LogEntry entry, int size) {}
+  /** Returns the size of the commands in memory, in bytes. */
+  long bytes() {
+    return bytesUpTo(lastIndex()) - baseBytes;
+  }
+
+  /**
+   * Returns the size of the commands after one index and up to another, in bytes; compacted ones
+   * don't count.
+   */
+  long bytesBetween(long after, long upTo) {
+    return upTo <= after ? 0 : bytesUpTo(upTo) - bytesUpTo(after);
+  }
+
+  /**
+   * Returns the lowest index after which the entries up to a given one are within both limits, and
+   * at least {@link #baseIndex}.
+   */
+  long startOfTrailing(long index, int maxEntries, long maxBytes) {
+    long start = index;
+    while (start > baseIndex
+        && index - start < maxEntries
+        && bytesBetween(start - 1, index) <= maxBytes) {
+      start--;
+    }
+    return start;
+  }
+
+  private long bytesUpTo(long index) {
+    return index <= baseIndex ? baseBytes : slots.get((int) (index - baseIndex - 1)).endBytes;
+  }
+
+  /** An entry, the size of its command and that of all commands up to it, in bytes. */
+  private record Slot(LogEntry entry, int size, long endBytes) {}
 }
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replication.java
@@ -112,11 +112,11 @@
       return probe(progress, context);
     }
     boolean sent = false;
+    RaftLimits limits = replica.settings.limits();
     long end =
         Math.min(
-            replica.durability.issuedIndex(),
-            progress.matchIndex + replica.settings.limits().maxInFlightEntries());
-    while (progress.nextIndex <= end) {
+            replica.durability.issuedIndex(), progress.matchIndex + limits.maxInFlightEntries());
+    while (progress.nextIndex <= end && inFlightBytes(progress) < limits.maxInFlightBytes()) {
       List<LogEntry> entries = batch(progress.nextIndex, end);
       sendEntries(progress, entries, context);
       progress.nextIndex += entries.size();
@@ -125,6 +125,10 @@
     return sent;
   }
 
+  private long inFlightBytes(Progress progress) {
+    return replica.log.bytesBetween(progress.matchIndex, progress.nextIndex - 1);
+  }
+
   private boolean probe(Progress progress, EventContext context) {
     if (progress.probeSent) {
       return false;
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/TestCluster.java
@@ -89,7 +89,8 @@
 
   /** Returns small limits, so that every code path is executed. */
   static RaftLimits smallLimits(int snapshotEntries) {
-    return new RaftLimits(snapshotEntries, 4, 8, 1024, 32, 100, 200, 64 * 1024, 300);
+    return new RaftLimits(
+        snapshotEntries, 64 * 1024, 4, 64 * 1024, 8, 1024, 32, 64 * 1024, 100, 200, 64 * 1024, 300);
   }
 
   /** Returns settings with the default timeouts and small limits. */
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RelaySimulation.java
@@ -188,7 +188,20 @@
             Duration.ofSeconds(1),
             Duration.ofMillis(300),
             Duration.ofMillis(120));
-    RaftLimits limits = new RaftLimits(SNAPSHOT_ENTRIES, 4, 8, 1024, 32, 100, 200, 64 * 1024, 300);
+    RaftLimits limits =
+        new RaftLimits(
+            SNAPSHOT_ENTRIES,
+            64 * 1024,
+            4,
+            64 * 1024,
+            8,
+            1024,
+            32,
+            64 * 1024,
+            100,
+            200,
+            64 * 1024,
+            300);
     return new RaftSettings(timeouts, limits);
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/NodeGauges.java
@@ -39,6 +39,7 @@
     metrics.set("group_commit_index", group, status.commitIndex());
     metrics.set("group_unsynced_entries", group, status.lastIndex() - status.syncedIndex());
     metrics.set("group_log_entries", group, status.lastIndex() - status.snapshotIndex());
+    metrics.set("group_log_bytes", group, status.logBytes());
     metrics.set("group_storage_failed", group, status.storageFailed() ? 1 : 0);
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayPeerLimits.java
@@ -38,6 +38,28 @@
    */
   private static final int SNAPSHOT_ENTRIES = 12;
 
+  /**
+   * Size of the commands between two snapshots, in bytes; in the heap they take three times that.
+   */
+  private static final long SNAPSHOT_BYTES = 2 * 1024 * 1024;
+
+  private static final int TRAILING_ENTRIES = 64;
+
+  /**
+   * Size of the commands that stay in memory before a snapshot, in bytes. A replica that lags
+   * further behind receives the snapshot, which is as large as one configuration.
+   */
+  private static final long TRAILING_BYTES = 1024 * 1024;
+
+  private static final int MAX_APPEND_ENTRIES = 128;
+  private static final int MAX_APPEND_BYTES = 256 * 1024;
+  private static final int MAX_IN_FLIGHT_ENTRIES = 256;
+  private static final long MAX_IN_FLIGHT_BYTES = 2 * 1024 * 1024;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+  private static final int MAX_UNCOMMITTED_ENTRIES = 4096;
+  private static final int MAX_UNCOMMITTED_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_PENDING_SUBMISSIONS = 4096;
+
   /**
    * Longest time that a restarted voter waits for a leader. A short wait is safe because no leader
    * of the relay relies on a lease: each read and each proof of leadership queries a majority. With
@@ -74,7 +96,18 @@
             RESTART_ELECTION_TIMEOUT);
     RaftLimits limits =
         new RaftLimits(
-            SNAPSHOT_ENTRIES, 64, 128, 256 * 1024, 256, 64 * 1024, 4096, 16 * 1024 * 1024, 4096);
+            SNAPSHOT_ENTRIES,
+            SNAPSHOT_BYTES,
+            TRAILING_ENTRIES,
+            TRAILING_BYTES,
+            MAX_APPEND_ENTRIES,
+            MAX_APPEND_BYTES,
+            MAX_IN_FLIGHT_ENTRIES,
+            MAX_IN_FLIGHT_BYTES,
+            MAX_CHUNK_BYTES,
+            MAX_UNCOMMITTED_ENTRIES,
+            MAX_UNCOMMITTED_BYTES,
+            MAX_PENDING_SUBMISSIONS);
     return new RaftSettings(timeouts, limits);
   }
 }
