A port that is in use for a moment delays a start and doesn't end it

Operators saw processes end with 1 at their start. Each of the six listeners was bound once: a predecessor that is still ending, or another process's connection with that local port, ended the daemon, the control and look-up listeners even long after the others, from an effect on the event loop.

EarlyListeners waits on its own monitor, so that close ends the wait.

While one early listener waits, the others aren't held: a caller that is refused goes to another entry at once, one in the queue of a process that may never start would hang until its deadline. So a daemon that can't have its port for good releases the others, as before.

Readiness and metrics ports never end the daemon: it can serve without them, a refused readiness check already says "not ready", and the line names the port. They are tried as long as it runs. A control listener that fails for good while the daemon stops doesn't turn the stop into a failure.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HttpEndpoint.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/HttpEndpoint.java
@@ -2,13 +2,14 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -59,12 +60,14 @@
    *
    * @param address address to listen on
    * @param open listener that is open at this address, or null to open one
+   * @param maxWait longest time to try an address that is in use
    * @param handler answers a call; its future never fails
-   * @return the future of the bound listener
+   * @return completes with the bound listener
    */
-  ChannelFuture open(
+  Future<Channel> open(
       InetSocketAddress address,
       @Nullable ServerSocketChannel open,
+      Duration maxWait,
       Function<HttpCall, CompletableFuture<HttpReply>> handler) {
     ServerBootstrap server =
         new ServerBootstrap()
@@ -78,7 +81,7 @@
                     addHandlers(channel, handler);
                   }
                 });
-    return ListenerHandover.listen(server, address, open);
+    return ListenerHandover.listen(server, address, open, maxWait);
   }
 
   private void addHandlers(
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -30,6 +30,7 @@
 import org.skylarkfork.runtime.limits.MemoryBudget;
 import org.skylarkfork.runtime.limits.RequestBuffers;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
+import org.skylarkfork.runtime.startup.BindRetry;
 import org.skylarkfork.runtime.startup.ListenerHandover;
 
 /**
@@ -110,7 +111,10 @@
                     addHandlers(channel);
                   }
                 });
-    Channel bound = ListenerHandover.listen(server, address, open).syncUninterruptibly().channel();
+    Channel bound =
+        ListenerHandover.listen(server, address, open, BindRetry.MAX_WAIT)
+            .syncUninterruptibly()
+            .getNow();
     listener = bound;
     return (InetSocketAddress) bound.localAddress();
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayEndpoints.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayEndpoints.java
@@ -1,9 +1,11 @@
 package org.skylarkfork.runtime.relay;
 
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -39,20 +41,22 @@
    *
    * @param address address to listen on
    * @param open listener that is open at this address, or null to open one
+   * @param maxWait longest time to try an address that is in use
    * @param maxBodyBytes maximum size of a body, in bytes
    * @param maxConnections maximum number of open connections
    * @param handler answers a call; its future never fails
-   * @return the future of the bound listener
+   * @return completes with the bound listener
    */
-  ChannelFuture open(
+  Future<Channel> open(
       InetSocketAddress address,
       @Nullable ServerSocketChannel open,
+      Duration maxWait,
       int maxBodyBytes,
       int maxConnections,
       Function<HttpCall, CompletableFuture<HttpReply>> handler) {
     HttpEndpoint endpoint = new HttpEndpoint(eventLoop, limits, maxBodyBytes, maxConnections);
     endpoints.add(endpoint);
-    return endpoint.open(address, open, handler);
+    return endpoint.open(address, open, maxWait, handler);
   }
 
   /**
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayListeners.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayListeners.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.skylarkfork.runtime.startup.EarlyListeners;
 
 /** Opens the listeners of a relay daemon that others need as soon as its process runs. */
@@ -22,18 +24,36 @@
    */
   public static EarlyListeners open(RelaySettings settings) throws IOException {
     EarlyListeners listeners = new EarlyListeners();
-    if (!settings.overload().earlyListeners()) {
-      return listeners;
+    open(settings, listeners);
+    return listeners;
+  }
+
+  /**
+   * Opens the listeners in an instance that the caller can close meanwhile, which ends the wait for
+   * an address that is in use.
+   *
+   * @param settings the daemon's settings
+   * @param listeners takes the listeners
+   * @throws IOException if an address can't be used, or the instance is closed while it waits; no
+   *     listener is then open
+   */
+  public static void open(RelaySettings settings, EarlyListeners listeners) throws IOException {
+    if (settings.overload().earlyListeners()) {
+      listeners.open(backlogs(settings));
     }
+  }
+
+  private static Map<InetSocketAddress, Integer> backlogs(RelaySettings settings) {
+    Map<InetSocketAddress, Integer> backlogs = new LinkedHashMap<>();
     InetSocketAddress caller = settings.caller();
     if (caller != null) {
-      listeners.open(caller, RelayCallerServer.BACKLOG);
+      backlogs.put(caller, RelayCallerServer.BACKLOG);
     }
-    listeners.open(settings.peer(), 0);
+    backlogs.put(settings.peer(), 0);
     InetSocketAddress lists = settings.lists();
     if (caller != null && lists != null && settings.dataFolder() == null) {
-      listeners.open(lists, 0);
+      backlogs.put(lists, 0);
     }
-    return listeners;
+    return backlogs;
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -1,11 +1,11 @@
 package org.skylarkfork.runtime.relay;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -55,6 +55,7 @@
 import org.skylarkfork.runtime.limits.DescriptorBudget;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 import org.skylarkfork.runtime.node.WireCodec;
+import org.skylarkfork.runtime.startup.BindRetry;
 import org.skylarkfork.runtime.startup.EarlyListeners;
 import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.storage.FileDisk;
@@ -102,8 +103,8 @@
   private @Nullable RelayCallerServer callerServer;
   private @Nullable PendingControlCalls controlCalls;
   private @Nullable InetSocketAddress callerAddress;
-  private @Nullable InetSocketAddress metricsAddress;
   private final CompletableFuture<InetSocketAddress> controlAddress = new CompletableFuture<>();
+  private final CompletableFuture<InetSocketAddress> metricsAddress = new CompletableFuture<>();
   private volatile boolean stopping;
 
   /** Creates a daemon without early listeners. */
@@ -262,21 +263,24 @@
             .open(
                 address,
                 null,
+                BindRetry.MAX_WAIT,
                 HttpEndpoint.MAX_DOCUMENT_BYTES,
                 lookUps ? descriptors.lookUps() : descriptors.mainListener(mainListeners()),
                 call -> controlDialect.answer(call, pendingCalls))
-            .addListener((ChannelFutureListener) done -> onControlListenerBound(address, done));
+            .addListener((Future<Channel> done) -> onControlListenerBound(address, done));
       }
     }
   }
 
-  private void onControlListenerBound(InetSocketAddress address, ChannelFuture bound) {
+  private void onControlListenerBound(InetSocketAddress address, Future<Channel> bound) {
     if (!bound.isSuccess()) {
       Logger.error(bound.cause(), "node: cannot listen for control calls at {}", address);
-      onFailure.accept(bound.cause());
+      if (!stopping) {
+        onFailure.accept(bound.cause());
+      }
     } else if (address.equals(settings.control())) {
-      Logger.info("node: listens for control calls at {}", bound.channel().localAddress());
-      controlAddress.complete((InetSocketAddress) bound.channel().localAddress());
+      Logger.info("node: listens for control calls at {}", bound.getNow().localAddress());
+      controlAddress.complete((InetSocketAddress) bound.getNow().localAddress());
     }
   }
 
@@ -299,23 +303,48 @@
     return settings.caller() == null || settings.dataFolder() == null ? 1 : 2;
   }
 
-  private @Nullable InetSocketAddress listen(
+  /**
+   * Opens a listener of checks. The daemon doesn't wait for it and serves without it: ending the
+   * daemon would fail the requests that it serves, and hide the cause from its metrics' readers.
+   */
+  private void listenForChecks(
       @Nullable InetSocketAddress address,
-      int maxConnections,
-      Function<HttpCall, CompletableFuture<HttpReply>> handler) {
-    return address == null
-        ? null
-        : (InetSocketAddress)
-            endpoints
-                .open(
-                    address,
-                    earlyListeners.take(address),
-                    HttpEndpoint.MAX_QUERY_BYTES,
-                    maxConnections,
-                    handler)
-                .syncUninterruptibly()
-                .channel()
-                .localAddress();
+      Function<HttpCall, HttpReply> handler,
+      Consumer<InetSocketAddress> onBound) {
+    if (address == null) {
+      return;
+    }
+    endpoints
+        .open(
+            address,
+            null,
+            BindRetry.UNLIMITED,
+            HttpEndpoint.MAX_QUERY_BYTES,
+            descriptors.checks(),
+            call -> CompletableFuture.completedFuture(handler.apply(call)))
+        .addListener((Future<Channel> done) -> onCheckListenerBound(address, done, onBound));
+  }
+
+  private void onCheckListenerBound(
+      InetSocketAddress address, Future<Channel> bound, Consumer<InetSocketAddress> onBound) {
+    if (bound.isSuccess()) {
+      onBound.accept((InetSocketAddress) bound.getNow().localAddress());
+    } else if (!stopping) {
+      Logger.error(bound.cause(), "node: cannot listen for checks at {}", address);
+    }
+  }
+
+  private void listenForLookUps(InetSocketAddress address, EntryDirectory directory) {
+    endpoints
+        .open(
+            address,
+            earlyListeners.take(address),
+            BindRetry.MAX_WAIT,
+            HttpEndpoint.MAX_QUERY_BYTES,
+            descriptors.lookUps(),
+            call ->
+                CompletableFuture.completedFuture(controlDialect.lookUpEntries(call, directory)))
+        .syncUninterruptibly();
   }
 
   private void addEntry(List<Part> parts, InetSocketAddress caller) {
@@ -361,16 +390,10 @@
     callerServer = started;
     status.showEntry(entryPart, new EntryGauges(entryPart, requests, slotScheduler, started));
     callerAddress = started.start(caller, earlyListeners.take(caller));
-    listen(
-        settings.ready(),
-        descriptors.checks(),
-        call -> CompletableFuture.completedFuture(readiness(entryPart)));
-    if (settings.dataFolder() == null) {
-      EntryDirectory directory = entryPart::callerAddresses;
-      listen(
-          settings.lists(),
-          descriptors.lookUps(),
-          call -> CompletableFuture.completedFuture(controlDialect.lookUpEntries(call, directory)));
+    listenForChecks(settings.ready(), call -> readiness(entryPart), bound -> {});
+    InetSocketAddress lists = settings.lists();
+    if (lists != null && settings.dataFolder() == null) {
+      listenForLookUps(lists, entryPart::callerAddresses);
     }
   }
 
@@ -400,11 +423,7 @@
   }
 
   private void openMetrics() {
-    metricsAddress =
-        listen(
-            settings.metrics(),
-            descriptors.checks(),
-            call -> CompletableFuture.completedFuture(status.answer(call)));
+    listenForChecks(settings.metrics(), status::answer, metricsAddress::complete);
   }
 
   private void execute(Effect effect) {
@@ -442,9 +461,10 @@
   }
 
   /**
-   * Returns the address that serves metrics, or null if there is none or the daemon isn't started.
+   * Returns the address that serves metrics. The future completes when the listener is bound, and
+   * never completes on a daemon without such a listener.
    */
-  public @Nullable InetSocketAddress metricsAddress() {
+  public CompletableFuture<InetSocketAddress> metricsAddress() {
     return metricsAddress;
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/EarlyListeners.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/EarlyListeners.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
@@ -16,7 +17,7 @@
  * a third of a core is most of a second. A caller that is refused in that time has used up its only
  * retry; one that waits in the kernel's queue is served.
  *
- * <p>The class needs nothing outside {@code java.base} and is thread-safe.
+ * <p>The class needs nothing outside {@code java.base} unless a port is in use, and is thread-safe.
  */
 public final class EarlyListeners implements AutoCloseable {
 
@@ -26,31 +27,93 @@
    */
   private static final int MAX_BACKLOG = 65_535;
 
+  private final Duration maxWait;
   private final Map<InetSocketAddress, ServerSocketChannel> waiting = new LinkedHashMap<>();
   private boolean closed;
 
   /** Creates an instance without listeners; all listeners then open at the event loop. */
-  public EarlyListeners() {}
+  public EarlyListeners() {
+    this(BindRetry.MAX_WAIT);
+  }
+
+  /**
+   * Creates an instance without listeners.
+   *
+   * @param maxWait longest time to try addresses that are in use
+   */
+  EarlyListeners(Duration maxWait) {
+    this.maxWait = maxWait;
+  }
 
   /**
-   * Opens a listener.
+   * Opens listeners, all or none. While one address is in use, none of the others is held: a caller
+   * whose connection is refused tries another entry at once, and one that waits for a daemon that
+   * may never start doesn't.
    *
-   * @param address address to listen on
-   * @param backlog maximum number of connections that wait; 0 for the kernel's maximum
-   * @throws IOException if the address can't be used; the listeners that were opened before are
-   *     then closed
+   * @param backlogs maximum number of connections that wait, by the address to listen on; 0 for the
+   *     kernel's maximum
+   * @throws IOException if an address can't be used for as long as it is tried, or {@link #close}
+   *     ends the wait; all listeners are then closed
    */
-  public synchronized void open(InetSocketAddress address, int backlog) throws IOException {
+  public synchronized void open(Map<InetSocketAddress, Integer> backlogs) throws IOException {
+    BindRetry retry = new BindRetry(maxWait, System.nanoTime());
+    InetSocketAddress used = tryOpen(backlogs, retry);
+    while (used != null) {
+      awaitNextAttempt(used, retry.delayMillis(System.nanoTime()));
+      used = tryOpen(backlogs, retry);
+    }
+  }
+
+  /** Returns the address that is in use and may be tried again, or null if all are open. */
+  private @Nullable InetSocketAddress tryOpen(
+      Map<InetSocketAddress, Integer> backlogs, BindRetry retry) throws IOException {
+    Map<InetSocketAddress, ServerSocketChannel> opened = new LinkedHashMap<>();
+    for (Map.Entry<InetSocketAddress, Integer> wanted : backlogs.entrySet()) {
+      InetSocketAddress address = wanted.getKey();
+      try {
+        opened.put(address, bind(address, wanted.getValue()));
+      } catch (IOException unusable) {
+        closeAll(opened);
+        if (!retry.shouldRetry(address, unusable, System.nanoTime())) {
+          close();
+          throw failure(address, unusable.getMessage(), unusable);
+        }
+        return address;
+      }
+    }
+    opened.keySet().forEach(address -> retry.onBound(address, System.nanoTime()));
+    waiting.putAll(opened);
+    return null;
+  }
+
+  private static ServerSocketChannel bind(InetSocketAddress address, int backlog)
+      throws IOException {
     ServerSocketChannel channel = ServerSocketChannel.open();
     try {
       channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-      channel.bind(address, backlog > 0 ? backlog : MAX_BACKLOG);
-      waiting.put(address, channel);
+      return channel.bind(address, backlog > 0 ? backlog : MAX_BACKLOG);
     } catch (IOException unusable) {
       channel.close();
+      throw unusable;
+    }
+  }
+
+  /** Waits for the next attempt; the lock is free meanwhile, so that others can close. */
+  private void awaitNextAttempt(InetSocketAddress used, long millis) throws IOException {
+    try {
+      wait(millis);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
       close();
-      throw new IOException("can't listen on " + address + ": " + unusable.getMessage(), unusable);
     }
+    if (closed) {
+      throw failure(used, "the start was given up", null);
+    }
+  }
+
+  private static IOException failure(
+      InetSocketAddress address, @Nullable String reason, @Nullable IOException cause) {
+    return new IOException("can't listen on " + address + ": " + reason, cause);
   }
 
   /**
@@ -77,13 +140,18 @@
   @Override
   public synchronized void close() {
     closed = true;
-    for (ServerSocketChannel channel : waiting.values()) {
+    closeAll(waiting);
+    notifyAll();
+  }
+
+  private static void closeAll(Map<InetSocketAddress, ServerSocketChannel> channels) {
+    for (ServerSocketChannel channel : channels.values()) {
       try {
         channel.close();
       } catch (IOException ignored) {
         // The socket is closed in any case; nothing was accepted from it.
       }
     }
-    waiting.clear();
+    channels.clear();
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
@@ -32,6 +32,7 @@
 import org.skylarkfork.core.message.PeerMessage;
 import org.skylarkfork.runtime.codec.BinaryCodec;
 import org.skylarkfork.runtime.packed.Packing;
+import org.skylarkfork.runtime.startup.BindRetry;
 import org.skylarkfork.runtime.startup.ListenerHandover;
 import org.tinylog.Logger;
 
@@ -145,14 +146,15 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new IncomingInitializer());
-    ChannelFuture bound = ListenerHandover.listen(acceptor, address, open).awaitUninterruptibly();
+    Future<Channel> bound =
+        ListenerHandover.listen(acceptor, address, open, BindRetry.MAX_WAIT).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new TransportException(
           TransportException.Kind.ADDRESS_UNUSABLE,
           settings.host() + ":" + settings.port() + ": " + bound.cause().getMessage(),
           bound.cause());
     }
-    server = bound.channel();
+    server = bound.getNow();
     TransportSettings.Limits limits = settings.limits();
     long shortest =
         Math.min(limits.keepAliveInterval().toNanos(), limits.connectTimeout().toNanos());
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/HttpEndpointTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/HttpEndpointTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.skylarkfork.runtime.limits.MemoryBudget;
+import org.skylarkfork.runtime.startup.BindRetry;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -35,9 +36,13 @@
     CallLimits limits = CallLimits.of(MemoryBudget.ofProcess());
     Channel channel =
         new HttpEndpoint(eventLoop, limits, HttpEndpoint.MAX_QUERY_BYTES, MAX_CONNECTIONS)
-            .open(address, null, call -> CompletableFuture.completedFuture(echo(call)))
+            .open(
+                address,
+                null,
+                BindRetry.MAX_WAIT,
+                call -> CompletableFuture.completedFuture(echo(call)))
             .syncUninterruptibly()
-            .channel();
+            .getNow();
     address = (InetSocketAddress) channel.localAddress();
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -277,8 +277,7 @@
   }
 
   private String page(RelayNode daemon, String path) throws Exception {
-    assertNotNull(daemon.metricsAddress());
-    URI uri = URI.create("http://127.0.0.1:" + daemon.metricsAddress().getPort() + path);
+    URI uri = URI.create("http://127.0.0.1:" + daemon.metricsAddress().join().getPort() + path);
     HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
     return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/EarlyListenersTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/EarlyListenersTest.java
@@ -14,6 +14,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import org.testng.annotations.Test;
 
 /** Tests {@link EarlyListeners}. */
@@ -21,12 +26,45 @@
 
   private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
+  /** Maximum time of a test that only a wait without end exceeds, in milliseconds. */
+  private static final long MAX_TEST_MILLIS = 60_000;
+
   private static InetSocketAddress freeAddress() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
       return new InetSocketAddress(LOOPBACK, socket.getLocalPort());
     }
   }
 
+  private static Map<InetSocketAddress, Integer> both(
+      InetSocketAddress first, InetSocketAddress second) {
+    Map<InetSocketAddress, Integer> backlogs = new LinkedHashMap<>();
+    backlogs.put(first, 16);
+    backlogs.put(second, 16);
+    return backlogs;
+  }
+
+  private static FutureTask<Void> opening(
+      EarlyListeners listeners, Map<InetSocketAddress, Integer> backlogs) {
+    return new FutureTask<>(
+        () -> {
+          listeners.open(backlogs);
+          return null;
+        });
+  }
+
+  private static Thread start(Runnable task) {
+    Thread thread = new Thread(task, "opening");
+    thread.setDaemon(true);
+    thread.start();
+    return thread;
+  }
+
+  private static void awaitWaiting(Thread thread) {
+    while (thread.isAlive() && thread.getState() != Thread.State.TIMED_WAITING) {
+      Thread.onSpinWait();
+    }
+  }
+
   private static void connect(InetSocketAddress address) throws IOException {
     try (Socket socket = new Socket()) {
       socket.connect(address);
@@ -38,7 +76,7 @@
   public void connectionIsEstablishedBeforeTheListenerIsTaken() throws Exception {
     InetSocketAddress address = freeAddress();
     try (EarlyListeners listeners = new EarlyListeners()) {
-      listeners.open(address, 16);
+      listeners.open(Map.of(address, 16));
       connect(address);
       assertEquals(listeners.count(), 1);
     }
@@ -50,9 +88,9 @@
     InetSocketAddress first = freeAddress();
     try (ServerSocket other = new ServerSocket(0, 1, LOOPBACK)) {
       InetSocketAddress used = new InetSocketAddress(LOOPBACK, other.getLocalPort());
-      EarlyListeners listeners = new EarlyListeners();
-      listeners.open(first, 16);
-      IOException failure = expectThrows(IOException.class, () -> listeners.open(used, 16));
+      EarlyListeners listeners = new EarlyListeners(Duration.ZERO);
+      listeners.open(Map.of(first, 16));
+      IOException failure = expectThrows(IOException.class, () -> listeners.open(Map.of(used, 16)));
       assertTrue(
           failure.getMessage().contains(String.valueOf(used.getPort())), failure.getMessage());
       assertThrows(ConnectException.class, () -> connect(first));
@@ -60,12 +98,47 @@
     }
   }
 
+  /**
+   * Guards against a daemon that ends because a port is in use for a moment, and against callers
+   * that hang at one of its other ports meanwhile.
+   */
+  @Test(timeOut = MAX_TEST_MILLIS)
+  public void portInUseForOneMomentIsOpenedOnceItIsReleased() throws Exception {
+    InetSocketAddress first = freeAddress();
+    try (ServerSocket other = new ServerSocket(0, 1, LOOPBACK);
+        EarlyListeners listeners = new EarlyListeners()) {
+      InetSocketAddress used = new InetSocketAddress(LOOPBACK, other.getLocalPort());
+      FutureTask<Void> opening = opening(listeners, both(first, used));
+      awaitWaiting(start(opening));
+      assertThrows(ConnectException.class, () -> connect(first));
+      other.close();
+      opening.get();
+      connect(first);
+      connect(used);
+      assertEquals(listeners.count(), 2);
+    }
+  }
+
+  /** Guards against a daemon that doesn't end for SIGTERM while it waits for a port. */
+  @Test(timeOut = MAX_TEST_MILLIS)
+  public void closeEndsTheWaitForOnePort() throws Exception {
+    try (ServerSocket other = new ServerSocket(0, 1, LOOPBACK)) {
+      InetSocketAddress used = new InetSocketAddress(LOOPBACK, other.getLocalPort());
+      EarlyListeners listeners = new EarlyListeners(BindRetry.UNLIMITED);
+      FutureTask<Void> opening = opening(listeners, Map.of(used, 16));
+      awaitWaiting(start(opening));
+      listeners.close();
+      ExecutionException failure = expectThrows(ExecutionException.class, opening::get);
+      assertTrue(failure.getCause() instanceof IOException, failure.toString());
+    }
+  }
+
   /** A daemon that is stopped while it starts must refuse callers instead of keeping them. */
   @Test
   public void closeRefusesConnectionsAndFurtherListeners() throws Exception {
     InetSocketAddress address = freeAddress();
     EarlyListeners listeners = new EarlyListeners();
-    listeners.open(address, 16);
+    listeners.open(Map.of(address, 16));
     listeners.close();
     assertThrows(ConnectException.class, () -> connect(address));
     assertThrows(IllegalStateException.class, () -> listeners.take(address));
@@ -76,7 +149,7 @@
   public void takenListenerStaysOpenAndIsTakenOnce() throws Exception {
     InetSocketAddress address = freeAddress();
     EarlyListeners listeners = new EarlyListeners();
-    listeners.open(address, 16);
+    listeners.open(Map.of(address, 16));
     try (ServerSocketChannel taken = listeners.take(address)) {
       assertNotNull(taken);
       assertNull(listeners.take(address));
