Limits that no caller can keep are refused, and replaced where stored

Operators got 200 for limits of callers' requests that are negative, 0, no whole number or too large: the library's conversion cut them off. From then on all entries took no connection ("Failed to initialize a channel"), or answered each caller with 431 or 413. A control VM stored and spread them.

Configurations that are stored load as they did; the server of callers uses the default for each limit that isn't above 0 and logs it once.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayConfigurationValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayConfigurationValidator.java
@@ -23,6 +23,7 @@
     Set<String> services = checkServices(configuration, problems);
     checkRoutes(configuration, services, problems);
     checkTeams(configuration, problems);
+    checkLimits(configuration.limits(), problems);
     return problems;
   }
 
@@ -77,6 +78,19 @@
     }
   }
 
+  private static void checkLimits(RelayLimits limits, List<String> problems) {
+    checkLimit("size of heads", limits.maxHeaderBytes(), problems);
+    checkLimit("size of bodies", limits.maxBodyBytes(), problems);
+    checkLimit("time to receive a head", limits.headerTimeoutMillis(), problems);
+    checkLimit("time that a connection is idle", limits.idleTimeoutMillis(), problems);
+  }
+
+  private static void checkLimit(String name, int limit, List<String> problems) {
+    if (limit <= 0) {
+      problems.add("limit on the " + name + ": set one above 0");
+    }
+  }
+
   private static void checkTeams(RelayConfiguration configuration, List<String> problems) {
     Map<String, String> owners = new HashMap<>();
     Set<String> names = new HashSet<>();
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RouteTableTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RouteTableTest.java
@@ -70,6 +70,24 @@
     assertEquals(RelayConfigurationValidator.problems(unknown).size(), 1);
   }
 
+  /** Guards against limits by which an entry refuses each caller, whoever sends them. */
+  @Test
+  public void limitsThatAreNotAboveZeroAreProblems() {
+    for (int limit : new int[] {0, -1, Integer.MIN_VALUE}) {
+      assertEquals(limitProblems(new RelayLimits(limit, 1, 1, 1)), 1);
+      assertEquals(limitProblems(new RelayLimits(1, limit, 1, 1)), 1);
+      assertEquals(limitProblems(new RelayLimits(1, 1, limit, 1)), 1);
+      assertEquals(limitProblems(new RelayLimits(1, 1, 1, limit)), 1);
+    }
+    assertEquals(limitProblems(new RelayLimits(1, 1, 1, Integer.MAX_VALUE)), 0);
+  }
+
+  private static int limitProblems(RelayLimits limits) {
+    return RelayConfigurationValidator.problems(
+            new RelayConfiguration(1, List.of(), List.of(), List.of(), limits))
+        .size();
+  }
+
   private static int problemCount(List<RelayRoute> routes, List<RelayTeam> teams) {
     return RelayConfigurationValidator.problems(configuration(routes, teams)).size();
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -32,6 +32,7 @@
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 import org.skylarkfork.runtime.startup.BindRetry;
 import org.skylarkfork.runtime.startup.ListenerHandover;
+import org.tinylog.Logger;
 
 /**
  * Serves callers at an entry: owns the listener, the connections and the active requests. Confined
@@ -65,6 +66,7 @@
   private int probes;
   private long lastStallCheckAt = System.nanoTime();
   private long lastSweepAt = System.nanoTime();
+  private @Nullable RelayLimits replacedLimits;
   private boolean stopping;
 
   RelayCallerServer(
@@ -126,7 +128,7 @@
         .addLast(
             new HttpResponseEncoder(),
             new CallerRequestDecoder(
-                HttpDecoderLimits.requestConfig(limits.get().maxHeaderBytes()), connection),
+                HttpDecoderLimits.requestConfig(limits().maxHeaderBytes()), connection),
             connection);
   }
 
@@ -153,16 +155,26 @@
   }
 
   private void closeUnused() {
-    closeIdle(Duration.ofMillis(limits.get().idleTimeoutMillis()));
+    closeIdle(Duration.ofMillis(limits().idleTimeoutMillis()));
     long now = System.nanoTime();
     for (CallerConnection connection : connections.connections()) {
-      connection.refuseIfOverdue(limits.get(), now);
+      connection.refuseIfOverdue(limits(), now);
     }
     pools.removeUnused();
   }
 
+  /** Returns the limits in force, with a line in the log for those that can't be applied. */
+  private RelayLimits limits() {
+    RelayLimits configured = limits.get();
+    if (!configured.isUsable() && !configured.equals(replacedLimits)) {
+      replacedLimits = configured;
+      Logger.warn("node: limits that aren't above 0 are replaced by defaults: {}", configured);
+    }
+    return configured.orDefaults();
+  }
+
   int maxBodyBytes() {
-    return limits.get().maxBodyBytes();
+    return limits().maxBodyBytes();
   }
 
   /** Returns the limits on the buffers of answers. */
@@ -172,7 +184,7 @@
 
   /** Returns the time after which an idle connection is closed, in nanoseconds. */
   long idleNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMillis());
+    return TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis());
   }
 
   /** Returns the limits on the bodies of requests. */
