A call that lacks a value is refused and halts no daemon

An operator's call of the product's own interface whose JSON lacks a value that the type requires was accepted: PUT /relay/v1/configuration without limits halted the control VM that took it (NullPointerException while the command is encoded, "the daemon halts, since an invariant broke"). The operator got no answer, and the same call sent again halts the next one. The daemon's admin interface accepted a change that names no VM.

Evidence before the fix: UnusableConfigurationNodeTest.missingValues- AreRejected failed with "HTTP/1.1 header parser received no bytes", and the daemon's failure was "Cannot invoke RelayLimits.maxHeaderBytes() because "limits" is null"; AdminServerTest.refuses with "vm":null got "HTTP/1.1 200 OK". Both pass after it.

Why it works: Codec.fromCompleteJson checks each record that a client sends against the nullness of its own types, so that it also holds for records that come later. Wire and disk read as before: there a missing value may come from an older version.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/Codec.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/codec/Codec.java
@@ -100,6 +100,23 @@
     return read(type, () -> json.readValue(text, type));
   }
 
+  /**
+   * Deserializes a value that a client sent as JSON.
+   *
+   * @param text exactly one serialized value
+   * @param type the expected record or sealed interface
+   * @throws CodecException if the text isn't exactly one value of the type, or lacks one that the
+   *     type requires; a missing number is 0 and a missing collection is empty
+   */
+  public <T> T fromCompleteJson(String text, Class<T> type) {
+    T value = fromJson(text, type);
+    String missing = RequiredValues.firstMissing(value);
+    if (missing != null) {
+      throw new CodecException(CodecException.Kind.MALFORMED, missing + " is missing", null);
+    }
+    return value;
+  }
+
   private <T> T readWhole(byte[] bytes, Class<T> type) throws IOException {
     try (JsonParser in = messagePack.createParser(bytes)) {
       T value = messagePack.readValue(in, type);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminCalls.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminCalls.java
@@ -79,7 +79,7 @@
 
   private ConfigurationChange parsed(JsonNode change) {
     try {
-      return codec.fromJson(change.toString(), ConfigurationChange.class);
+      return codec.fromCompleteJson(change.toString(), ConfigurationChange.class);
     } catch (CodecException wrong) {
       throw bad("The change can't be read: " + wrong.getMessage());
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -136,7 +136,7 @@
   }
 
   private <T> T body(HttpCall call, Class<T> type) {
-    return codec.fromJson(new String(call.body(), StandardCharsets.UTF_8), type);
+    return codec.fromCompleteJson(new String(call.body(), StandardCharsets.UTF_8), type);
   }
 
   private CompletableFuture<HttpReply> putConfiguration(HttpCall call, ControlCalls control) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
@@ -110,6 +110,7 @@
       {"POST", changes, key, "{\"change\":1}", 400, "docs/CONFIGURATION.md"},
       {"POST", changes, key, DRAIN.replace("DrainVm", "Nothing"), 400, "can't be read"},
       {"POST", changes, key + "If-Match: \"x\"\r\n", DRAIN, 400, "whole number"},
+      {"POST", changes, key, DRAIN.replace("\"vm-1\"", "null"), 400, "is missing"},
       {"POST", changes, key + longId(), DRAIN, 400, "128"},
       {"DELETE", "/admin/v1/configuration", key, "", 404, "DELETE"},
       {"GET", "/admin/v1/revisions/first", key, "", 400, "whole number"},
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnusableConfigurationNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/UnusableConfigurationNodeTest.java
@@ -1,10 +1,12 @@
 package org.skylarkfork.runtime.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
 
@@ -40,6 +42,27 @@
     return client.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
+  private static List<String> withoutOneValue() {
+    List<String> texts = new ArrayList<>();
+    for (String value :
+        List.of(
+            ROUTE,
+            SERVICE,
+            TEAM,
+            LIMITS,
+            "\"r\"",
+            "\"h\"",
+            "\"IDEMPOTENT\"",
+            "\"/\"",
+            "\"s\"",
+            "\"t\"",
+            "\"k\"",
+            "{\"service\":\"s\",\"weight\":1}")) {
+      texts.add(COMPLETE.replace(value, "null"));
+    }
+    return texts;
+  }
+
   /** Guards against limits by which each entry refuses its callers. */
   @Test
   public void limitsThatAreNotAboveZeroAreRejected() throws Exception {
@@ -49,4 +72,16 @@
       assertEquals(answer.statusCode(), 400, limit + ": " + answer.body());
     }
   }
+
+  /** Guards against a control VM that is ended by a configuration with a missing value. */
+  @Test
+  public void missingValuesAreRejected() throws Exception {
+    serveWith();
+    for (String text : withoutOneValue()) {
+      HttpResponse<String> answer = put(text);
+      assertEquals(answer.statusCode(), 400, text + ": " + answer.body());
+    }
+    assertEquals(put(COMPLETE).statusCode(), 200);
+    assertTrue(metricsOf(node()).contains("skylarkfork"));
+  }
 }
