Malformed escapes and paths without names are answered

A malformed escape in the path or query of a call to a control, look-up, readiness or metrics port (/config/get?%, /instances/%zz/heartbeat), an empty path, and one of slashes only closed the connection without an answer. A client takes that for a fault of the daemon and sends the call again to each of them. The admin interface answered a malformed query with "the daemon is at fault".

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/AdminServer.java
@@ -177,8 +177,19 @@
     };
   }
 
+  /**
+   * Returns the query of a call.
+   *
+   * @throws BadRequestException if an escape in it is malformed
+   */
   private static QueryStringDecoder query(HttpServerRequest request) {
-    return new QueryStringDecoder(request.uri());
+    QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    try {
+      query.parameters();
+    } catch (IllegalArgumentException malformed) {
+      throw Replies.malformedTarget();
+    }
+    return query;
   }
 
   private Mono<Void> operator(String keyHash) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
@@ -163,13 +163,18 @@
     try {
       return request.fullPath();
     } catch (IllegalArgumentException malformed) {
-      throw new BadRequestException(
-          RoutingError.notRun(
-              ErrorKind.BAD_REQUEST,
-              "The path or query holds characters that must be percent-encoded. Encode them."));
+      throw malformedTarget();
     }
   }
 
+  /** Returns the refusal of a call whose path or query isn't encoded as it must be. */
+  static BadRequestException malformedTarget() {
+    return new BadRequestException(
+        RoutingError.notRun(
+            ErrorKind.BAD_REQUEST,
+            "The path or query holds characters that must be percent-encoded. Encode them."));
+  }
+
   /** Returns the address of an open listener. */
   static InetSocketAddress address(DisposableServer server) {
     return (InetSocketAddress) server.address();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallConnection.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +45,11 @@
 
   private static final String SHARED_ADDRESS = "127.0.0.1";
   private static final String RETRY_AFTER = "1";
+  private static final HttpReply MALFORMED_ESCAPE =
+      new HttpReply(
+          HttpResponseStatus.BAD_REQUEST.code(),
+          "text/plain",
+          "an escape in the path or query is malformed".getBytes(StandardCharsets.US_ASCII));
 
   private final Channel channel;
   private final Function<HttpCall, CompletableFuture<HttpReply>> handler;
@@ -170,22 +176,36 @@
     receiving = false;
     carriedCall = true;
     keepAlive = HttpUtil.isKeepAlive(request);
-    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-    HttpCall call =
-        new HttpCall(
-            request.method().name(),
-            uri.path(),
-            uri.parameters(),
-            ByteBufUtil.getBytes(body),
-            requester(channel.remoteAddress()));
     boolean withoutBody = request.method().equals(HttpMethod.HEAD);
     limits.heads().complete(this);
     limits.bodies().complete(this);
+    HttpCall call = read(request);
+    if (call == null) {
+      release();
+      write(MALFORMED_ESCAPE, withoutBody);
+      return;
+    }
     handler
         .apply(call)
         .whenComplete((reply, failure) -> onReply(call, reply, failure, withoutBody));
   }
 
+  /** Returns the call, or null if an escape in its path or query is malformed. */
+  private @Nullable HttpCall read(HttpRequest request) {
+    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+    try {
+      return new HttpCall(
+          request.method().name(),
+          uri.path(),
+          uri.parameters(),
+          ByteBufUtil.getBytes(body),
+          requester(channel.remoteAddress()));
+    } catch (IllegalArgumentException malformed) {
+      Logger.warn("control: refused a call: {}", malformed.getMessage());
+      return null;
+    }
+  }
+
   private void onReply(
       HttpCall call, @Nullable HttpReply reply, @Nullable Throwable failure, boolean withoutBody) {
     release();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -92,6 +92,9 @@
       return completed(error(NOT_FOUND, "calls begin with " + PREFIX));
     }
     String[] path = call.path().substring(PREFIX.length()).split("/");
+    if (path.length == 0) {
+      return completed(error(NOT_FOUND, "a call names what it asks for"));
+    }
     String last = path.length > 1 ? path[1] : "";
     try {
       return switch (call.method() + " " + path[0]) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
@@ -117,6 +117,10 @@
       {"GET", "/admin/v1/differences", key, "", 400, "whole number"},
       {"GET", "/admin/v1/members", "Authorization: Bearer other\r\n", "", 401, "operator"},
       {"POST", "/admin/v1/dry-run", "Authorization: Bearer other\r\n", "{}", 401, "operator"},
+      {"GET", "/admin/v1/differences?from=%zz", key, "", 400, "percent-encoded"},
+      {"GET", "/admin/v1/revisions?%", key, "", 400, "percent-encoded"},
+      {"POST", "/admin/v1/dry-run?team=%z", key, "{}", 400, "percent-encoded"},
+      {"GET", "/admin/v1/%zz", key, "", 400, "percent-encoded"},
       {"GET", "/nothing", key, "", 404, "/nothing"}
     };
   }
