--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
@@ -110,12 +110,17 @@
       {"POST", changes, key, "{\"change\":1}", 400, "docs/CONFIGURATION.md"},
       {"POST", changes, key, DRAIN.replace("DrainVm", "Nothing"), 400, "can't be read"},
       {"POST", changes, key + "If-Match: \"x\"\r\n", DRAIN, 400, "whole number"},
+      {"POST", changes, key, DRAIN.replace("\"vm-1\"", "null"), 400, "is missing"},
       {"POST", changes, key + longId(), DRAIN, 400, "128"},
       {"DELETE", "/admin/v1/configuration", key, "", 404, "DELETE"},
       {"GET", "/admin/v1/revisions/first", key, "", 400, "whole number"},
       {"GET", "/admin/v1/differences", key, "", 400, "whole number"},
       {"GET", "/admin/v1/members", "Authorization: Bearer other\r\n", "", 401, "operator"},
       {"POST", "/admin/v1/dry-run", "Authorization: Bearer other\r\n", "{}", 401, "operator"},
+      {"GET", "/admin/v1/differences?from=%zz", key, "", 400, "percent-encoded"},
+      {"GET", "/admin/v1/revisions?%", key, "", 400, "percent-encoded"},
+      {"POST", "/admin/v1/dry-run?team=%z", key, "{}", 400, "percent-encoded"},
+      {"GET", "/admin/v1/%zz", key, "", 400, "percent-encoded"},
       {"GET", "/nothing", key, "", 404, "/nothing"}
     };
   }
