A periodic task that throws doesn't end the ticks

An entry or control VM of the relay would live on without ticks: it answers its port, and no timeout, lease or election is looked at any more. The tick and the task after it (stalled streams, idle connections, upstreams that are unused) share one scheduleWithFixedDelay task, which is never run again once it has thrown.

The task's exception is caught and logged for each tick, so the next one runs. That is safe: the task reads and closes connections and decides nothing; what it left undone is due again at the next tick. A failure of the reducer itself is still given to onFailure by drain. The daemon's own thread (ReducerLoop) has no such task, and PeerTransport's check catches its exceptions already.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.tinylog.Logger;
 
 /**
  * Applies events to the reducer on the thread that also serves the connections.
@@ -68,13 +69,22 @@
     executor.scheduleWithFixedDelay(
         () -> {
           submit(new LifecycleEvent.Tick());
-          afterTick.run();
+          runAfterTick(afterTick);
         },
         tick.toNanos(),
         tick.toNanos(),
         TimeUnit.NANOSECONDS);
   }
 
+  /** An exception would cancel all further ticks, and the daemon would live on without them. */
+  private static void runAfterTick(Runnable afterTick) {
+    try {
+      afterTick.run();
+    } catch (RuntimeException | LinkageError failure) {
+      Logger.error(failure, "reducer: event=periodic_task_failed");
+    }
+  }
+
   /**
    * Applies no event from now on; returns once the event in progress is done. Does nothing if the
    * executor is shutting down.
