Events after the end of the event loop are dropped

As a relay stops, its event loop ends before its storage, whose thread reports each write by submitting an event. The executor rejects the task, the exception ends the storage thread, and what was queued behind is neither written nor are the files closed. Where uncaught exceptions end the process, a planned stop would look like a failure.

Evidence: EventLoopReducerTest.eventsAfterEndOfExecutorAreDropped failed before ("event executor terminated") and passes now.

An event of a loop that has ended can't be decided on any more, as ReducerLoop drops events after its stop. It is logged at debug level only, since each stop may have some.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -103,13 +104,24 @@
     return clock.instant();
   }
 
-  /** Applies an event, at once if this is the executor's thread. */
+  /**
+   * Applies an event, at once if this is the executor's thread; does nothing if the executor has
+   * ended.
+   */
   public void submit(Event event) {
     if (executor.inEventLoop()) {
       waiting.addLast(event);
       drain();
     } else {
+      submitLater(event);
+    }
+  }
+
+  private void submitLater(Event event) {
+    try {
       executor.execute(() -> submit(event));
+    } catch (RejectedExecutionException ended) {
+      Logger.debug("reducer: dropped an event after the end: {}", event);
     }
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/loop/EventLoopReducerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/loop/EventLoopReducerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.skylarkfork.core.Reducer;
+import org.skylarkfork.core.event.LifecycleEvent;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -70,4 +71,16 @@
     assertEquals(later.get(MAX_WAIT_SECONDS, TimeUnit.SECONDS), TICKS);
     assertEquals(failures, List.of());
   }
+
+  /**
+   * Guards against a storage thread that dies as the daemon stops, because it reports a write after
+   * the event loop has ended.
+   */
+  @Test
+  public void eventsAfterEndOfExecutorAreDropped() {
+    EventLoopReducer loop = loop();
+    close();
+    loop.submit(new LifecycleEvent.Tick());
+    assertEquals(failures, List.of());
+  }
 }
