A failed effect fails its request or message, not the process

Callers of an entry saw all their connections end, operators a process that halted with 1 ("an invariant broke") and halted again at the next such request or message. EventLoopReducer and ReducerLoop gave each exception of an effect, a connection that can't be opened or a message that can't be sent, to onFailure, like a broken invariant of the reducer.

Each failure has an outcome that the core knows already, so that no state waits for one: - ContainedEffects, around the handler of both programs, counts (failed_effects by kind), logs at most one a second and gives the outcome. It throws on what leaves the state unknown: storage, the listeners of a control VM, the end of the process, a violated invariant, and errors of the virtual machine but for netty's own memory limit. - A connector that throws is one that didn't connect: UpstreamPool reports it as such, and its count of connections stays right. A forwarder whose name is no address can't forward. - A request that can't be built is UNSENDABLE: nothing was sent, so another upstream may be tried (within the bound on unsent attempts), and the upstream isn't blamed. Its connection returns to the pool. - A failure once bytes may have left is NO_ANSWER, so that "not run" stays true. A request whose encoding fails closes its connection, or its attempt would wait until the deadline. - A failed refusal or answer aborts the caller's connection, a failed probe is an upstream that wasn't reached, and a failed message to a peer is dropped; the protocols above resend. - In the daemon a failed dispatch fails its attempt at the stage that it had reached, a failed rating or order is reported as missing or unknown, and the caller of a failed answer is dropped.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailure.java
@@ -19,6 +19,8 @@
    * sent.
    */
   FORWARD_REJECTED(false, false),
+  /** This entry couldn't build the request; nothing was sent, and the upstream isn't to blame. */
+  UNSENDABLE(false, false),
   /** The connection was lost after the request was sent and before an answer came. */
   NO_ANSWER(true, true),
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/AttemptFailureHandler.java
@@ -149,7 +149,8 @@
     sender.releaseAttempt(relay, output);
     if (failed.failure().isUnsent()) {
       relay.refusingUpstreams.add(upstream.instance().id());
-      if (failed.failure() != AttemptFailure.FORWARD_REJECTED) {
+      if (failed.failure() != AttemptFailure.FORWARD_REJECTED
+          && failed.failure() != AttemptFailure.UNSENDABLE) {
         relay.unreachedUpstreams.add(upstream.instance().id());
       }
       if (ownPathFailed) {
@@ -195,7 +196,12 @@
   private void recordFailure(
       ActiveRelay relay, AttemptFailure failure, Instant now, Output output) {
     switch (failure) {
-      case STALE_CONNECTION, RECALLED, NOT_FORWARDED, FORWARD_REJECTED, BUFFERS_FULL -> {}
+      case STALE_CONNECTION,
+          RECALLED,
+          NOT_FORWARDED,
+          FORWARD_REJECTED,
+          UNSENDABLE,
+          BUFFERS_FULL -> {}
       case NOT_SENT -> sender.recordFailure(relay, AttemptProgress.UNREACHABLE, now, output);
       default -> sender.recordFailure(relay, AttemptProgress.FAILED, now, output);
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/CallerServer.java
@@ -114,6 +114,15 @@
     }
   }
 
+  /** Drops the caller of an answer that couldn't be sent, who knows it to be incomplete then. */
+  public void onFailed(CallerEffect effect) {
+    CallerAnswer answer = answers.get(effect.requestId());
+    if (answer != null) {
+      answer.head().completeExceptionally(new IllegalStateException("the answer can't be sent"));
+      answer.refuse();
+    }
+  }
+
   private static String comment(AnswerMetadata facts) {
     return ": attempts=" + facts.attempts() + " cost-micros=" + facts.costMicros() + "\n";
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/UpstreamClient.java
@@ -10,6 +10,7 @@
 import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.UpstreamEvent;
+import org.skylarkfork.core.event.UpstreamEvent.OrderOutcome;
 import org.skylarkfork.runtime.limits.AnswerBuffers;
 import org.skylarkfork.runtime.limits.MemoryBudget;
 import org.tinylog.Logger;
@@ -105,6 +106,31 @@
     }
   }
 
+  /** Reports the failed outcome of an effect whose execution has failed. */
+  public void onFailed(UpstreamEffect effect, Throwable failure) {
+    String detail = String.valueOf(failure.getMessage());
+    if (effect instanceof UpstreamEffect.DispatchDraft draft) {
+      failAttempt(draft.attemptId(), detail);
+    } else if (effect instanceof UpstreamEffect.DispatchCall call) {
+      failAttempt(call.attemptId(), detail);
+    } else if (effect instanceof UpstreamEffect.ProbeUpstream probe) {
+      events.accept(new UpstreamEvent.UpstreamProbed(probe.upstream(), false));
+    } else if (effect instanceof UpstreamEffect.RequestRating rating) {
+      events.accept(
+          new UpstreamEvent.RatingMissing(rating.requestId(), rating.attemptId(), detail));
+    } else if (effect instanceof UpstreamEffect.SendOrder order) {
+      events.accept(
+          new UpstreamEvent.OrderAnswered(order.orderId(), OrderOutcome.UNKNOWN, null, detail));
+    }
+  }
+
+  private void failAttempt(String attemptId, String detail) {
+    Running failed = running.get(attemptId);
+    if (failed != null) {
+      failed.call().fail(detail);
+    }
+  }
+
   /** Opens a connection of its own: a kept one says nothing of an upstream that has ended. */
   private void probe(UpstreamEffect.ProbeUpstream effect) {
     TcpClient.newConnection()
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -16,6 +16,9 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.configuration.ConfigurationChange;
+import org.skylarkfork.core.effect.CallerEffect;
+import org.skylarkfork.core.effect.Effect;
+import org.skylarkfork.core.effect.UpstreamEffect;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.OperatorEvent;
 import org.skylarkfork.core.membership.Member;
@@ -28,6 +31,7 @@
 import org.skylarkfork.runtime.http.UpstreamClient;
 import org.skylarkfork.runtime.limits.DescriptorBudget;
 import org.skylarkfork.runtime.limits.JsonLimits;
+import org.skylarkfork.runtime.loop.ContainedEffects;
 import org.skylarkfork.runtime.loop.Journal;
 import org.skylarkfork.runtime.loop.JournalFile;
 import org.skylarkfork.runtime.loop.JournalStart;
@@ -99,7 +103,11 @@
     this.journal =
         settings.journalFile() == null ? null : new JournalFile(settings.journalFile(), codec);
     this.loop =
-        new ReducerLoop(clock, router(), journal == null ? Journal.NONE : journal, onFailure);
+        new ReducerLoop(
+            clock,
+            new ContainedEffects(router(), this::onFailedEffect, metrics),
+            journal == null ? Journal.NONE : journal,
+            onFailure);
     this.queries = new NodeQueries(loop);
     this.peers = new PeerTransport(transportSettings(), codec, loop::submit, filter);
     this.storage = openStorage();
@@ -133,6 +141,14 @@
         effect -> ended.countDown());
   }
 
+  private void onFailedEffect(Effect effect, Throwable failure) {
+    if (effect instanceof UpstreamEffect upstream) {
+      upstreams.onFailed(upstream, failure);
+    } else if (effect instanceof CallerEffect caller) {
+      callers.onFailed(caller);
+    }
+  }
+
   private TransportSettings transportSettings() {
     DaemonSettings.Tls tls = settings.tls();
     return new TransportSettings(
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayCallerServer.java
@@ -22,6 +22,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.RelayLimits;
 import org.skylarkfork.core.relay.RelayRequest;
 import org.skylarkfork.core.relay.UpstreamInstance;
@@ -293,6 +294,35 @@
     }
   }
 
+  /**
+   * Gives an effect that has failed its outcome: a failed attempt or probe, or an answer that the
+   * caller knows to be incomplete.
+   */
+  void onFailed(RelayEffect effect) {
+    if (effect instanceof RelayEffect.SendAttempt send) {
+      withExchange(send.request(), exchange -> exchange.failAttempt(send.attempt()));
+    } else if (effect instanceof RelayEffect.PassAnswer pass) {
+      withExchange(pass.request(), RelayExchange::abortAsDisconnected);
+    } else if (effect instanceof RelayEffect.Refuse refuse) {
+      endFailed(refuse.request());
+    } else if (effect instanceof RelayEffect.BreakOff broken) {
+      endFailed(broken.request());
+    } else if (effect instanceof RelayEffect.ProbeUpstream probe) {
+      reportProbed(probe.upstream(), false);
+    } else if (effect instanceof RelayEffect.ProbePath probe) {
+      loop.submit(
+          new RelayEvent.UpstreamConnected(
+              probe.upstream(), probe.forwarder(), ConnectOutcome.UPSTREAM_UNREACHABLE));
+    }
+  }
+
+  private void endFailed(long number) {
+    RelayExchange exchange = exchanges.remove(number);
+    if (exchange != null) {
+      exchange.abort();
+    }
+  }
+
   private void probe(UpstreamInstance upstream) {
     pools
         .pool(upstream, null)
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayExchange.java
@@ -22,7 +22,9 @@
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.answer.ForwardedEvents;
+import org.skylarkfork.core.answer.ReceivedAnswer;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.relay.AttemptFailure;
 import org.skylarkfork.core.relay.AttemptTarget;
 import org.skylarkfork.core.relay.Refusal;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
@@ -105,7 +107,8 @@
         .acquire(requestId, target.fresh(), target.maxConnections(), startedAttempt);
   }
 
-  void sendOver(UpstreamConnection connection, UpstreamAttempt sender) {
+  /** Returns the request as it is sent to an attempt's upstream. */
+  FullHttpRequest requestFor(AttemptTarget target) {
     HttpHeaders headers = head.headers().copy();
     ConnectionHeaders.remove(headers);
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
@@ -113,17 +116,34 @@
       headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     }
     long waitedMillis = Duration.between(sentAt, loop.now()).toMillis();
-    long leftMillis = Math.max(1, sender.target().leftMillis() - waitedMillis);
-    dialect.rewriteForUpstream(headers, sender.target(), leftMillis);
+    long leftMillis = Math.max(1, target.leftMillis() - waitedMillis);
+    dialect.rewriteForUpstream(headers, target, leftMillis);
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             head.method(),
             head.uri(),
-            body.retainedDuplicate(),
+            body.duplicate(),
             headers,
             EmptyHttpHeaders.INSTANCE);
-    connection.send(request, sender);
+    body.retain();
+    return request;
+  }
+
+  /** Reports an attempt that couldn't be started, or that failed as it was. */
+  void failAttempt(int attemptNumber) {
+    UpstreamAttempt failed = attempt;
+    if (failed != null && failed.number() == attemptNumber) {
+      failed.failToStart();
+    } else {
+      submit(
+          new RelayEvent.AttemptFailed(
+              number,
+              attemptNumber,
+              AttemptFailure.UNSENDABLE,
+              forwardedEvents,
+              ReceivedAnswer.NOTHING));
+    }
   }
 
   void forwardAnswer() {
@@ -249,6 +269,14 @@
     }
   }
 
+  /** Aborts the answer, as if the caller had closed its connection. */
+  void abortAsDisconnected() {
+    if (!completed) {
+      abort();
+      submit(new RelayEvent.CallerLeft(number));
+    }
+  }
+
   /** Completes the request after the caller closed its connection. */
   void onCallerDisconnected() {
     if (!completed) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -53,6 +53,7 @@
 import org.skylarkfork.core.waiting.SpacedRetryTimes;
 import org.skylarkfork.runtime.codec.BinaryCodec;
 import org.skylarkfork.runtime.limits.DescriptorBudget;
+import org.skylarkfork.runtime.loop.ContainedEffects;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 import org.skylarkfork.runtime.node.WireCodec;
 import org.skylarkfork.runtime.startup.EarlyListeners;
@@ -162,7 +163,12 @@
             settings.name(), Long.toString(incarnation), Long.toString(System.nanoTime()));
     this.traces = new TraceHandler(settings.name(), metrics, null);
     this.log = new BoundedLog(settings.name());
-    this.loop = new EventLoopReducer(clock, eventLoop, this::execute, onFailure);
+    this.loop =
+        new EventLoopReducer(
+            clock,
+            eventLoop,
+            new ContainedEffects(this::execute, this::onFailedEffect, metrics),
+            onFailure);
     this.transport = new PeerTransport(transportSettings(), codec, loop::submit, eventLoop);
     this.status = new RelayStatus(metrics, transport, loop::now);
     this.peers = new AddressedPeers(transport);
@@ -436,6 +442,12 @@
     }
   }
 
+  private void onFailedEffect(Effect effect, Throwable failure) {
+    if (effect instanceof RelayEffect relay && callerServer != null) {
+      callerServer.onFailed(relay);
+    }
+  }
+
   /** Returns the address for callers, or null if the daemon isn't an entry or isn't started. */
   public @Nullable InetSocketAddress callerAddress() {
     return callerAddress;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamAttempt.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.internal.OutOfDirectMemoryError;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.answer.AnswerFraming;
@@ -18,6 +20,7 @@
 import org.skylarkfork.core.relay.UpstreamNotice;
 import org.skylarkfork.runtime.limits.AnswerBuffers;
 import org.skylarkfork.runtime.limits.HeadSize;
+import org.tinylog.Logger;
 
 /** An attempt of a request at an upstream, with the part of the answer that was received. */
 final class UpstreamAttempt implements UpstreamPool.ConnectionReceiver, AnswerBuffers.Holder {
@@ -40,6 +43,7 @@
   private long receivedBytes;
   private ConnectionEnd connectionEnd = ConnectionEnd.OPEN;
   private ConnectionUse use = ConnectionUse.NONE;
+  private boolean sending;
   private boolean forwarding;
   private long lastBytesAt;
   private int reportedStalls;
@@ -62,8 +66,8 @@
     this.heads = memory.heads();
   }
 
-  AttemptTarget target() {
-    return target;
+  int number() {
+    return number;
   }
 
   String requestId() {
@@ -86,8 +90,32 @@
       onFailure(AttemptFailure.NOT_SENT);
       return;
     }
+    sendOver(opened);
+  }
+
+  /** Sends the request; a request that can't be built leaves the connection to others. */
+  private void sendOver(UpstreamConnection opened) {
+    FullHttpRequest request;
+    try {
+      request = exchange.requestFor(target);
+    } catch (RuntimeException | LinkageError | OutOfDirectMemoryError failure) {
+      Logger.warn(failure, "upstream: event=request_not_built id={}", exchange.requestId());
+      opened.pool().release(opened);
+      onFailure(AttemptFailure.UNSENDABLE);
+      return;
+    }
     connection = opened;
-    exchange.sendOver(opened, this);
+    sending = true;
+    opened.send(request, this);
+  }
+
+  /** Ends the attempt after a failure of this process while it started. */
+  void failToStart() {
+    UpstreamConnection open = connection;
+    if (open != null) {
+      open.abandon();
+    }
+    onFailure(sending ? AttemptFailure.NO_ANSWER : AttemptFailure.UNSENDABLE);
   }
 
   @Override
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.answer.AnswerFraming;
@@ -125,7 +126,17 @@
     carried.add(sender.requestId());
     unusedBytes.restart();
     Channel open = openChannel();
-    open.writeAndFlush(request).addListener(done -> requestWritten = done.isSuccess());
+    open.writeAndFlush(request).addListener(this::onWritten);
+  }
+
+  /** Closes a connection whose request couldn't be encoded: no answer to it would ever come. */
+  private void onWritten(Future<? super Void> written) {
+    requestWritten = written.isSuccess();
+    Throwable failure = written.cause();
+    if (failure != null && !(failure instanceof IOException) && channel != null) {
+      Logger.warn(failure, "upstream: a request couldn't be written");
+      channel.close();
+    }
   }
 
   private Channel openChannel() {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/UpstreamPool.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import io.netty.util.internal.OutOfDirectMemoryError;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -20,6 +22,7 @@
 import org.skylarkfork.runtime.http.InputEndObserver;
 import org.skylarkfork.runtime.transport.ForwardException;
 import org.skylarkfork.runtime.transport.ForwardResult;
+import org.tinylog.Logger;
 
 /** A pool of connections to one upstream; confined to one thread. */
 final class UpstreamPool {
@@ -260,8 +263,7 @@
                             connection);
                   }
                 });
-    connector
-        .connect(handled, address)
+    startConnecting(handled, address)
         .addListener(
             done -> {
               ConnectOutcome outcome = outcomeOf(done);
@@ -276,6 +278,16 @@
             });
   }
 
+  /** Starts to connect; a connector that throws hasn't connected, and the receiver must know. */
+  private Future<Void> startConnecting(Bootstrap handled, InetSocketAddress target) {
+    try {
+      return connector.connect(handled, target);
+    } catch (RuntimeException | LinkageError | OutOfDirectMemoryError failure) {
+      Logger.warn(failure, "upstream: no connection to {} can be opened", target);
+      return ImmediateEventExecutor.INSTANCE.newFailedFuture(failure);
+    }
+  }
+
   private static ConnectOutcome outcomeOf(Future<? super Void> connecting) {
     if (connecting.isSuccess()) {
       return ConnectOutcome.OPENED;
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/RelayNodeHarness.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 
+import io.netty.bootstrap.Bootstrap;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,6 +22,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.overload.EntryCapacity;
 import org.skylarkfork.core.overload.OverloadSettings;
@@ -34,6 +36,7 @@
 import org.skylarkfork.core.relay.WeightedService;
 import org.skylarkfork.runtime.codec.Codec;
 import org.skylarkfork.runtime.loop.MonotonicClock;
+import org.skylarkfork.runtime.startup.EarlyListeners;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 
@@ -52,12 +55,17 @@
   final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   final Codec codec = new Codec();
   final List<ScriptedUpstream> upstreams = new ArrayList<>();
+
+  /** Failures for which the daemon's process would have ended. */
+  final List<Throwable> failures = new CopyOnWriteArrayList<>();
+
   private @Nullable RelayNode node;
   private String peerName = "";
 
   /** Starts a daemon with an empty data folder. */
   @BeforeMethod
   public void start() throws IOException {
+    failures.clear();
     Path folder = Files.createTempDirectory("relay");
     InetSocketAddress peer;
     try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
@@ -89,16 +97,29 @@
     RelayNode started =
         new RelayNode(
             settings,
+            new EarlyListeners(),
             new MonotonicClock(InstantSource.system(), System::nanoTime),
-            new RelayHeaders(),
+            connector(),
+            dialect(),
             new RelayAdmin(codec),
             failure -> {
+              failures.add(failure);
               throw new AssertionError(failure);
             });
     started.start();
     node = started;
   }
 
+  /** Returns what connects the daemon to its upstreams. */
+  UpstreamConnector connector() {
+    return Bootstrap::connect;
+  }
+
+  /** Returns the daemon's mapping of headers. */
+  RelayDialect dialect() {
+    return new RelayHeaders();
+  }
+
   /** Closes the daemon and the upstreams. */
   @AfterMethod
   public void close() throws IOException {
@@ -137,6 +158,19 @@
         List.of());
   }
 
+  /** Returns the configuration of {@link #serveWith}. */
+  static RelayConfiguration configuration(int maxConnections) {
+    return new RelayConfiguration(
+        1,
+        List.of(
+            route("/lookup/", RouteKind.IDEMPOTENT, 5000),
+            route("/book/", RouteKind.NON_IDEMPOTENT, 5000),
+            route("/stream/", RouteKind.STREAMING, 5000)),
+        List.of(new RelayService("service", "/health", maxConnections, null)),
+        List.of(new RelayTeam("team", List.of("key"), null)),
+        RelayLimits.DEFAULT);
+  }
+
   void serveWith(ScriptedUpstream.Script... scripts) throws Exception {
     serveWith(100, scripts);
   }
@@ -148,17 +182,7 @@
    * @param scripts scripts of the upstreams
    */
   void serveWith(int maxConnections, ScriptedUpstream.Script... scripts) throws Exception {
-    RelayConfiguration configuration =
-        new RelayConfiguration(
-            1,
-            List.of(
-                route("/lookup/", RouteKind.IDEMPOTENT, 5000),
-                route("/book/", RouteKind.NON_IDEMPOTENT, 5000),
-                route("/stream/", RouteKind.STREAMING, 5000)),
-            List.of(new RelayService("service", "/health", maxConnections, null)),
-            List.of(new RelayTeam("team", List.of("key"), null)),
-            RelayLimits.DEFAULT);
-    putUntilAccepted("configuration", codec.toJson(configuration));
+    putUntilAccepted("configuration", codec.toJson(configuration(maxConnections)));
     for (ScriptedUpstream.Script script : scripts) {
       ScriptedUpstream upstream = new ScriptedUpstream(script);
       upstreams.add(upstream);
