--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +15,7 @@
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.tinylog.Logger;
 
 /**
  * Applies events to the reducer on the thread that also serves the connections.
@@ -68,13 +70,22 @@
     executor.scheduleWithFixedDelay(
         () -> {
           submit(new LifecycleEvent.Tick());
-          afterTick.run();
+          runAfterTick(afterTick);
         },
         tick.toNanos(),
         tick.toNanos(),
         TimeUnit.NANOSECONDS);
   }
 
+  /** An exception would cancel all further ticks, and the daemon would live on without them. */
+  private static void runAfterTick(Runnable afterTick) {
+    try {
+      afterTick.run();
+    } catch (RuntimeException | LinkageError failure) {
+      Logger.error(failure, "reducer: event=periodic_task_failed");
+    }
+  }
+
   /**
    * Applies no event from now on; returns once the event in progress is done. Does nothing if the
    * executor is shutting down.
@@ -93,13 +104,24 @@
     return clock.instant();
   }
 
-  /** Applies an event, at once if this is the executor's thread. */
+  /**
+   * Applies an event, at once if this is the executor's thread; does nothing if the executor has
+   * ended.
+   */
   public void submit(Event event) {
     if (executor.inEventLoop()) {
       waiting.addLast(event);
       drain();
     } else {
+      submitLater(event);
+    }
+  }
+
+  private void submitLater(Event event) {
+    try {
       executor.execute(() -> submit(event));
+    } catch (RejectedExecutionException ended) {
+      Logger.debug("reducer: dropped an event after the end: {}", event);
     }
   }
 
