Each end of a daemon's process has a line with its reason, in both programs

What operators saw: processes that were gone without a line that says why. A planned stop left neither "shutting down" nor "stopped": the log is written by a thread of its own, and the process was halted before that thread had written. A failure in the start waited for that thread, without a limit: beside a log that nobody reads the process would have lived on.

ProcessEnd flushes the log within a second, writes the reason to standard output by itself, within another, and halts then. The direct write doesn't need the log's thread, which may have ended by the same failure. Only the first reason is told.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -8,13 +8,12 @@
 import java.time.InstantSource;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicReference;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
 import org.skylarkfork.runtime.settings.DaemonSettingsCheck;
+import org.skylarkfork.runtime.startup.ProcessEnd;
 import org.skylarkfork.runtime.transport.PeerFilter;
-import org.tinylog.Logger;
 
 /** Runs one daemon until it is told to stop. */
 @Command(name = "daemon", description = "Runs one daemon; SIGTERM stops it gracefully.")
@@ -29,32 +28,26 @@
   @Override
   public Integer call() throws Exception {
     DaemonSettings read = DaemonSettingsCheck.reader().read(Path.of(settings));
-    AtomicReference<Throwable> broken = new AtomicReference<>();
-    CountDownLatch stopped = new CountDownLatch(1);
+    ProcessEnd end = ProcessEnd.ofThisProcess();
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
     DaemonNode node =
         new DaemonNode(
             read,
             clock,
             PeerFilter.PASS_ALL,
-            failure -> {
-              broken.set(failure);
-              stopped.countDown();
-            });
+            failure -> end.failed("node: the daemon halts, since an invariant broke", failure));
     node.start();
-    Thread hook = new Thread(() -> stopGracefully(node, read), "stop");
+    Thread hook = new Thread(() -> stopGracefully(node, read, end), "stop");
     Runtime.getRuntime().addShutdownHook(hook);
-    stopped.await();
-    Logger.error(broken.get(), "node: The daemon halts, since an invariant broke.");
-    Runtime.getRuntime().halt(ExitCode.FAILURE);
+    new CountDownLatch(1).await();
     return ExitCode.FAILURE;
   }
 
-  private static void stopGracefully(DaemonNode node, DaemonSettings settings) {
+  private static void stopGracefully(DaemonNode node, DaemonSettings settings, ProcessEnd end) {
     try {
       Duration limit = settings.entryListLifetime().plus(LONGEST_REQUEST);
       boolean whole = node.stop(limit);
-      Logger.info("node: Stopped; {}.", whole ? "every request was finished" : "time ran out");
+      end.stopped("node: Stopped; " + (whole ? "every request was finished." : "time ran out."));
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
@@ -14,7 +14,7 @@
 import org.skylarkfork.runtime.relay.RelaySettings;
 import org.skylarkfork.runtime.settings.RelayFileSettings;
 import org.skylarkfork.runtime.settings.SettingsException;
-import org.tinylog.Logger;
+import org.skylarkfork.runtime.startup.ProcessEnd;
 
 /** Runs one daemon of the relay until it is told to stop. */
 @Command(name = "relay", description = "Runs one daemon of the relay; SIGTERM stops it gracefully.")
@@ -33,7 +33,7 @@
       wrong.problems().forEach(System.err::println);
       return ExitCode.FAILURE;
     }
-    CountDownLatch broken = new CountDownLatch(1);
+    ProcessEnd end = ProcessEnd.ofThisProcess();
     RelaySettings relay = read.toRelay();
     RelayNode node =
         new RelayNode(
@@ -41,22 +41,19 @@
             RelayClock.of(relay),
             new RelayHeaders(),
             new RelayAdmin(new Codec()),
-            failure -> {
-              Logger.error(failure, "node: the daemon halts, since an invariant broke");
-              broken.countDown();
-            });
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
+            failure -> end.failed("node: the daemon halts, since an invariant broke", failure));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, end), "stop"));
     node.start();
-    broken.await();
-    Runtime.getRuntime().halt(ExitCode.FAILURE);
+    new CountDownLatch(1).await();
     return ExitCode.FAILURE;
   }
 
-  private static void stop(RelayNode node) {
+  private static void stop(RelayNode node, ProcessEnd end) {
     try {
       node.stop();
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
+    end.stopped("node: stopped as planned");
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/package-info.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/package-info.java
@@ -1,4 +1,7 @@
-/** Listening sockets that open before the rest of a daemon is loaded. */
+/**
+ * What a daemon's process does before the rest of the daemon is loaded, and at its end: listening
+ * sockets, signals, failures that nothing catches.
+ */
 @NullMarked
 package org.skylarkfork.runtime.startup;
 
