The platform's daemon handles SIGHUP and SIGTERM from the first step of main on

What operators saw: a change of the settings (SIGHUP) soon after a start ended the process, with the signal, 129 or 1, and no line; a planned stop (SIGTERM) during the start ended with 143 or 1, as a failure does, and one while the disk was recovered took the time in which lists of entries expire, with a callers' port that nobody had been sent to yet.

Cause: the JVM's own handlers end the process. The one for SIGHUP was replaced last, after listeners, storage and node; a shutdown hook for SIGTERM was added once the node existed. A stop during the start closed the early listeners under the start, which then failed ("the listeners are closed") and ended the process with 1.

A SIGHUP before the daemon is started is remembered, and reloads once it is. SIGTERM before there is a node ends with 0 at once; while the node starts, it answers what it has read, and ends with 0; a start that fails meanwhile is told as a consequence. What comes before main (the JVM's own start) can't be caught.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -99,12 +99,13 @@
   private final DescriptorBudget descriptors;
   private final RelayEndpoints endpoints = new RelayEndpoints(eventLoop);
   private @Nullable RelayEntryPart entry;
-  private @Nullable RelayCallerServer callerServer;
+  private volatile @Nullable RelayCallerServer callerServer;
   private @Nullable PendingControlCalls controlCalls;
   private @Nullable InetSocketAddress callerAddress;
   private @Nullable InetSocketAddress metricsAddress;
   private final CompletableFuture<InetSocketAddress> controlAddress = new CompletableFuture<>();
   private volatile boolean stopping;
+  private volatile boolean started;
 
   /** Creates a daemon without early listeners. */
   public RelayNode(
@@ -212,6 +213,7 @@
       storage.recover(GroupId.RELAY);
     }
     loop.submit(new LifecycleEvent.Started());
+    started = true;
     Logger.info(
         "node: started name={} peer={} zone={} voters={} mayFound={} earlyListeners={}"
             + " maxSockets={}",
@@ -484,7 +486,8 @@
    * Shuts the daemon down gracefully within the grace time.
    *
    * <p>Callers first receive lists that name other entries, and keep using this entry until their
-   * lists have expired; requests that arrive until then are served.
+   * lists have expired; requests that arrive until then are served. A daemon that isn't started yet
+   * ends as soon as the requests that it has read are answered.
    */
   public void stop() throws InterruptedException {
     final RelayShutdown shutdown = new RelayShutdown(eventLoop, settings.grace());
@@ -492,7 +495,11 @@
     stopping = true;
     earlyListeners.close();
     loop.submit(new LifecycleEvent.StopRequested());
-    shutdown.await(callerServer);
+    if (started) {
+      shutdown.await(callerServer);
+    } else {
+      shutdown.awaitRequests(callerServer);
+    }
     Logger.info("node: stopped name={}", settings.name());
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayShutdown.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayShutdown.java
@@ -38,12 +38,24 @@
    * @param server serves the callers; null on a daemon that isn't an entry
    */
   void await(@Nullable RelayCallerServer server) throws InterruptedException {
+    if (server != null) {
+      eventLoop.execute(server::disableKeepAlive);
+      awaitListExpiry();
+    }
+    awaitRequests(server);
+  }
+
+  /**
+   * Takes no further callers, and waits until the last one has left or the grace time ends.
+   *
+   * @param server serves the callers; null on a daemon that isn't an entry
+   */
+  void awaitRequests(@Nullable RelayCallerServer server) throws InterruptedException {
     if (server == null) {
       TimeUnit.MILLISECONDS.sleep(2 * POLL_INTERVAL_MILLIS);
       return;
     }
     eventLoop.execute(server::disableKeepAlive);
-    awaitListExpiry();
     eventLoop.execute(server::stopListening);
     awaitLastCaller(server);
   }
--- /dev/null
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
@@ -0,0 +1,160 @@
+package org.skylarkfork.runtime.startup;
+
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
+
+/**
+ * The process of a daemon: its signals and its end.
+ *
+ * <p>SIGTERM and SIGINT stop the daemon, with status 0, whether it is started or not. SIGHUP
+ * reloads the settings; one that arrives during the start is remembered until the daemon is
+ * started. Without handlers the JVM ends on each of them, with a status that looks like a failure.
+ *
+ * <p>The class is thread-safe.
+ */
+public final class DaemonProcess {
+
+  private final ProcessEnd end;
+  private @Nullable Runnable reload;
+  private @Nullable StopAction stop;
+  private boolean reloadPending;
+  private boolean stopping;
+
+  /** Stops a daemon gracefully. */
+  public interface StopAction {
+
+    /** Returns once the daemon has stopped; the process then ends. */
+    void stop() throws InterruptedException;
+  }
+
+  /**
+   * Creates a process whose signals aren't handled.
+   *
+   * @param end ends the process
+   */
+  public DaemonProcess(ProcessEnd end) {
+    this.end = end;
+  }
+
+  /**
+   * Handles the signals of this process from now on. A program calls it before everything else,
+   * since a signal that arrives earlier ends the process.
+   */
+  public static DaemonProcess begin() {
+    DaemonProcess process = new DaemonProcess(ProcessEnd.ofThisProcess());
+    Handlers handlers = new Handlers(process);
+    for (String name : new String[] {"HUP", "TERM", "INT"}) {
+      Signal.handle(new Signal(name), handlers);
+    }
+    return process;
+  }
+
+  /**
+   * Sets what SIGHUP does from now on, and does it if one has arrived.
+   *
+   * @param action reloads the settings; runs on a thread of the signal, or on the caller's
+   */
+  public void onHangUp(Runnable action) {
+    boolean pending;
+    synchronized (this) {
+      reload = action;
+      pending = reloadPending;
+      reloadPending = false;
+    }
+    if (pending) {
+      Logger.info("node: signal=SIGHUP came during the start");
+      action.run();
+    }
+  }
+
+  /**
+   * Sets what SIGTERM and SIGINT do from now on, before the process ends with status 0.
+   *
+   * @param action stops the daemon; runs on a thread of the signal, once at most
+   */
+  public synchronized void onStop(StopAction action) {
+    stop = action;
+  }
+
+  /** Returns the end of the process. */
+  public ProcessEnd end() {
+    return end;
+  }
+
+  /**
+   * Ends the process since the daemon can't start. If the daemon was told to stop meanwhile, the
+   * failure is a consequence, and the process ends once the daemon has stopped.
+   *
+   * @param reason what failed, as the text of a log line
+   * @param cause the failure
+   */
+  public void startFailed(String reason, Throwable cause) {
+    synchronized (this) {
+      if (stopping) {
+        Logger.info("node: the start ends, since the daemon was told to stop: {}", cause);
+        return;
+      }
+    }
+    end.failed(reason, cause);
+  }
+
+  /** Acts on SIGHUP. */
+  void hangUp() {
+    Runnable action;
+    synchronized (this) {
+      action = reload;
+      reloadPending = action == null;
+    }
+    if (action != null) {
+      Logger.info("node: signal=SIGHUP");
+      action.run();
+    }
+  }
+
+  /**
+   * Acts on a signal that stops the daemon.
+   *
+   * @param signal name of the signal
+   */
+  void terminate(String signal) {
+    StopAction action;
+    synchronized (this) {
+      if (stopping) {
+        return;
+      }
+      stopping = true;
+      action = stop;
+    }
+    if (action == null) {
+      end.stopped("node: stopped during the start signal=" + signal);
+      return;
+    }
+    try {
+      action.stop();
+      end.stopped("node: stopped as planned signal=" + signal);
+    } catch (InterruptedException | RuntimeException | Error failure) {
+      end.failed("node: the planned stop failed signal=" + signal, failure);
+    }
+  }
+
+  /** Passes signals on; a class, since lambdas are slow to link so early. */
+  private static final class Handlers implements SignalHandler {
+
+    private final DaemonProcess process;
+
+    Handlers(DaemonProcess process) {
+      this.process = process;
+    }
+
+    @Override
+    public void handle(Signal signal) {
+      if ("HUP".equals(signal.getName())) {
+        process.hangUp();
+      } else {
+        process.terminate("SIG" + signal.getName());
+      }
+    }
+  }
+}
