--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -6,18 +6,18 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
 import org.skylarkfork.runtime.settings.DaemonSettingsCheck;
-import org.skylarkfork.runtime.startup.ProcessEnd;
+import org.skylarkfork.runtime.startup.DaemonProcess;
 import org.skylarkfork.runtime.transport.PeerFilter;
+import org.tinylog.Logger;
 
 /** Runs one daemon until it is told to stop. */
 @Command(name = "daemon", description = "Runs one daemon; SIGTERM stops it gracefully.")
-public final class DaemonCommand implements Callable<Integer> {
+public final class DaemonCommand implements ServerCommand {
 
   private static final Duration LONGEST_REQUEST = Duration.ofSeconds(120);
 
@@ -26,30 +26,28 @@
   private String settings;
 
   @Override
-  public Integer call() throws Exception {
+  public int serve(DaemonProcess process) throws InterruptedException {
     DaemonSettings read = DaemonSettingsCheck.reader().read(Path.of(settings));
-    ProcessEnd end = ProcessEnd.ofThisProcess();
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
     DaemonNode node =
         new DaemonNode(
             read,
             clock,
             PeerFilter.PASS_ALL,
-            failure -> end.failed("node: the daemon halts, since an invariant broke", failure));
+            failure ->
+                process.end().failed("node: the daemon halts, since an invariant broke", failure));
     node.start();
-    Thread hook = new Thread(() -> stopGracefully(node, read, end), "stop");
-    Runtime.getRuntime().addShutdownHook(hook);
+    process.onStop(() -> stopGracefully(node, read));
+    process.onHangUp(
+        () -> Logger.info("node: settings are read at the start only; restart to change them"));
     new CountDownLatch(1).await();
-    return ExitCode.FAILURE;
+    return ExitCode.SUCCESS;
   }
 
-  private static void stopGracefully(DaemonNode node, DaemonSettings settings, ProcessEnd end) {
-    try {
-      Duration limit = settings.entryListLifetime().plus(LONGEST_REQUEST);
-      boolean whole = node.stop(limit);
-      end.stopped("node: Stopped; " + (whole ? "every request was finished." : "time ran out."));
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
+  private static void stopGracefully(DaemonNode node, DaemonSettings settings)
+      throws InterruptedException {
+    Duration limit = settings.entryListLifetime().plus(LONGEST_REQUEST);
+    boolean whole = node.stop(limit);
+    Logger.info("node: Stopped; {}.", whole ? "every request was finished" : "time ran out");
   }
 }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/QuickstartCommand.java
@@ -8,21 +8,22 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.skylarkfork.core.configuration.ConfigurationChange;
 import org.skylarkfork.runtime.http.Sha256;
 import org.skylarkfork.runtime.loop.MonotonicClock;
 import org.skylarkfork.runtime.node.DaemonNode;
 import org.skylarkfork.runtime.settings.DaemonSettings;
+import org.skylarkfork.runtime.startup.DaemonProcess;
 import org.skylarkfork.runtime.transport.PeerFilter;
 import org.skylarkfork.standin.rating.StandInRating;
+import org.tinylog.Logger;
 
 /** Runs one daemon with stand-in upstreams in one process, to try things out. */
 @Command(
     name = "quickstart",
     description = "Runs a daemon with stand-in upstreams on loopback, to try things out.")
-public final class QuickstartCommand implements Callable<Integer> {
+public final class QuickstartCommand implements ServerCommand {
 
   private static final String LOOPBACK = "127.0.0.1";
   private static final String NODE = "quickstart";
@@ -41,8 +42,19 @@
   @Option(name = "--port", title = "PORT", description = "Port for callers; a free one if absent.")
   private int port;
 
+  private volatile boolean broken;
+
   @Override
-  public Integer call() throws Exception {
+  public int serve(DaemonProcess process) throws Exception {
+    CountDownLatch ended = new CountDownLatch(1);
+    try {
+      return run(process, ended);
+    } finally {
+      ended.countDown();
+    }
+  }
+
+  private int run(DaemonProcess process, CountDownLatch ended) throws Exception {
     Path folder = Files.createTempDirectory("skylarkfork-quickstart");
     CountDownLatch stopped = new CountDownLatch(1);
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
@@ -57,7 +69,13 @@
       String entry = LOOPBACK + ":" + node.callerAddress().getPort();
       try (ExampleUpstreams upstreams = new ExampleUpstreams(ZONE, entry)) {
         configure(node, upstreams.count());
-        return serve(node, upstreams, folder, stopped);
+        process.onStop(
+            () -> {
+              stopped.countDown();
+              ended.await();
+            });
+        process.onHangUp(() -> Logger.info("node: quickstart has no settings to reload"));
+        return answer(node, upstreams, folder, stopped);
       }
     } finally {
       DeletedFolders.delete(folder);
@@ -80,7 +98,7 @@
     }
   }
 
-  private Integer serve(
+  private int answer(
       DaemonNode node, ExampleUpstreams upstreams, Path folder, CountDownLatch stopped)
       throws IOException, InterruptedException {
     String base = "http://" + LOOPBACK + ":" + node.callerAddress().getPort();
@@ -92,9 +110,8 @@
     System.out.println("Operator key: " + ExampleConfiguration.OPERATOR_KEY);
     System.out.println("Try:");
     System.out.printf(TRY, base, ExampleConfiguration.TEAM_KEY);
-    Runtime.getRuntime().addShutdownHook(new Thread(stopped::countDown));
     stopped.await();
-    return ExitCode.SUCCESS;
+    return broken ? ExitCode.FAILURE : ExitCode.SUCCESS;
   }
 
   private static boolean samples(String base, ExampleUpstreams upstreams, Path folder)
@@ -109,7 +126,8 @@
     }
   }
 
-  private static void fail(Throwable failure, CountDownLatch stopped) {
+  private void fail(Throwable failure, CountDownLatch stopped) {
+    broken = true;
     System.err.println("The daemon stopped: " + failure);
     failure.printStackTrace();
     stopped.countDown();
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
@@ -4,7 +4,6 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.skylarkfork.runtime.codec.Codec;
 import org.skylarkfork.runtime.relay.RelayAdmin;
@@ -12,48 +11,42 @@
 import org.skylarkfork.runtime.relay.RelayHeaders;
 import org.skylarkfork.runtime.relay.RelayNode;
 import org.skylarkfork.runtime.relay.RelaySettings;
+import org.skylarkfork.runtime.relay.SettingsReloader;
 import org.skylarkfork.runtime.settings.RelayFileSettings;
-import org.skylarkfork.runtime.settings.SettingsException;
-import org.skylarkfork.runtime.startup.ProcessEnd;
+import org.skylarkfork.runtime.startup.DaemonProcess;
 
 /** Runs one daemon of the relay until it is told to stop. */
 @Command(name = "relay", description = "Runs one daemon of the relay; SIGTERM stops it gracefully.")
-public final class RelayCommand implements Callable<Integer> {
+public final class RelayCommand implements ServerCommand {
 
   @Required
   @Option(name = "--settings", title = "FILE", description = "Settings in YAML.")
   private String settings;
 
   @Override
-  public Integer call() throws InterruptedException {
-    RelayFileSettings read;
-    try {
-      read = RelayFileSettings.reader().read(Path.of(settings));
-    } catch (SettingsException wrong) {
-      wrong.problems().forEach(System.err::println);
-      return ExitCode.FAILURE;
-    }
-    ProcessEnd end = ProcessEnd.ofThisProcess();
-    RelaySettings relay = read.toRelay();
+  public int serve(DaemonProcess process) throws InterruptedException {
+    Path file = Path.of(settings);
+    RelaySettings read = parse(file);
     RelayNode node =
         new RelayNode(
-            relay,
-            RelayClock.of(relay),
+            read,
+            RelayClock.of(read),
             new RelayHeaders(),
             new RelayAdmin(new Codec()),
-            failure -> end.failed("node: the daemon halts, since an invariant broke", failure));
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, end), "stop"));
+            failure ->
+                process.end().failed("node: the daemon halts, since an invariant broke", failure));
+    process.onStop(node::stop);
     node.start();
+    new SettingsReloader(file, RelayCommand::parse, read, node::reload).start(process);
     new CountDownLatch(1).await();
-    return ExitCode.FAILURE;
+    return ExitCode.SUCCESS;
   }
 
-  private static void stop(RelayNode node, ProcessEnd end) {
-    try {
-      node.stop();
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-    }
-    end.stopped("node: stopped as planned");
+  private static RelaySettings parse(Path file) {
+    return RelayFileSettings.reader().read(file).toRelay();
+  }
+
+  private static RelaySettings parse(String text) {
+    return RelayFileSettings.reader().read(text).toRelay();
   }
 }
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/StandinCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/StandinCommand.java
@@ -6,8 +6,8 @@
 import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.skylarkfork.runtime.startup.DaemonProcess;
 import org.skylarkfork.standin.StandIn;
 import org.skylarkfork.standin.engine.EngineSettings;
 import org.skylarkfork.standin.engine.StandInEngine;
@@ -17,12 +17,13 @@
 import org.skylarkfork.standin.service.StandInService;
 import org.skylarkfork.standin.weights.StandInWeights;
 import org.skylarkfork.standin.weights.WeightsSettings;
+import org.tinylog.Logger;
 
 /** Runs a stand-in for an outside system until it is told to stop. */
 @Command(
     name = "standin",
     description = "Runs a stand-in engine, service, rating service or weight store.")
-public final class StandinCommand implements Callable<Integer> {
+public final class StandinCommand implements ServerCommand {
 
   @Required
   @AllowedRawValues(allowedValues = {"engine", "service", "rating", "weights"})
@@ -34,10 +35,12 @@
   private String settings;
 
   @Override
-  public Integer call() throws InterruptedException {
+  public int serve(DaemonProcess process) throws InterruptedException {
     StandIn standIn = standIn(Path.of(settings));
     standIn.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> standIn.stop().join(), "stop"));
+    process.onStop(() -> standIn.stop().join());
+    process.onHangUp(
+        () -> Logger.info("node: settings are read at the start only; restart to change them"));
     new CountDownLatch(1).await();
     return ExitCode.SUCCESS;
   }
--- /dev/null
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/HeldFile.java
@@ -0,0 +1,46 @@
+package org.skylarkfork.daemon;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** A named pipe in place of a file: whoever reads it is held until the test writes it. */
+final class HeldFile {
+
+  private final Path path;
+
+  /** Creates the pipe. */
+  HeldFile(Path path) throws IOException, InterruptedException {
+    this.path = path;
+    assertEquals(new ProcessBuilder("mkfifo", path.toString()).start().waitFor(), 0);
+  }
+
+  /** Waits until the process reads the file, and returns the stream that it then reads. */
+  OutputStream awaitReader(StartedProcess process) throws Exception {
+    CompletableFuture<OutputStream> opened = new CompletableFuture<>();
+    // Opening blocks until there is a reader, so it can't be done on a thread that has a deadline.
+    Thread thread = new Thread(() -> opened.complete(open()), "held file");
+    thread.setDaemon(true);
+    thread.start();
+    CompletableFuture<Process> ended = process.process().onExit();
+    CompletableFuture.anyOf(opened, ended).get(StartedProcess.LIMIT_SECONDS, TimeUnit.SECONDS);
+    if (!opened.isDone()) {
+      throw new IOException("the process ended before it read " + path + ":\n" + process.log());
+    }
+    return opened.join();
+  }
+
+  private OutputStream open() {
+    try {
+      return Files.newOutputStream(path);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+}
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
@@ -100,6 +100,21 @@
     end.failed(reason, cause);
   }
 
+  /**
+   * Ends the process with status 0 since its task is done. If it was told to stop meanwhile, it
+   * ends by that.
+   *
+   * @param reason what is done, as the text of a log line
+   */
+  public void done(String reason) {
+    synchronized (this) {
+      if (stopping) {
+        return;
+      }
+    }
+    end.stopped(reason);
+  }
+
   /** Acts on SIGHUP. */
   void hangUp() {
     Runnable action;
@@ -153,8 +168,15 @@
       if ("HUP".equals(signal.getName())) {
         process.hangUp();
       } else {
-        process.terminate("SIG" + signal.getName());
+        stopThread("SIG" + signal.getName()).start();
       }
     }
+
+    /** Returns a thread that keeps the JVM from ending when main returns before the stop does. */
+    private Thread stopThread(String signal) {
+      Thread thread = new Thread(() -> process.terminate(signal), "stop");
+      thread.setDaemon(false);
+      return thread;
+    }
   }
 }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/DaemonProcessTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/DaemonProcessTest.java
@@ -79,6 +79,15 @@
     assertEquals(calls, List.of("halt 0"));
   }
 
+  /** Guards against a line that hides the signal which ended the process. */
+  @Test
+  public void taskThatIsDoneByThePlannedStopDoesNotHideTheSignal() {
+    process.onStop(() -> process.done("node: done"));
+    process.terminate("SIGTERM");
+    assertEquals(calls, List.of("halt 0"));
+    assertTrue(text().contains("signal=SIGTERM"), text());
+  }
+
   @Test
   public void startThatFailsEndsTheProcess() {
     process.startFailed("node: can't start", new IllegalStateException("because"));
