Errors of the disk name the operation and the file

An error of an open file said only "File too large" or "Input/output error", so that the log didn't tell whether a write, a sync or a truncation had failed, nor of which file. A write that the disk refuses and a record that can't be read back need different remedies.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -37,7 +37,7 @@
   @Override
   public AppendFile append(Path file) throws IOException {
     return new ChannelFile(
-        FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+        file, FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
   }
 
   @Override
@@ -45,6 +45,8 @@
     try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
       channel.truncate(size);
       channel.force(true);
+    } catch (IOException failure) {
+      throw named("truncate", file, failure);
     }
   }
 
@@ -67,6 +69,8 @@
   public void syncFolder(Path folder) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
       channel.force(true);
+    } catch (IOException failure) {
+      throw named("sync", folder, failure);
     }
   }
 
@@ -95,7 +99,12 @@
     return message.contains("No space left") || message.contains("quota");
   }
 
-  private record ChannelFile(FileChannel channel) implements AppendFile {
+  /** Returns the error with operation and file, which errors of channels lack. */
+  private static IOException named(String operation, Path file, IOException failure) {
+    return new IOException(operation + " of " + file + ": " + failure.getMessage(), failure);
+  }
+
+  private record ChannelFile(Path file, FileChannel channel) implements AppendFile {
 
     @Override
     public void write(byte[] bytes) throws IOException {
@@ -105,13 +114,18 @@
           channel.write(buffer);
         }
       } catch (IOException failure) {
-        throw isFull(failure) ? new DiskFullException(failure) : failure;
+        IOException named = named("write", file, failure);
+        throw isFull(failure) ? new DiskFullException(named) : named;
       }
     }
 
     @Override
     public void sync() throws IOException {
-      channel.force(false);
+      try {
+        channel.force(false);
+      } catch (IOException failure) {
+        throw named("sync", file, failure);
+      }
     }
 
     @Override
