What the disk refuses is retried while a control VM runs

Seen: a write refused for another reason than a full disk (files of 0 bytes allowed for 3 s: "File too large"; an I/O error is the same) stopped the group's storage for the life of the process. With all three control VMs affected, configurations got 503 for ever after the disks took writes again. A full disk counted as such only in write(), by the text of its message; in open, sync, rename, delete or the sync of a folder it stopped the group as well.

Cause: after a failed sync it is unknown what the disk holds, since Linux drops the unwritten pages, still returns them to reads and lets the next sync succeed. So any failure but one ended the group.

All that was acknowledged was synced before the refused change; before the next attempt the last segment is replaced by a copy of exactly these records, in a new file that is synced and renamed over the old one, and a segment that was being created is deleted. The refused change is then written anew from memory. If the acknowledged records can't be read back, the group fails as before: StorageEvent.Failed now means that stored data can't be used or continued.

Evidence: RefusedWritesTest refuses opens, writes, syncs, renames, deletes and syncs of folders one or two times or for a while, and crashes a copy of the disk after each.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusEventLogger.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/ConsensusEventLogger.java
@@ -23,9 +23,9 @@
               true,
               PART,
               failed.group()
-                  + " stopped voting because its disk failed: "
+                  + " stopped voting because its stored data can't be continued: "
                   + failed.detail()
-                  + "; replace the disk and restart"));
+                  + "; restart, and replace the disk if the start fails"));
     }
   }
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/StorageEffect.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/effect/StorageEffect.java
@@ -13,6 +13,9 @@
  */
 public sealed interface StorageEffect extends Effect {
 
+  /** Returns the group that the data belongs to. */
+  GroupId group();
+
   /**
    * Writes the hard state and log entries, in this order, and syncs them together.
    *
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
@@ -52,10 +52,12 @@
   record SnapshotSaved(GroupId group, long index) implements StorageEvent {}
 
   /**
-   * A write or sync failed; this process writes nothing more for the group.
+   * The stored data of a group can't be used or continued; this process writes nothing more for the
+   * group. An operation that the disk refuses isn't reported, since the storage retries it.
    *
-   * @param group group that the write belongs to
-   * @param detail error of the file system
+   * @param group group that the data belongs to
+   * @param detail what is wrong, such as acknowledged records that can't be read any more or an
+   *     entry that doesn't follow the last one
    */
   record Failed(GroupId group, String detail) implements StorageEvent {}
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -94,11 +94,6 @@
     }
   }
 
-  private static boolean isFull(IOException failure) {
-    String message = String.valueOf(failure.getMessage());
-    return message.contains("No space left") || message.contains("quota");
-  }
-
   /** Returns the error with operation and file, which errors of channels lack. */
   private static IOException named(String operation, Path file, IOException failure) {
     return new IOException(operation + " of " + file + ": " + failure.getMessage(), failure);
@@ -114,8 +109,7 @@
           channel.write(buffer);
         }
       } catch (IOException failure) {
-        IOException named = named("write", file, failure);
-        throw isFull(failure) ? new DiskFullException(named) : named;
+        throw named("write", file, failure);
       }
     }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +18,9 @@
 /** Reads and writes the segments and snapshots of one group; confined to the storage's thread. */
 final class GroupLog {
 
+  /** Name of a copy of the last segment until it replaces the segment. */
+  private static final String TEMPORARY = "new-log";
+
   private final GroupId group;
   private final Path folder;
   private final long segmentBytes;
@@ -27,7 +31,7 @@
   private Disk.@Nullable AppendFile currentFile;
   private @Nullable HardState hardState;
   private long lastIndex;
-  private boolean partialWrite;
+  private boolean changing;
 
   GroupLog(GroupId group, StorageSettings settings, BinaryCodec codec, Disk disk) {
     this.group = group;
@@ -63,103 +67,137 @@
   /**
    * Appends the writes as one record and syncs the segment.
    *
-   * @throws DiskFullException if the disk is full; the log is unchanged and the call may be retried
+   * @throws IOException if the disk refuses it; the call may be repeated
+   * @throws IllegalStateException if an entry doesn't follow the last one
    */
   void append(List<LogWrite> writes) throws IOException {
-    final HardState stateBefore = hardState;
-    final long indexBefore = lastIndex;
-    if (partialWrite) {
-      truncatePartialWrite();
-    }
-    try {
-      appendOnce(writes);
-    } catch (DiskFullException full) {
-      hardState = stateBefore;
-      lastIndex = indexBefore;
-      partialWrite = true;
-      throw full;
-    }
-  }
-
-  /** Truncates the bytes that a failed write left; they were never synced or acknowledged. */
-  private void truncatePartialWrite() throws IOException {
-    if (currentFile == null) {
-      currentFile = disk.append(segments.getLast().file());
-    }
-    disk.truncate(segments.getLast().file(), segments.getLast().size());
-    partialWrite = false;
-  }
-
-  private void appendOnce(List<LogWrite> writes) throws IOException {
+    final long indexAfter = indexAfter(writes);
+    beginChange();
     if (segments.getLast().size() >= segmentBytes) {
       roll();
     }
-    for (LogWrite write : writes) {
-      advance(write);
-    }
     byte[] record = RecordFormat.record(codec.toBytes(writes.toArray(LogWrite[]::new)));
     openFile().write(record);
     openFile().sync();
     segments.getLast().recordAppend(record.length);
-    writes.forEach(write -> segments.getLast().recordAppend(0, write));
+    for (LogWrite write : writes) {
+      segments.getLast().recordAppend(0, write);
+      hardState = write.hardState() == null ? hardState : write.hardState();
+    }
+    lastIndex = indexAfter;
+    changing = false;
   }
 
-  /** Saves a snapshot, then deletes the segments and older snapshots that it replaces. */
+  /**
+   * Saves a snapshot, then deletes the segments and older snapshots that it replaces.
+   *
+   * @throws IOException if the disk refuses it; the call may be repeated
+   */
   void save(Snapshot snapshot) throws IOException {
+    beginChange();
     snapshots.save(snapshot);
     lastIndex = Math.max(lastIndex, snapshot.index());
-    roll();
+    if (!segments.getLast().isEmpty()) {
+      roll();
+    }
     while (segments.size() > 1 && segments.getFirst().highestIndex() <= snapshot.index()) {
-      disk.delete(segments.removeFirst().file());
+      deleteIfPresent(segments.getFirst().file());
+      segments.removeFirst();
     }
     snapshots.deleteBefore(snapshot.index());
     disk.syncFolder(folder);
+    changing = false;
   }
 
-  void close() throws IOException {
-    if (currentFile != null) {
-      currentFile.close();
-      currentFile = null;
+  /** Begins a change of the files, after those of a refused change are as they were before it. */
+  private void beginChange() throws IOException {
+    if (changing) {
+      rewriteLastSegment();
     }
+    changing = true;
   }
 
-  private Disk.AppendFile openFile() throws IOException {
-    if (currentFile == null) {
-      throw new IOException("the log of " + group + " is closed");
+  /**
+   * Replaces the last segment by a copy of its acknowledged records.
+   *
+   * <p>After a refused write or sync it is unknown what the disk holds: the operating system may
+   * have dropped the unwritten pages, so that reads still return the bytes and a second sync
+   * succeeds although they aren't on the disk. Only a new file whose first sync succeeds is known
+   * to be on the disk.
+   */
+  private void rewriteLastSegment() throws IOException {
+    close();
+    Segment last = segments.getLast();
+    deleteIfPresent(new Segment(folder, last.number() + 1).file());
+    byte[] records = acknowledgedRecords(last);
+    Path temporary = folder.resolve(TEMPORARY);
+    deleteIfPresent(temporary);
+    try (Disk.AppendFile copy = disk.append(temporary)) {
+      copy.write(records);
+      copy.sync();
     }
-    return currentFile;
+    disk.rename(temporary, last.file());
+    disk.syncFolder(folder);
+    currentFile = disk.append(last.file());
   }
 
-  private void advance(LogWrite write) throws IOException {
-    if (write.hardState() != null) {
-      hardState = write.hardState();
-    }
-    if (write.truncateFrom() > 0) {
-      lastIndex = Math.min(lastIndex, write.truncateFrom() - 1);
+  private byte[] acknowledgedRecords(Segment segment) throws IOException {
+    byte[] content = disk.read(segment.file());
+    byte[] records = Arrays.copyOf(content, Math.toIntExact(segment.size()));
+    RecordReader reader = new RecordReader(segment.file(), records, RecordFormat.SEGMENT_HEADER);
+    byte[] payload = reader.next();
+    while (payload != null) {
+      payload = reader.next();
     }
-    if (write.entries().isEmpty()) {
-      return;
+    if (content.length < records.length || reader.torn()) {
+      throw reader.corrupt("acknowledged records are missing");
     }
-    long first = write.entries().get(0).index();
-    if (first != lastIndex + 1) {
-      // The next start would reject a gap on the disk, and it could no longer be repaired then.
-      throw new IOException("entry " + first + " doesn't follow entry " + lastIndex);
+    return records;
+  }
+
+  private void deleteIfPresent(Path file) throws IOException {
+    if (disk.exists(file)) {
+      disk.delete(file);
     }
-    lastIndex = write.entries().get(write.entries().size() - 1).index();
   }
 
-  private void roll() throws IOException {
-    openFile().close();
+  void close() throws IOException {
+    Disk.AppendFile file = currentFile;
     currentFile = null;
-    long next = segments.getLast().number() + 1;
-    try {
-      openSegment(next);
-    } catch (DiskFullException full) {
-      openFile().close();
-      currentFile = null;
-      disk.delete(new Segment(folder, next).file());
-      throw full;
+    if (file != null) {
+      file.close();
+    }
+  }
+
+  private Disk.AppendFile openFile() {
+    if (currentFile == null) {
+      throw new IllegalStateException("the log of " + group + " is closed");
+    }
+    return currentFile;
+  }
+
+  /** Returns the last index after the writes. */
+  private long indexAfter(List<LogWrite> writes) {
+    long index = lastIndex;
+    for (LogWrite write : writes) {
+      if (write.truncateFrom() > 0) {
+        index = Math.min(index, write.truncateFrom() - 1);
+      }
+      if (!write.entries().isEmpty()) {
+        long first = write.entries().get(0).index();
+        if (first != index + 1) {
+          // The next start would reject a gap on the disk, and it could no longer be repaired then.
+          throw new IllegalStateException("entry " + first + " doesn't follow entry " + index);
+        }
+        index = write.entries().get(write.entries().size() - 1).index();
+      }
     }
+    return index;
+  }
+
+  private void roll() throws IOException {
+    close();
+    openSegment(segments.getLast().number() + 1);
   }
 
   private void openSegment(long number) throws IOException {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Segment.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Segment.java
@@ -12,6 +12,7 @@
   private final Path file;
   private long size;
   private long highestIndex;
+  private boolean empty = true;
 
   Segment(Path folder, long number) {
     this.number = number;
@@ -31,6 +32,7 @@
   /** Records an append of a number of bytes and the entries of a write. */
   void recordAppend(int bytes, LogWrite write) {
     size += bytes;
+    empty = false;
     if (!write.entries().isEmpty()) {
       long last = write.entries().get(write.entries().size() - 1).index();
       highestIndex = Math.max(highestIndex, last);
@@ -55,6 +57,11 @@
     return size;
   }
 
+  /** Returns whether no write was appended after the first record. */
+  boolean isEmpty() {
+    return empty;
+  }
+
   /** Returns the highest index ever written to the segment, or 0 if none was. */
   long highestIndex() {
     return highestIndex;
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -18,6 +19,7 @@
   private Map<Path, Content> current = new HashMap<>();
   private final Map<Path, Content> durable = new HashMap<>();
   private long operationsLeft = Long.MAX_VALUE;
+  private boolean failed;
   private boolean nextSyncFails;
   private long writes;
   private Runnable beforeSync = () -> {};
@@ -27,6 +29,11 @@
     operationsLeft = operations;
   }
 
+  /** Returns whether an operation has failed after those that {@link #failAfter} allowed. */
+  synchronized boolean hasFailed() {
+    return failed;
+  }
+
   synchronized void failNextSync() {
     nextSyncFails = true;
   }
@@ -48,6 +55,17 @@
     operationsLeft = Long.MAX_VALUE;
   }
 
+  /** Returns a copy, which a test can crash while this disk is in use. */
+  synchronized FakeDisk copy() {
+    FakeDisk copy = new FakeDisk();
+    Map<Content, Content> contents = new IdentityHashMap<>();
+    current.forEach(
+        (file, content) -> copy.current.put(file, contents.computeIfAbsent(content, Content::new)));
+    durable.forEach(
+        (file, content) -> copy.durable.put(file, contents.computeIfAbsent(content, Content::new)));
+    return copy;
+  }
+
   /** Returns the bytes of a file, for a test to modify and restore. */
   synchronized byte[] bytes(Path file) {
     return current.get(file).bytes.toByteArray();
@@ -99,6 +117,7 @@
     content.bytes.reset();
     content.bytes.writeBytes(kept);
     content.synced = kept.length;
+    content.forgetLostAfter(kept.length);
   }
 
   @Override
@@ -138,6 +157,7 @@
 
   private void countOperation() throws IOException {
     if (operationsLeft <= 0) {
+      failed = true;
       throw new IOException("No space left on device");
     }
     operationsLeft--;
@@ -147,8 +167,34 @@
     private ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private int synced;
 
+    /** Range that a failed sync dropped: reads return it, but no later sync writes it. */
+    private int lostFrom;
+
+    private int lostTo;
+
+    private Content() {}
+
+    private Content(Content other) {
+      bytes.writeBytes(other.bytes.toByteArray());
+      synced = other.synced;
+      lostFrom = other.lostFrom;
+      lostTo = other.lostTo;
+    }
+
+    private void loseUnsynced() {
+      lostFrom = lostFrom == lostTo ? synced : Math.min(lostFrom, synced);
+      lostTo = bytes.size();
+    }
+
+    private void forgetLostAfter(int size) {
+      lostFrom = Math.min(lostFrom, size);
+      lostTo = Math.min(lostTo, size);
+    }
+
     private void crash(UniformRandomProvider random) {
       byte[] all = bytes.toByteArray();
+      Arrays.fill(all, lostFrom, lostTo, (byte) 0);
+      forgetLostAfter(0);
       int kept = synced + random.nextInt(all.length - synced + 1);
       if (random.nextBoolean() && kept > synced) {
         int from = Math.max(synced, (kept - 1) / SECTOR_BYTES * SECTOR_BYTES);
@@ -186,6 +232,7 @@
         countOperation();
         if (nextSyncFails) {
           nextSyncFails = false;
+          content.loseUnsynced();
           throw new IOException("Input/output error");
         }
         content.synced = content.bytes.size();
