A start waits for a disk that refuses operations

Seen: with files of 0 bytes allowed for 3 s, a control VM ended with status 1, at each start again ("can't start", INPUT_OUTPUT). A full disk refuses every write just so, and a process that was killed is restarted while it lasts; its entry, which needs no disk, ended with it.

Cause: the constructor of the storage wrote the instance id, and recover() created folders, opened or truncated files, on the way of the main thread, and any IOException ended the start.

Now the storage's thread opens the data folder and recovers the logs, with the same pauses and log lines as for refused writes. The constructor and recover() return after the first attempt: with the error of unusable data, as before, so that these still end the start; normally if the disk refused it. The daemon then goes on without its replica: no Recovered event has arrived, so that the replica takes no part, and the control listeners open after the bounded wait for a leader, as on a VM that is cut off. Effects wait in order, each attempt begins with nothing of the one before (a half-written first segment is deleted as after a crash), and a stop is immediate. Data that turns out to be unusable after a refusal is reported as StorageEvent.Failed: the replica stays out, and the process lives. Both programs use this class (RelayNode, DaemonNode), and neither needed a change. An error while a folder is listed (UncheckedIOException) counts as refused, too.

Evidence: refusedFirstStartIsWaitedFor, refusedLaterStartIsWaitedFor (each operation refused three times, then a write and crashes), startReturnsWhileRefused and damageFoundAfterRefusalFailsGroup.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.effect.StorageEffect;
 import org.skylarkfork.core.event.Event;
@@ -35,14 +36,20 @@
   private final BinaryCodec codec;
   private final Disk disk;
   private final Consumer<Event> events;
-  private final DataFolder folder;
+  private final DiskRetry folderRetry;
+  private final CompletableFuture<Void> firstAttempt = new CompletableFuture<>();
   private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
   private final Map<GroupId, GroupStorage> groups = new HashMap<>();
   private final LongAdder syncs = new LongAdder();
   private final Thread thread;
+  private volatile @Nullable DataFolder folder;
+  private @Nullable RuntimeException folderFailure;
 
   /**
-   * Locks the data folder and starts the thread.
+   * Starts the thread and opens the data folder.
+   *
+   * <p>Returns as well if the disk refuses an operation: the thread then opens the folder once the
+   * disk accepts it, and executes the effects after that.
    *
    * @param settings data folder, segment size and instance id
    * @param codec encodes and decodes the records
@@ -56,13 +63,15 @@
     this.codec = codec;
     this.disk = disk;
     this.events = events;
-    try {
-      folder = new DataFolder(settings, disk);
-    } catch (IOException e) {
-      throw inputOutput(settings.folder() + ": " + e, e);
-    }
+    this.folderRetry = new DiskRetry("the start with " + settings.folder());
     thread = new Thread(this::run, "storage");
     thread.start();
+    try {
+      join(firstAttempt, "start with " + settings.folder());
+    } catch (StorageException e) {
+      close();
+      throw e;
+    }
   }
 
   /** Returns the hand-written codecs of the log records. */
@@ -70,14 +79,30 @@
     return List.of(new LogWritesPacking(), new SegmentStartPacking());
   }
 
-  /** Returns the id of the data folder; a folder that was wiped has a new id. */
+  /**
+   * Returns the id of the data folder; a folder that was wiped has a new id.
+   *
+   * @throws IllegalStateException if the disk has refused to open the folder so far
+   */
   public String instanceId() {
-    return folder.instanceId();
+    return openFolder().instanceId();
   }
 
-  /** Returns whether the data folder was empty when the storage opened it. */
+  /**
+   * Returns whether the data folder was empty when the storage opened it.
+   *
+   * @throws IllegalStateException if the disk has refused to open the folder so far
+   */
   public boolean firstStart() {
-    return folder.firstStart();
+    return openFolder().firstStart();
+  }
+
+  private DataFolder openFolder() {
+    DataFolder opened = folder;
+    if (opened == null) {
+      throw new IllegalStateException(settings.folder() + " isn't open; wait for the recovery");
+    }
+    return opened;
   }
 
   /** Returns the number of syncs of logs and snapshots so far. */
@@ -94,13 +119,18 @@
   public void recover(GroupId group) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     queue.add(new Recover(group, done));
+    join(done, "recovery of " + group);
+  }
+
+  private static void join(CompletableFuture<Void> attempt, String operation) {
     try {
-      done.join();
+      attempt.join();
     } catch (CompletionException e) {
       if (e.getCause() instanceof StorageException typed) {
         throw typed;
       }
-      throw inputOutput("recovery of " + group + ": " + e.getCause(), e.getCause());
+      throw new StorageException(
+          StorageException.Kind.INPUT_OUTPUT, operation + ": " + e.getCause(), e.getCause());
     }
   }
 
@@ -128,13 +158,40 @@
   private void run() {
     boolean stopped = false;
     while (!stopped) {
+      tryToOpenFolder(System.nanoTime());
       stopped = takeJobs();
-      long now = System.nanoTime();
-      groups.values().forEach(group -> group.run(now));
+      runGroups(System.nanoTime());
     }
     closeFiles();
   }
 
+  private void tryToOpenFolder(long now) {
+    if (folder != null || folderFailure != null || folderRetry.pauseLeft(now) > 0) {
+      return;
+    }
+    try {
+      folder = new DataFolder(settings, disk);
+      folderRetry.succeeded(now);
+      firstAttempt.complete(null);
+    } catch (IOException refused) {
+      folderRetry.failed(refused, now);
+      firstAttempt.complete(null);
+    } catch (RuntimeException e) {
+      folderFailure = e;
+      firstAttempt.completeExceptionally(e);
+    }
+  }
+
+  private void runGroups(long now) {
+    for (GroupStorage group : groups.values()) {
+      if (folder != null) {
+        group.run(now);
+      } else if (folderFailure != null) {
+        group.fail(folderFailure);
+      }
+    }
+  }
+
   /** Waits for jobs or the next attempt, and returns whether the storage is to stop. */
   private boolean takeJobs() {
     List<Job> jobs = new ArrayList<>();
@@ -152,7 +209,7 @@
       if (job instanceof Write write) {
         group(write.effect().group()).add(write.effect());
       } else if (job instanceof Recover recover) {
-        recoverLog(recover);
+        startRecovery(recover);
       } else {
         stopped = true;
       }
@@ -161,6 +218,9 @@
   }
 
   private long pauseLeft(long now) {
+    if (folder == null) {
+      return folderFailure == null ? folderRetry.pauseLeft(now) : Long.MAX_VALUE;
+    }
     long pause = Long.MAX_VALUE;
     for (GroupStorage group : groups.values()) {
       pause = Math.min(pause, group.pauseLeft(now));
@@ -168,26 +228,21 @@
     return pause;
   }
 
-  private void recoverLog(Recover recover) {
-    GroupLog log = new GroupLog(recover.group(), settings, codec, disk);
-    try {
-      StorageEvent.Recovered recovered = log.recover();
-      group(recover.group()).open(log);
-      Logger.info(
-          "storage: {} recovered with {} entries", recover.group(), recovered.entries().size());
-      events.accept(recovered);
-      recover.done().complete(null);
-    } catch (IOException | RuntimeException e) {
-      recover.done().completeExceptionally(e);
+  private void startRecovery(Recover recover) {
+    group(recover.group()).recover(recover.firstAttempt());
+    if (folder == null && folderFailure == null) {
+      recover.firstAttempt().complete(null);
     }
   }
 
   private GroupStorage group(GroupId group) {
-    return groups.computeIfAbsent(group, id -> new GroupStorage(id, this::report));
+    return groups.computeIfAbsent(
+        group,
+        id -> new GroupStorage(id, () -> new GroupLog(id, settings, codec, disk), this::report));
   }
 
   private void report(StorageEvent event) {
-    if (!(event instanceof StorageEvent.Failed)) {
+    if (event instanceof StorageEvent.Persisted || event instanceof StorageEvent.SnapshotSaved) {
       syncs.increment();
     }
     events.accept(event);
@@ -198,19 +253,17 @@
       for (GroupStorage group : groups.values()) {
         group.close();
       }
-      folder.close();
+      if (folder != null) {
+        folder.close();
+      }
     } catch (IOException e) {
       Logger.warn(e, "storage: the data folder was not closed cleanly");
     }
   }
 
-  private static StorageException inputOutput(String detail, Throwable cause) {
-    return new StorageException(StorageException.Kind.INPUT_OUTPUT, detail, cause);
-  }
-
   private sealed interface Job {}
 
-  private record Recover(GroupId group, CompletableFuture<Void> done) implements Job {}
+  private record Recover(GroupId group, CompletableFuture<Void> firstAttempt) implements Job {}
 
   private record Write(StorageEffect effect) implements Job {}
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -26,6 +27,8 @@
   public List<String> names(Path folder) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       return files.map(file -> file.getFileName().toString()).sorted().toList();
+    } catch (UncheckedIOException failure) {
+      throw named("list", folder, failure.getCause());
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupId;
 import org.skylarkfork.core.effect.StorageEffect;
@@ -25,9 +27,11 @@
   private static final int MAX_ENTRIES_PER_RECORD = 4096;
 
   private final GroupId group;
+  private final Supplier<GroupLog> logs;
   private final Consumer<StorageEvent> events;
   private final DiskRetry retry;
   private final Deque<StorageEffect> pending = new ArrayDeque<>();
+  private @Nullable CompletableFuture<Void> recovery;
   private @Nullable GroupLog log;
   private boolean failed;
 
@@ -35,17 +39,24 @@
    * Creates the storage of a group, whose log isn't open yet.
    *
    * @param group the group
+   * @param logs makes a log, which isn't recovered, for each attempt to recover it
    * @param events receives the results
    */
-  GroupStorage(GroupId group, Consumer<StorageEvent> events) {
+  GroupStorage(GroupId group, Supplier<GroupLog> logs, Consumer<StorageEvent> events) {
     this.group = group;
+    this.logs = logs;
     this.events = events;
-    this.retry = new DiskRetry("writes of " + group);
+    this.retry = new DiskRetry("operations of " + group);
   }
 
-  /** Uses a log that has been recovered. */
-  void open(GroupLog recovered) {
-    log = recovered;
+  /**
+   * Requests the recovery of the log; {@link #run} executes it.
+   *
+   * @param firstAttempt completes after the first attempt: exceptionally if the stored data can't
+   *     be used, otherwise normally, also if the disk refused the attempt
+   */
+  void recover(CompletableFuture<Void> firstAttempt) {
+    recovery = firstAttempt;
   }
 
   /** Adds an effect; {@link #run} executes it. */
@@ -55,24 +66,53 @@
     }
   }
 
-  /** Returns the number of effects that aren't executed yet. */
-  int pendingEffects() {
-    return pending.size();
-  }
-
-  /** Returns the time in nanoseconds until {@link #run} can continue; no effects, no limit. */
+  /** Returns the time in nanoseconds until {@link #run} can continue, or the maximum if never. */
   long pauseLeft(long now) {
-    return pending.isEmpty() ? Long.MAX_VALUE : retry.pauseLeft(now);
+    boolean idle = failed || (recovery == null && pending.isEmpty());
+    return idle ? Long.MAX_VALUE : retry.pauseLeft(now);
   }
 
-  /** Executes the pending effects until the disk refuses one. */
+  /** Recovers the log if requested, and executes the effects until the disk refuses one. */
   void run(long now) {
-    boolean accepted = retry.pauseLeft(now) == 0;
+    if (failed || retry.pauseLeft(now) > 0) {
+      return;
+    }
+    boolean accepted = recovery == null || recoverLog(recovery, now);
     while (accepted && !pending.isEmpty()) {
       accepted = executeNext(now);
     }
   }
 
+  private boolean recoverLog(CompletableFuture<Void> firstAttempt, long now) {
+    GroupLog opened = logs.get();
+    try {
+      final StorageEvent.Recovered recovered = opened.recover();
+      log = opened;
+      recovery = null;
+      retry.succeeded(now);
+      Logger.info("storage: {} recovered with {} entries", group, recovered.entries().size());
+      events.accept(recovered);
+      firstAttempt.complete(null);
+      return true;
+    } catch (IOException refused) {
+      retry.failed(refused, now);
+      closeRefused(opened);
+      firstAttempt.complete(null);
+    } catch (RuntimeException e) {
+      closeRefused(opened);
+      fail(e);
+    }
+    return false;
+  }
+
+  private void closeRefused(GroupLog opened) {
+    try {
+      opened.close();
+    } catch (IOException e) {
+      Logger.warn(e, "storage: a file of {} wasn't closed cleanly", group);
+    }
+  }
+
   private boolean executeNext(long now) {
     StorageEvent result;
     try {
@@ -123,18 +163,28 @@
     return log;
   }
 
-  /** Stops the group permanently, since its log can't be continued. */
-  private void fail(RuntimeException failure) {
+  /**
+   * Stops the group permanently, since its data can't be used or continued. Does nothing if it is
+   * stopped. The failure is reported to the caller of the recovery if that still waits, otherwise
+   * as an event.
+   */
+  void fail(RuntimeException failure) {
+    if (failed) {
+      return;
+    }
     failed = true;
     pending.clear();
-    Logger.error(failure, "storage: {} stopped, since its log can't be continued", group);
+    if (recovery != null && recovery.completeExceptionally(failure)) {
+      return;
+    }
+    Logger.error(failure, "storage: {} stopped, since its data can't be used or continued", group);
     events.accept(new StorageEvent.Failed(group, String.valueOf(failure.getMessage())));
   }
 
   /** Closes the log; pending effects are dropped. */
   void close() throws IOException {
     if (!pending.isEmpty()) {
-      Logger.warn("storage: dropped {} refused writes of {}", pending.size(), group);
+      Logger.warn("storage: dropped {} refused effects of {}", pending.size(), group);
     }
     if (log != null) {
       log.close();
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -27,6 +28,7 @@
 public final class RefusedWritesTest {
 
   private static final Path FOLDER = Path.of("/data");
+  private static final Path LOG = FOLDER.resolve(StorageModel.GROUP.toString());
   private static final int SMALL_SEGMENT = 700;
   private static final int EFFECTS = 120;
   private static final int EFFECTS_BETWEEN_REFUSALS = 6;
@@ -49,6 +51,36 @@
     };
   }
 
+  /** Returns the operations of a start with an empty folder, each of which may be refused. */
+  @DataProvider
+  public Object[][] operationsOfFirstStart() {
+    return new Object[][] {
+      {Operation.LOCK},
+      {Operation.NAMES},
+      {Operation.CREATE_FOLDER},
+      {Operation.APPEND},
+      {Operation.WRITE},
+      {Operation.SYNC},
+      {Operation.RENAME},
+      {Operation.SYNC_FOLDER}
+    };
+  }
+
+  /** Returns the operations of a start after a loss of power, each of which may be refused. */
+  @DataProvider
+  public Object[][] operationsOfLaterStart() {
+    return new Object[][] {
+      {Operation.LOCK},
+      {Operation.NAMES},
+      {Operation.CREATE_FOLDER},
+      {Operation.READ},
+      {Operation.APPEND},
+      {Operation.TRUNCATE},
+      {Operation.DELETE},
+      {Operation.SYNC_FOLDER}
+    };
+  }
+
   private DiskStorage open(Disk disk) {
     return new DiskStorage(
         new StorageSettings(FOLDER, SMALL_SEGMENT, "id-1"), codec, disk, events::add);
@@ -196,6 +228,104 @@
     }
   }
 
+  /**
+   * Guards against a daemon that ends, at each start again, because its disk is full or refuses
+   * another operation.
+   */
+  @Test(dataProvider = "operationsOfFirstStart")
+  public void refusedFirstStartIsWaitedFor(Operation operation) throws Exception {
+    startWhileRefused(operation, emptyDisk(), new StorageModel());
+  }
+
+  /** Guards against the same at a start with data, whose last record is torn. */
+  @Test(dataProvider = "operationsOfLaterStart")
+  public void refusedLaterStartIsWaitedFor(Operation operation) throws Exception {
+    FakeDisk disk = emptyDisk();
+    StorageModel model = fill(disk);
+    appendTo(lastSegment(disk), disk, new byte[] {0, 0, 0});
+    appendTo(LOG.resolve("new-snapshot"), disk, new byte[] {1});
+    startWhileRefused(operation, disk, model);
+  }
+
+  private void startWhileRefused(Operation operation, FakeDisk disk, StorageModel model)
+      throws Exception {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(operation.ordinal());
+    RefusingDisk refusing = new RefusingDisk(disk);
+    refusing.refuse(operation, 3);
+    int before = model.states().size() - 1;
+    try (DiskStorage storage = open(refusing)) {
+      storage.recover(StorageModel.GROUP);
+      assertEquals(nextEvent(), model.stateAfter(before));
+      assertEquals(refusing.refusals(), 3);
+      acknowledge(storage, model.persist(new HardState(1, "a", 7), 0, 1));
+      for (int crash = 0; crash < CRASHES; crash++) {
+        assertEquals(recoverAfterCrash(disk, random), model.stateAfter(before + 1));
+      }
+    }
+  }
+
+  private StorageModel fill(FakeDisk disk) throws InterruptedException {
+    UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(7);
+    StorageModel model = new StorageModel();
+    try (DiskStorage storage = open(disk)) {
+      storage.recover(StorageModel.GROUP);
+      nextEvent();
+      for (int effect = 0; effect < EFFECTS; effect++) {
+        acknowledge(storage, model.next(random));
+      }
+    }
+    return model;
+  }
+
+  private static Path lastSegment(FakeDisk disk) {
+    List<String> names =
+        disk.names(LOG).stream().filter(name -> name.startsWith(Segment.PREFIX)).toList();
+    return LOG.resolve(names.get(names.size() - 1));
+  }
+
+  private static void appendTo(Path file, FakeDisk disk, byte[] bytes) throws IOException {
+    try (Disk.AppendFile open = disk.append(file)) {
+      open.write(bytes);
+      open.sync();
+    }
+  }
+
+  /**
+   * Guards against a start that blocks the daemon, whose other jobs go on, for as long as its disk
+   * refuses writes, and against one that can't be stopped.
+   */
+  @Test(timeOut = 20_000)
+  public void startReturnsWhileRefused() throws Exception {
+    for (Operation operation : List.of(Operation.LOCK, Operation.CREATE_FOLDER, Operation.WRITE)) {
+      RefusingDisk refusing = new RefusingDisk(emptyDisk());
+      refusing.refuse(operation, RefusingDisk.ALWAYS);
+      try (DiskStorage storage = open(refusing)) {
+        storage.recover(StorageModel.GROUP);
+        storage.recover(GroupId.LEDGER);
+        refusing.awaitRefusals(3);
+        assertNull(events.peek());
+      }
+      assertNull(events.peek());
+    }
+  }
+
+  /** Guards against a replica that goes on with damaged data, found after a refused read. */
+  @Test
+  public void damageFoundAfterRefusalFailsGroup() throws Exception {
+    FakeDisk disk = emptyDisk();
+    fill(disk);
+    byte[] damaged = disk.bytes(lastSegment(disk));
+    damaged[0] ^= 1;
+    disk.replace(lastSegment(disk), damaged);
+    RefusingDisk refusing = new RefusingDisk(disk);
+    try (DiskStorage storage = open(refusing)) {
+      refusing.refuse(Operation.READ, 2);
+      storage.recover(StorageModel.GROUP);
+      StorageEvent event = nextEvent();
+      assertTrue(event instanceof StorageEvent.Failed, event.toString());
+    }
+  }
+
   /** Guards against a daemon that can't be stopped while its disk refuses writes. */
   @Test(timeOut = 20_000)
   public void refusedStorageCloses() throws Exception {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusingDisk.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusingDisk.java
@@ -28,7 +28,8 @@
     DELETE,
     CREATE_FOLDER,
     SYNC_FOLDER,
-    LOCK
+    LOCK,
+    LOCK_OF_OTHER_PROCESS
   }
 
   /** Number of refusals of a disk that refuses until it is told otherwise. */
@@ -170,6 +171,9 @@
   @Override
   public Closeable lock(Path file) throws IOException {
     check(Operation.LOCK);
+    if (refuses(Operation.LOCK_OF_OTHER_PROCESS)) {
+      throw new StorageException(StorageException.Kind.LOCKED, file + " is locked", null);
+    }
     return disk.lock(file);
   }
 }
