A start waits for a data folder that its predecessor still holds

Seen: a process that is started while its predecessor is still ending found the folder locked and ended with status 1.

Cause: the lock was tried once.

Then the start fails with LOCKED as before, since two daemons with one folder are an error that only the operator can mend. The constructor waits meanwhile: the predecessor on the same VM also holds the ports, so that there is nothing to serve.

Evidence: lockOfEndingPredecessorIsWaitedFor. Before: "StorageException: /data/lock is locked; stop the other process, or configure another data folder for this one". After: passes. lockOfOtherDaemonIsReportedAfterTimeout guards the bound. testRestartOnRealDiskRecoversState still demands LOCKED for a second storage in use; it sets a timeout of 150 ms, so that it needn't wait for a minute.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -37,6 +37,7 @@
   private final Disk disk;
   private final Consumer<Event> events;
   private final DiskRetry folderRetry;
+  private final long openingSince = System.nanoTime();
   private final CompletableFuture<Void> firstAttempt = new CompletableFuture<>();
   private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
   private final Map<GroupId, GroupStorage> groups = new HashMap<>();
@@ -49,7 +50,8 @@
    * Starts the thread and opens the data folder.
    *
    * <p>Returns as well if the disk refuses an operation: the thread then opens the folder once the
-   * disk accepts it, and executes the effects after that.
+   * disk accepts it, and executes the effects after that. Waits for a folder that another process
+   * uses, up to the timeout of the settings.
    *
    * @param settings data folder, segment size and instance id
    * @param codec encodes and decodes the records
@@ -177,11 +179,22 @@
       folderRetry.failed(refused, now);
       firstAttempt.complete(null);
     } catch (RuntimeException e) {
-      folderFailure = e;
-      firstAttempt.completeExceptionally(e);
+      folderUnusable(e, now);
     }
   }
 
+  /** Retries while another process may be ending, which holds the lock until its end. */
+  private void folderUnusable(RuntimeException failure, long now) {
+    boolean locked =
+        failure instanceof StorageException typed && typed.kind() == StorageException.Kind.LOCKED;
+    if (locked && now - openingSince < settings.lockTimeout().toNanos()) {
+      folderRetry.failed(failure, now);
+      return;
+    }
+    folderFailure = failure;
+    firstAttempt.completeExceptionally(failure);
+  }
+
   private void runGroups(long now) {
     for (GroupStorage group : groups.values()) {
       if (folder != null) {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -31,6 +32,7 @@
   private static final Path FOLDER = Path.of("/data");
   private static final Path LOG = FOLDER.resolve(StorageModel.GROUP.toString());
   private static final int SMALL_SEGMENT = 700;
+  private static final Duration LOCK_TIMEOUT = Duration.ofMillis(150);
 
   /** Multiplies the number of runs, for example {@code -Dskylarkfork.fuzz.factor=10}. */
   private static final int FACTOR = Integer.getInteger("skylarkfork.fuzz.factor", 1);
@@ -43,7 +45,7 @@
 
   private DiskStorage open(Disk disk, Path folder) {
     return new DiskStorage(
-        new StorageSettings(folder, SMALL_SEGMENT, "id-1"), codec, disk, events::add);
+        new StorageSettings(folder, SMALL_SEGMENT, "id-1", LOCK_TIMEOUT), codec, disk, events::add);
   }
 
   private static FakeDisk emptyDisk() {
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
@@ -5,9 +5,11 @@
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -326,6 +328,32 @@
     }
   }
 
+  /** Guards against a daemon that ends because its predecessor still holds the data folder. */
+  @Test
+  public void lockOfEndingPredecessorIsWaitedFor() throws Exception {
+    RefusingDisk refusing = new RefusingDisk(emptyDisk());
+    refusing.refuse(Operation.LOCK_OF_OTHER_PROCESS, 3);
+    try (DiskStorage storage = open(refusing)) {
+      assertEquals(storage.instanceId(), "id-1");
+      storage.recover(StorageModel.GROUP);
+      assertEquals(nextEvent(), new StorageModel().stateAfter(0));
+    }
+  }
+
+  /** Guards against a daemon that waits for ever for a folder that another daemon keeps. */
+  @Test(timeOut = 20_000)
+  public void lockOfOtherDaemonIsReportedAfterTimeout() {
+    RefusingDisk refusing = new RefusingDisk(emptyDisk());
+    refusing.refuse(Operation.LOCK_OF_OTHER_PROCESS, RefusingDisk.ALWAYS);
+    StorageSettings settings =
+        new StorageSettings(FOLDER, SMALL_SEGMENT, "id-1", Duration.ofMillis(250));
+    StorageException locked =
+        expectThrows(
+            StorageException.class, () -> new DiskStorage(settings, codec, refusing, events::add));
+    assertEquals(locked.kind(), StorageException.Kind.LOCKED);
+    assertTrue(refusing.refusals() > 1, "attempts " + refusing.refusals());
+  }
+
   /** Guards against a daemon that can't be stopped while its disk refuses writes. */
   @Test(timeOut = 20_000)
   public void refusedStorageCloses() throws Exception {
