A start writes the last log segment anew before it counts as stored

Cause: a process that is killed after a write and before (or after a failed) sync leaves a record that reads return. Its next start recovered the record, and the replica counted it as synced and could acknowledge it to a leader. A loss of power after that took it away again.

Now a start replaces the last segment by a synced copy of what it read, as after a refused write; earlier segments were synced before the next one was begun. Costs a write of up to one segment and two syncs at each start with data.

The start writes, syncs and renames now, so that refusedLaterStartIsWaitedFor refuses these as well.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -42,7 +42,10 @@
     this.snapshots = new SnapshotFiles(folder, codec, disk);
   }
 
-  /** Reads the stored state, truncates a torn last record and opens the log for writes. */
+  /**
+   * Reads the stored state, truncates a torn last record, makes sure that what was read is on the
+   * disk, and opens the log for writes.
+   */
   StorageEvent.Recovered recover() throws IOException {
     disk.createFolder(folder);
     disk.syncFolder(folder.toAbsolutePath().getParent());
@@ -59,7 +62,7 @@
     if (segments.isEmpty()) {
       openSegment(1);
     } else {
-      currentFile = disk.append(segments.getLast().file());
+      rewriteLastSegment();
     }
     return new StorageEvent.Recovered(group, hardState, snapshot, log.entries());
   }
@@ -123,7 +126,7 @@
    * <p>After a refused write or sync it is unknown what the disk holds: the operating system may
    * have dropped the unwritten pages, so that reads still return the bytes and a second sync
    * succeeds although they aren't on the disk. Only a new file whose first sync succeeds is known
-   * to be on the disk.
+   * to be on the disk. The last record of a process that was killed is in the same state.
    */
   private void rewriteLastSegment() throws IOException {
     close();
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/RefusedWritesTest.java
@@ -77,6 +77,9 @@
       {Operation.CREATE_FOLDER},
       {Operation.READ},
       {Operation.APPEND},
+      {Operation.WRITE},
+      {Operation.SYNC},
+      {Operation.RENAME},
       {Operation.TRUNCATE},
       {Operation.DELETE},
       {Operation.SYNC_FOLDER}
@@ -328,6 +331,32 @@
     }
   }
 
+  /**
+   * Guards against a restart that takes over a record whose sync failed or was never made: reads
+   * return it, and a loss of power takes it away after it was counted as stored.
+   */
+  @Test
+  public void recoveredRecordsAreOnTheDisk() throws Exception {
+    for (int seed = 0; seed < CRASHES * 4; seed++) {
+      UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+      FakeDisk disk = emptyDisk();
+      RefusingDisk refusing = new RefusingDisk(disk);
+      StorageModel model = new StorageModel();
+      try (DiskStorage storage = open(refusing)) {
+        storage.recover(StorageModel.GROUP);
+        nextEvent();
+        acknowledge(storage, model.persist(new HardState(1, "a", 7), 0, 1));
+        int before = refusing.refusals();
+        refusing.refuse(Operation.SYNC, RefusingDisk.ALWAYS);
+        storage.execute(model.persist(null, 0, 2));
+        refusing.awaitRefusals(before + 1);
+      }
+      StorageEvent.Recovered found = recover(disk);
+      assertTrue(model.states().contains(found));
+      assertEquals(recoverAfterCrash(disk, random), found);
+    }
+  }
+
   /** Guards against a daemon that ends because its predecessor still holds the data folder. */
   @Test
   public void lockOfEndingPredecessorIsWaitedFor() throws Exception {
