Repeated responses don't collect while a follower's disk is stalled

Found by reading, in the search for what else a disk that refuses writes does: a response waits for the stored term, and a follower whose disk refuses the term of a new leader kept one for each heartbeat, without a bound, and sent them all at once at the end. A process with little memory would end in the end.

A response that repeats the last waiting one (same write, receiver, match and index) now replaces it, with its newer time of sending. Responses are cumulative, and the leader bears lost ones. One with another index is kept, so that no acknowledgement comes later than before.

Evidence: repeatedResponsesDoNotCollectWhileDiskIsStalled, 1,000 heartbeats. Before: "lists don't have the same size expected [1] but found [1000]". After: passes, with the other tests of the package.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Durability.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Durability.java
@@ -13,6 +13,7 @@
 import org.skylarkfork.core.command.LogEntry;
 import org.skylarkfork.core.effect.StorageEffect;
 import org.skylarkfork.core.message.RaftMessage;
+import org.skylarkfork.core.message.RaftMessage.AppendResponse;
 
 /**
  * Tracks pending writes of one group and the messages that wait for them to be synced.
@@ -127,6 +128,10 @@
     if (pending.sequence <= syncedSequence) {
       context.send(pending.node, pending.message);
     } else {
+      PendingMessage last = pendingMessages.peekLast();
+      if (last != null && pending.repeats(last)) {
+        pendingMessages.removeLast();
+      }
       pendingMessages.addLast(pending);
     }
   }
@@ -206,5 +211,20 @@
     }
   }
 
-  private record PendingMessage(long sequence, long term, String node, RaftMessage message) {}
+  private record PendingMessage(long sequence, long term, String node, RaftMessage message) {
+
+    /**
+     * Returns whether this is a newer response of the same content that waits for the same write,
+     * as one for each heartbeat does while the disk is stalled.
+     */
+    private boolean repeats(PendingMessage earlier) {
+      return sequence == earlier.sequence
+          && term == earlier.term
+          && node.equals(earlier.node)
+          && message instanceof AppendResponse response
+          && earlier.message instanceof AppendResponse before
+          && response.matched() == before.matched()
+          && response.index() == before.index();
+    }
+  }
 }
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ReplicaSafetyTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ReplicaSafetyTest.java
@@ -97,6 +97,21 @@
     assertEquals(acknowledged(), 3);
   }
 
+  // Guards against memory that grows with each heartbeat, until the process ends, while the disk of
+  // a
+  // follower takes no writes: the responses in a new term wait for the stored term.
+  @Test
+  public void repeatedResponsesDoNotCollectWhileDiskIsStalled() {
+    for (int heartbeat = 0; heartbeat < 1_000; heartbeat++) {
+      now = now.plusMillis(100);
+      receive("b", new AppendRequest(GROUP, 3, 2, 2, List.of(), 0, now));
+    }
+    assertTrue(sent.isEmpty());
+    sync();
+    assertEquals(
+        sent, List.of(new AppendResponse(GROUP, 3, 1, true, 2, now.minus(Duration.ofMillis(1)))));
+  }
+
   // Guards against stale reads: a leader serves reads under its lease while a candidate requests
   // votes. A vote within the minimum election timeout would let a second leader change the state
   // that the first one still serves. The same holds for a voter that has just restarted and doesn't
