--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -3,17 +3,14 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.command.GroupId;
@@ -28,33 +25,33 @@
  * Stores the logs and snapshots of the groups in a data folder.
  *
  * <p>One thread does all writes. The thread takes all queued effects, writes those of each group as
- * one record, syncs once per group and then acknowledges the group's last sequence number. A failed
- * write or sync stops the group permanently: after a failed sync the operating system may have
- * dropped the unwritten pages, so a second sync could succeed although the bytes aren't on the
- * disk.
+ * one record, syncs once per group and then acknowledges the group's last sequence number. What the
+ * disk refuses is retried until the disk accepts it; other groups go on in the meantime.
  */
 public final class DiskStorage implements Storage {
 
-  private static final int MAX_EFFECTS_PER_BATCH = 512;
-  private static final int MAX_ENTRIES_PER_RECORD = 4096;
-
-  /** Time between two attempts on a full disk: 0.1 s, short compared with an election. */
-  private static final long DISK_FULL_RETRY_NANOS = 100_000_000L;
+  private static final int MAX_JOBS_PER_BATCH = 512;
 
   private final StorageSettings settings;
   private final BinaryCodec codec;
   private final Disk disk;
   private final Consumer<Event> events;
-  private final DataFolder folder;
+  private final DiskRetry folderRetry;
+  private final long openingSince = System.nanoTime();
+  private final CompletableFuture<Void> firstAttempt = new CompletableFuture<>();
   private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
-  private final Map<GroupId, GroupLog> logs = new HashMap<>();
-  private final Set<GroupId> failed = new HashSet<>();
+  private final Map<GroupId, GroupStorage> groups = new HashMap<>();
   private final LongAdder syncs = new LongAdder();
   private final Thread thread;
-  private volatile boolean closing;
+  private volatile @Nullable DataFolder folder;
+  private @Nullable RuntimeException folderFailure;
 
   /**
-   * Locks the data folder and starts the thread.
+   * Starts the thread and opens the data folder.
+   *
+   * <p>Returns as well if the disk refuses an operation: the thread then opens the folder once the
+   * disk accepts it, and executes the effects after that. Waits for a folder that another process
+   * uses, up to the timeout of the settings.
    *
    * @param settings data folder, segment size and instance id
    * @param codec encodes and decodes the records
@@ -68,13 +65,15 @@
     this.codec = codec;
     this.disk = disk;
     this.events = events;
-    try {
-      folder = new DataFolder(settings, disk);
-    } catch (IOException e) {
-      throw inputOutput(settings.folder() + ": " + e, e);
-    }
+    this.folderRetry = new DiskRetry("the start with " + settings.folder());
     thread = new Thread(this::run, "storage");
     thread.start();
+    try {
+      join(firstAttempt, "start with " + settings.folder());
+    } catch (StorageException e) {
+      close();
+      throw e;
+    }
   }
 
   /** Returns the hand-written codecs of the log records. */
@@ -82,14 +81,30 @@
     return List.of(new LogWritesPacking(), new SegmentStartPacking());
   }
 
-  /** Returns the id of the data folder; a folder that was wiped has a new id. */
+  /**
+   * Returns the id of the data folder; a folder that was wiped has a new id.
+   *
+   * @throws IllegalStateException if the disk has refused to open the folder so far
+   */
   public String instanceId() {
-    return folder.instanceId();
+    return openFolder().instanceId();
   }
 
-  /** Returns whether the data folder was empty when the storage opened it. */
+  /**
+   * Returns whether the data folder was empty when the storage opened it.
+   *
+   * @throws IllegalStateException if the disk has refused to open the folder so far
+   */
   public boolean firstStart() {
-    return folder.firstStart();
+    return openFolder().firstStart();
+  }
+
+  private DataFolder openFolder() {
+    DataFolder opened = folder;
+    if (opened == null) {
+      throw new IllegalStateException(settings.folder() + " isn't open; wait for the recovery");
+    }
+    return opened;
   }
 
   /** Returns the number of syncs of logs and snapshots so far. */
@@ -106,13 +121,18 @@
   public void recover(GroupId group) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     queue.add(new Recover(group, done));
+    join(done, "recovery of " + group);
+  }
+
+  private static void join(CompletableFuture<Void> attempt, String operation) {
     try {
-      done.join();
+      attempt.join();
     } catch (CompletionException e) {
       if (e.getCause() instanceof StorageException typed) {
         throw typed;
       }
-      throw inputOutput("recovery of " + group + ": " + e.getCause(), e.getCause());
+      throw new StorageException(
+          StorageException.Kind.INPUT_OUTPUT, operation + ": " + e.getCause(), e.getCause());
     }
   }
 
@@ -123,7 +143,6 @@
 
   @Override
   public void close() {
-    closing = true;
     queue.add(new Stop());
     boolean interrupted = false;
     while (thread.isAlive()) {
@@ -139,166 +158,127 @@
   }
 
   private void run() {
-    List<Job> jobs = new ArrayList<>();
     boolean stopped = false;
     while (!stopped) {
-      jobs.clear();
-      try {
-        jobs.add(queue.take());
-      } catch (InterruptedException e) {
-        Logger.warn("storage: ignored an interrupt; close() ends the thread");
-        continue;
-      }
-      queue.drainTo(jobs, MAX_EFFECTS_PER_BATCH);
-      stopped = runJobs(jobs);
+      tryToOpenFolder(System.nanoTime());
+      stopped = takeJobs();
+      runGroups(System.nanoTime());
     }
     closeFiles();
   }
 
-  /** Runs jobs in order and returns whether they contained a stop. */
-  private boolean runJobs(List<Job> jobs) {
-    Map<GroupId, List<StorageEffect.Persist>> batches = new LinkedHashMap<>();
+  private void tryToOpenFolder(long now) {
+    if (folder != null || folderFailure != null || folderRetry.pauseLeft(now) > 0) {
+      return;
+    }
+    try {
+      folder = new DataFolder(settings, disk);
+      folderRetry.succeeded(now);
+      firstAttempt.complete(null);
+    } catch (IOException refused) {
+      folderRetry.failed(refused, now);
+      firstAttempt.complete(null);
+    } catch (RuntimeException e) {
+      folderUnusable(e, now);
+    }
+  }
+
+  /** Retries while another process may be ending, which holds the lock until its end. */
+  private void folderUnusable(RuntimeException failure, long now) {
+    boolean locked =
+        failure instanceof StorageException typed && typed.kind() == StorageException.Kind.LOCKED;
+    if (locked && now - openingSince < settings.lockTimeout().toNanos()) {
+      folderRetry.failed(failure, now);
+      return;
+    }
+    folderFailure = failure;
+    firstAttempt.completeExceptionally(failure);
+  }
+
+  private void runGroups(long now) {
+    for (GroupStorage group : groups.values()) {
+      if (folder != null) {
+        group.run(now);
+      } else if (folderFailure != null) {
+        group.fail(folderFailure);
+      }
+    }
+  }
+
+  /** Waits for jobs or the next attempt, and returns whether the storage is to stop. */
+  private boolean takeJobs() {
+    List<Job> jobs = new ArrayList<>();
+    try {
+      Job first = queue.poll(pauseLeft(System.nanoTime()), TimeUnit.NANOSECONDS);
+      if (first != null) {
+        jobs.add(first);
+      }
+    } catch (InterruptedException e) {
+      Logger.warn("storage: ignored an interrupt; close() ends the thread");
+    }
+    queue.drainTo(jobs, MAX_JOBS_PER_BATCH);
     boolean stopped = false;
     for (Job job : jobs) {
-      if (job instanceof Write write && write.effect() instanceof StorageEffect.Persist persist) {
-        batches.computeIfAbsent(persist.group(), group -> new ArrayList<>()).add(persist);
-      } else if (job instanceof Write write
-          && write.effect() instanceof StorageEffect.SaveSnapshot save) {
-        writeBatch(save.group(), batches.remove(save.group()));
-        saveSnapshot(save);
+      if (job instanceof Write write) {
+        group(write.effect().group()).add(write.effect());
       } else if (job instanceof Recover recover) {
-        recoverLog(recover);
+        startRecovery(recover);
       } else {
         stopped = true;
       }
     }
-    batches.forEach(this::writeBatch);
     return stopped;
   }
 
-  private void recoverLog(Recover recover) {
-    GroupLog log = new GroupLog(recover.group(), settings, codec, disk);
-    try {
-      StorageEvent.Recovered recovered = log.recover();
-      logs.put(recover.group(), log);
-      Logger.info(
-          "storage: {} recovered with {} entries", recover.group(), recovered.entries().size());
-      events.accept(recovered);
-      recover.done().complete(null);
-    } catch (IOException | RuntimeException e) {
-      recover.done().completeExceptionally(e);
+  private long pauseLeft(long now) {
+    if (folder == null) {
+      return folderFailure == null ? folderRetry.pauseLeft(now) : Long.MAX_VALUE;
     }
+    long pause = Long.MAX_VALUE;
+    for (GroupStorage group : groups.values()) {
+      pause = Math.min(pause, group.pauseLeft(now));
+    }
+    return pause;
   }
 
-  private void writeBatch(GroupId group, @Nullable List<StorageEffect.Persist> batch) {
-    if (batch == null) {
-      return;
-    }
-    List<LogWrite> writes = new ArrayList<>();
-    int entries = 0;
-    for (StorageEffect.Persist persist : batch) {
-      writes.add(LogWrite.of(persist));
-      entries += persist.entries().size();
-      if (entries >= MAX_ENTRIES_PER_RECORD) {
-        append(group, List.copyOf(writes), persist.sequence());
-        writes.clear();
-        entries = 0;
-      }
-    }
-    if (!writes.isEmpty()) {
-      append(group, writes, batch.get(batch.size() - 1).sequence());
+  private void startRecovery(Recover recover) {
+    group(recover.group()).recover(recover.firstAttempt());
+    if (folder == null && folderFailure == null) {
+      recover.firstAttempt().complete(null);
     }
   }
 
-  private void append(GroupId group, List<LogWrite> writes, long sequence) {
-    executeOrFail(
+  private GroupStorage group(GroupId group) {
+    return groups.computeIfAbsent(
         group,
-        log -> {
-          log.append(writes);
-          return new StorageEvent.Persisted(group, sequence);
-        });
-  }
-
-  private void saveSnapshot(StorageEffect.SaveSnapshot save) {
-    executeOrFail(
-        save.group(),
-        log -> {
-          log.save(save.snapshot());
-          return new StorageEvent.SnapshotSaved(save.group(), save.snapshot().index());
-        });
+        id -> new GroupStorage(id, () -> new GroupLog(id, settings, codec, disk), this::report));
   }
 
-  private void executeOrFail(GroupId group, LogOperation operation) {
-    if (failed.contains(group)) {
-      return;
-    }
-    StorageEvent result;
-    try {
-      GroupLog log = logs.get(group);
-      if (log == null) {
-        throw new IOException(group + " was not recovered before its first write");
-      }
-      result = retryWhileDiskFull(group, log, operation);
+  private void report(StorageEvent event) {
+    if (event instanceof StorageEvent.Persisted || event instanceof StorageEvent.SnapshotSaved) {
       syncs.increment();
-    } catch (IOException | RuntimeException e) {
-      failed.add(group);
-      Logger.error(e, "storage: {} stopped after a failed write", group);
-      result = new StorageEvent.Failed(group, String.valueOf(e.getMessage()));
-    }
-    events.accept(result);
-  }
-
-  /**
-   * Retries an operation until the disk has space.
-   *
-   * <p>The storage acknowledges nothing in the meantime, so the replica behaves like one with a
-   * stalled disk: it doesn't lead, and it participates again without intervention once space is
-   * free.
-   */
-  private StorageEvent retryWhileDiskFull(GroupId group, GroupLog log, LogOperation operation)
-      throws IOException {
-    boolean logged = false;
-    while (true) {
-      try {
-        return operation.run(log);
-      } catch (DiskFullException full) {
-        if (closing) {
-          throw full;
-        }
-        if (!logged) {
-          Logger.warn(
-              "storage: the disk is full; writes of {} are retried until space is free", group);
-          logged = true;
-        }
-        LockSupport.parkNanos(DISK_FULL_RETRY_NANOS);
-      }
     }
+    events.accept(event);
   }
 
   private void closeFiles() {
     try {
-      for (GroupLog log : logs.values()) {
-        log.close();
+      for (GroupStorage group : groups.values()) {
+        group.close();
+      }
+      if (folder != null) {
+        folder.close();
       }
-      folder.close();
     } catch (IOException e) {
       Logger.warn(e, "storage: the data folder was not closed cleanly");
     }
   }
 
-  private static StorageException inputOutput(String detail, Throwable cause) {
-    return new StorageException(StorageException.Kind.INPUT_OUTPUT, detail, cause);
-  }
-
   private sealed interface Job {}
 
-  private record Recover(GroupId group, CompletableFuture<Void> done) implements Job {}
+  private record Recover(GroupId group, CompletableFuture<Void> firstAttempt) implements Job {}
 
   private record Write(StorageEffect effect) implements Job {}
 
   private record Stop() implements Job {}
-
-  private interface LogOperation {
-    StorageEvent run(GroupLog log) throws IOException;
-  }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -26,6 +27,8 @@
   public List<String> names(Path folder) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       return files.map(file -> file.getFileName().toString()).sorted().toList();
+    } catch (UncheckedIOException failure) {
+      throw named("list", folder, failure.getCause());
     }
   }
 
@@ -37,7 +40,7 @@
   @Override
   public AppendFile append(Path file) throws IOException {
     return new ChannelFile(
-        FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+        file, FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND));
   }
 
   @Override
@@ -45,6 +48,8 @@
     try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
       channel.truncate(size);
       channel.force(true);
+    } catch (IOException failure) {
+      throw named("truncate", file, failure);
     }
   }
 
@@ -67,6 +72,8 @@
   public void syncFolder(Path folder) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
       channel.force(true);
+    } catch (IOException failure) {
+      throw named("sync", folder, failure);
     }
   }
 
@@ -90,12 +97,12 @@
     }
   }
 
-  private static boolean isFull(IOException failure) {
-    String message = String.valueOf(failure.getMessage());
-    return message.contains("No space left") || message.contains("quota");
+  /** Returns the error with operation and file, which errors of channels lack. */
+  private static IOException named(String operation, Path file, IOException failure) {
+    return new IOException(operation + " of " + file + ": " + failure.getMessage(), failure);
   }
 
-  private record ChannelFile(FileChannel channel) implements AppendFile {
+  private record ChannelFile(Path file, FileChannel channel) implements AppendFile {
 
     @Override
     public void write(byte[] bytes) throws IOException {
@@ -105,13 +112,17 @@
           channel.write(buffer);
         }
       } catch (IOException failure) {
-        throw isFull(failure) ? new DiskFullException(failure) : failure;
+        throw named("write", file, failure);
       }
     }
 
     @Override
     public void sync() throws IOException {
-      channel.force(false);
+      try {
+        channel.force(false);
+      } catch (IOException failure) {
+        throw named("sync", file, failure);
+      }
     }
 
     @Override
