A torn last record no longer ends the process at each start

Operators saw a control VM that ended with "wrong checksum of a record" at each start after a loss of power; where all lose power at once, that is the whole group. Cause: RecordReader took a bad last record for torn only if a whole 512-byte sector within it had 8 bytes or more that all read as zeros. A disk tears at any byte, so 1 to 40 zeros inside one sector were called corrupt.

Ways a last write may look: cut short; zeros from any byte on, the length kept; zeros up to any byte; a hole of zeros; old bytes of a reused block. None of them can be told from a changed record by its own bytes. What separates "never synced" from "synced and changed later" is what follows: each record is synced before the next is written, so anything intact behind a bad record proves that it was synced (corrupt), and a bad one with nothing behind it was never acknowledged (torn). A torn first write of a segment is known by its length.

Weighed: (1) only that rule: a changed last record of an idle group, already acknowledged, would be dropped unnoticed, and the test of flipped bits would have had to be weakened. (2) A length or mark in the next record's header: says nothing about the last record. (3) Chosen: once the storage is idle, it appends a record without writes, 13 bytes, with no sync of its own. It proves the one before. Under load there is no such mark, the next record proves the same. A lost or torn mark contains nothing and is skipped or cut; the file is synced once more before a segment is closed, so that only the last one has a torn end. Left: a record that is changed within the moment after its sync, if the power fails before its mark is on the disk.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -151,10 +151,22 @@
       }
       queue.drainTo(jobs, MAX_EFFECTS_PER_BATCH);
       stopped = runJobs(jobs);
+      if (queue.isEmpty()) {
+        markSynced();
+      }
     }
     closeFiles();
   }
 
+  /** Marks the last records as synced; under load the next record proves that instead. */
+  private void markSynced() {
+    for (Map.Entry<GroupId, GroupLog> log : logs.entrySet()) {
+      if (!failed.contains(log.getKey())) {
+        log.getValue().markSynced();
+      }
+    }
+  }
+
   /** Runs jobs in order and returns whether they contained a stop. */
   private boolean runJobs(List<Job> jobs) {
     Map<GroupId, List<StorageEffect.Persist>> batches = new LinkedHashMap<>();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -27,7 +27,9 @@
   private Disk.@Nullable AppendFile currentFile;
   private @Nullable HardState hardState;
   private long lastIndex;
+  private final byte[] syncMark;
   private boolean partialWrite;
+  private boolean marked;
 
   GroupLog(GroupId group, StorageSettings settings, BinaryCodec codec, Disk disk) {
     this.group = group;
@@ -36,6 +38,7 @@
     this.codec = codec;
     this.disk = disk;
     this.snapshots = new SnapshotFiles(folder, codec, disk);
+    this.syncMark = RecordFormat.record(codec.toBytes(new LogWrite[0]));
   }
 
   /** Reads the stored state, truncates a torn last record and opens the log for writes. */
@@ -100,10 +103,33 @@
     byte[] record = RecordFormat.record(codec.toBytes(writes.toArray(LogWrite[]::new)));
     openFile().write(record);
     openFile().sync();
+    marked = false;
     segments.getLast().recordAppend(record.length);
     writes.forEach(write -> segments.getLast().recordAppend(0, write));
   }
 
+  /**
+   * Appends a record without writes, which proves to a later start that the record before it was
+   * synced; does nothing if the last record is such a mark.
+   *
+   * <p>Without the mark, a last record that was changed after it was acknowledged would look like
+   * one that a power failure tore, and would be dropped. The mark isn't synced and may be lost; a
+   * failure to write it is logged only.
+   */
+  void markSynced() {
+    if (marked || partialWrite || currentFile == null) {
+      return;
+    }
+    marked = true;
+    try {
+      currentFile.write(syncMark);
+      segments.getLast().recordAppend(syncMark.length);
+    } catch (IOException e) {
+      Logger.warn("storage: {} has no mark behind its last record: {}", group, e.toString());
+      partialWrite = true;
+    }
+  }
+
   /** Saves a snapshot, then deletes the segments and older snapshots that it replaces. */
   void save(Snapshot snapshot) throws IOException {
     snapshots.save(snapshot);
@@ -149,6 +175,10 @@
   }
 
   private void roll() throws IOException {
+    if (marked) {
+      // Only the last segment may have a torn end.
+      openFile().sync();
+    }
     openFile().close();
     currentFile = null;
     long next = segments.getLast().number() + 1;
@@ -164,14 +194,20 @@
 
   private void openSegment(long number) throws IOException {
     Segment segment = new Segment(folder, number);
-    byte[] start = codec.toBytes(new SegmentStart(group, number, hardState));
-    byte[] bytes = RecordFormat.fileStart(RecordFormat.SEGMENT_HEADER, start);
+    byte[] bytes = segmentStart(number, hardState);
     currentFile = disk.append(segment.file());
     currentFile.write(bytes);
     currentFile.sync();
     disk.syncFolder(folder);
     segment.recordAppend(bytes.length);
     segments.addLast(segment);
+    marked = false;
+  }
+
+  /** Returns the first write of a segment. */
+  private byte[] segmentStart(long number, @Nullable HardState state) {
+    byte[] start = codec.toBytes(new SegmentStart(group, number, state));
+    return RecordFormat.fileStart(RecordFormat.SEGMENT_HEADER, start);
   }
 
   private List<Long> segmentNumbers() throws IOException {
@@ -215,7 +251,10 @@
   private void replay(Segment segment, ReplayedLog log, boolean last, @Nullable Snapshot snapshot)
       throws IOException {
     Path file = segment.file();
-    RecordReader reader = new RecordReader(file, disk.read(file), RecordFormat.SEGMENT_HEADER);
+    int startBytes = segmentStart(segment.number(), log.hardState()).length;
+    RecordReader reader =
+        new RecordReader(
+            file, disk.read(file), RecordFormat.SEGMENT_HEADER, startBytes, syncMark.length);
     byte[] start = reader.next();
     if (start == null) {
       deleteIncompleteSegment(segment, reader, last, snapshot);
@@ -223,8 +262,11 @@
     }
     checkStart(decode(start, SegmentStart.class, reader), segment, reader);
     log.startSegment(decode(start, SegmentStart.class, reader));
+    marked = false;
     for (byte[] payload = reader.next(); payload != null; payload = reader.next()) {
-      for (LogWrite write : decode(payload, LogWrite[].class, reader)) {
+      LogWrite[] writes = decode(payload, LogWrite[].class, reader);
+      marked = writes.length == 0;
+      for (LogWrite write : writes) {
         String fault = log.apply(write);
         if (fault != null) {
           throw reader.corrupt(fault);
@@ -263,7 +305,10 @@
       throw reader.corrupt("a torn record in a segment that isn't the last");
     }
     Logger.warn(
-        "storage: truncated a torn record of {} at offset {}", segment.file(), reader.offset());
+        "storage: truncated {} at offset {}: {}, and nothing shows that it was ever synced",
+        segment.file(),
+        reader.offset(),
+        reader.problem());
     disk.truncate(segment.file(), reader.offset());
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/RecordReader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/RecordReader.java
@@ -8,42 +8,55 @@
 /**
  * Reads the records of one file and distinguishes a torn last record from corruption.
  *
- * <p>Each record is synced before the next is written, so a crash can tear only the last one. A
- * torn record is truncated by the end of the file, or contains a disk sector that was never written
- * and reads as zeros. A record of full length with a wrong checksum and no such sector was changed
- * after it was written, possibly after it was acknowledged, and is rejected.
+ * <p>Each record is synced before the next is written, so any record behind another one proves that
+ * the other was synced. A power failure changes only bytes that were never synced, in any way: it
+ * may truncate them, replace some by zeros or leave old bytes of the disk. A damaged record without
+ * an intact one behind it is therefore torn, and was never acknowledged; any other damaged record
+ * was changed after it was synced, possibly after it was acknowledged, and is rejected.
+ *
+ * <p>Marks are the exception, as they aren't synced before the next record is written. They have a
+ * length that no other record has, and contain nothing, so a damaged one before an intact record is
+ * skipped.
  */
 final class RecordReader {
 
-  private static final int SECTOR_BYTES = 512;
   private static final int VERSION_BITS = 16;
 
-  /** Minimum run of zeros, in bytes; shorter runs occur in intact records. */
-  private static final int MIN_UNWRITTEN_BYTES = 8;
-
   private final Path file;
   private final byte[] bytes;
+  private final int firstWriteBytes;
+  private final int markBytes;
   private int offset;
   private boolean torn;
+  private String problem = "";
 
-  /** Creates a reader of a file's entire content and checks the file header. */
-  RecordReader(Path file, byte[] bytes, long header) {
+  /**
+   * Creates a reader of a file's entire content and checks the file header.
+   *
+   * @param file name of the file, for messages
+   * @param bytes content of the file
+   * @param header expected file header
+   * @param firstWriteBytes length of the first write, which contains the file header and the first
+   *     record; a longer file can't have a torn first write
+   * @param markBytes length of a mark's record, or 0 if the file has no marks
+   */
+  RecordReader(Path file, byte[] bytes, long header, int firstWriteBytes, int markBytes) {
     this.file = file;
     this.bytes = bytes;
+    this.firstWriteBytes = firstWriteBytes;
+    this.markBytes = markBytes;
     if (bytes.length < RecordFormat.FILE_HEADER_BYTES) {
-      torn = true;
+      stopAtTorn("no complete file header");
       return;
     }
     long actualHeader = ByteBuffer.wrap(bytes).getLong();
-    if (actualHeader == 0 && hasUnwrittenSector(0, bytes.length)) {
-      torn = true;
-    } else if (actualHeader >> VERSION_BITS == header >> VERSION_BITS && actualHeader > header) {
+    if (actualHeader >> VERSION_BITS == header >> VERSION_BITS && actualHeader > header) {
       throw new StorageException(
           StorageException.Kind.NEWER_FORMAT,
           file + " has layout " + (actualHeader & 0xffff),
           null);
     } else if (actualHeader != header) {
-      throw corrupt("no file header");
+      tornOrCorrupt("no file header");
     } else {
       offset = RecordFormat.FILE_HEADER_BYTES;
     }
@@ -51,30 +64,16 @@
 
   /** Returns the next payload, or null at the end of the file or at a torn record. */
   byte @Nullable [] next() {
-    if (torn || offset == bytes.length) {
-      return null;
-    }
-    if (bytes.length - offset < RecordFormat.RECORD_HEADER_BYTES) {
-      torn = true;
-      return null;
-    }
-    ByteBuffer header = ByteBuffer.wrap(bytes, offset, RecordFormat.RECORD_HEADER_BYTES);
-    int length = header.getInt();
-    if (header.getInt() != RecordFormat.lengthChecksum(length) || length < 0) {
-      return tornOrCorrupt(bytes.length, "wrong checksum of a record's length");
-    }
-    int checksum = header.getInt();
-    int start = offset + RecordFormat.RECORD_HEADER_BYTES;
-    if (length > bytes.length - start) {
-      torn = true;
-      return null;
-    }
-    if (RecordFormat.checksum(bytes, start, length) != checksum) {
-      boolean last = start + length == bytes.length;
-      return tornOrCorrupt(last ? bytes.length : offset, "wrong checksum of a record");
+    while (!torn && offset < bytes.length) {
+      String damage = damageAt(offset);
+      if (damage == null) {
+        int start = offset + RecordFormat.RECORD_HEADER_BYTES;
+        offset = start + lengthAt(offset);
+        return Arrays.copyOfRange(bytes, start, offset);
+      }
+      skipMarkOrStop(damage);
     }
-    offset = start + length;
-    return Arrays.copyOfRange(bytes, start, offset);
+    return null;
   }
 
   /** Returns whether {@link #next} stopped at a torn record, which begins at {@link #offset}. */
@@ -82,6 +81,11 @@
     return torn;
   }
 
+  /** Returns what is wrong with the torn record, or an empty text if there is none. */
+  String problem() {
+    return problem;
+  }
+
   /** Returns the offset in bytes after the last intact record. */
   int offset() {
     return offset;
@@ -93,32 +97,81 @@
         StorageException.Kind.CORRUPT, file + " at offset " + offset + ": " + problem, null);
   }
 
-  private byte @Nullable [] tornOrCorrupt(int end, String problem) {
-    if (!hasUnwrittenSector(offset, end)) {
-      throw corrupt(problem);
+  private void skipMarkOrStop(String damage) {
+    int mark = offset + markBytes;
+    if (markBytes > 0 && firstIntactAfter(offset) == mark) {
+      offset = mark;
+    } else {
+      tornOrCorrupt(damage);
+    }
+  }
+
+  private void tornOrCorrupt(String damage) {
+    boolean first = offset <= RecordFormat.FILE_HEADER_BYTES;
+    boolean laterWrite =
+        first
+            ? bytes.length > firstWriteBytes
+            : continuesBehindRecord() || firstIntactAfter(offset) >= 0;
+    if (laterWrite) {
+      throw corrupt(damage);
     }
+    stopAtTorn(damage);
+  }
+
+  private void stopAtTorn(String damage) {
     torn = true;
-    return null;
+    problem = damage;
   }
 
-  private boolean hasUnwrittenSector(int from, int to) {
-    int start = from;
-    while (start < to) {
-      int end = Math.min(to, (start / SECTOR_BYTES + 1) * SECTOR_BYTES);
-      if (end - start >= MIN_UNWRITTEN_BYTES && isAllZeros(start, end)) {
-        return true;
-      }
-      start = end;
+  /**
+   * Returns whether bytes follow the damaged record, which has an intact length and isn't a mark.
+   */
+  private boolean continuesBehindRecord() {
+    if (!hasLength(offset)) {
+      return false;
     }
-    return false;
+    long recordBytes = (long) RecordFormat.RECORD_HEADER_BYTES + lengthAt(offset);
+    return recordBytes != markBytes && offset + recordBytes < bytes.length;
   }
 
-  private boolean isAllZeros(int from, int to) {
-    for (int i = from; i < to; i++) {
-      if (bytes[i] != 0) {
-        return false;
+  /** Returns the offset of the first intact record after an offset, or -1 if there is none. */
+  private int firstIntactAfter(int from) {
+    for (int at = from + 1; at < bytes.length; at++) {
+      if (damageAt(at) == null) {
+        return at;
       }
     }
-    return true;
+    return -1;
+  }
+
+  /** Returns what is wrong with the record at an offset, or null if it is intact. */
+  private @Nullable String damageAt(int at) {
+    if (bytes.length - at < RecordFormat.RECORD_HEADER_BYTES) {
+      return "no complete record";
+    }
+    if (!hasLength(at)) {
+      return "wrong checksum of a record's length";
+    }
+    int length = lengthAt(at);
+    int start = at + RecordFormat.RECORD_HEADER_BYTES;
+    if (length > bytes.length - start) {
+      return "no complete record";
+    }
+    int checksum = ByteBuffer.wrap(bytes).getInt(at + 2 * Integer.BYTES);
+    boolean intact = RecordFormat.checksum(bytes, start, length) == checksum;
+    return intact ? null : "wrong checksum of a record";
+  }
+
+  private boolean hasLength(int at) {
+    if (bytes.length - at < 2 * Integer.BYTES) {
+      return false;
+    }
+    int length = lengthAt(at);
+    int checksum = ByteBuffer.wrap(bytes).getInt(at + Integer.BYTES);
+    return length >= 0 && checksum == RecordFormat.lengthChecksum(length);
+  }
+
+  private int lengthAt(int at) {
+    return ByteBuffer.wrap(bytes).getInt(at);
   }
 }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/SnapshotFiles.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/SnapshotFiles.java
@@ -39,7 +39,8 @@
       return null;
     }
     Path file = folder.resolve(names.get(names.size() - 1));
-    RecordReader reader = new RecordReader(file, disk.read(file), RecordFormat.SNAPSHOT_HEADER);
+    RecordReader reader =
+        new RecordReader(file, disk.read(file), RecordFormat.SNAPSHOT_HEADER, 0, 0);
     byte[] payload = reader.next();
     if (payload == null || reader.next() != null || reader.torn()) {
       throw reader.corrupt("the snapshot is incomplete");
