A start syncs what it recovers before the replica counts it as stored

What callers could have seen: a vote or an accepted change that is gone after a kill of a process that is followed by a loss of power. Cause: a process that is killed between a write and its sync leaves the record in the page cache. Its successor read it from there and Durability.recovered counts it as synced, so the replica may acknowledge the entry or repeat the vote, and the power then takes both.

Fix: recovery syncs the last segment and the folder once, before it reports the state. Earlier segments were synced before the next was created.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -41,7 +41,12 @@
     this.syncMark = RecordFormat.record(codec.toBytes(new LogWrite[0]));
   }
 
-  /** Reads the stored state, truncates a torn last record and opens the log for writes. */
+  /**
+   * Reads the stored state, truncates a torn last record and opens the log for writes.
+   *
+   * <p>The previous process may have ended before a sync. What was read then is only in the page
+   * cache, and the replica counts it as stored, so it is synced before it is returned.
+   */
   StorageEvent.Recovered recover() throws IOException {
     disk.createFolder(folder);
     disk.syncFolder(folder.toAbsolutePath().getParent());
@@ -59,6 +64,8 @@
       openSegment(1);
     } else {
       currentFile = disk.append(segments.getLast().file());
+      currentFile.sync();
+      disk.syncFolder(folder);
     }
     return new StorageEvent.Recovered(group, hardState, snapshot, log.entries());
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
@@ -206,6 +206,23 @@
     assertTrue(tornOrLost > CRASHES / 10);
   }
 
+  /**
+   * Guards against acknowledging what only the page cache holds: a process ends before a sync, its
+   * successor recovers the write or the name and counts it as stored, then the power fails.
+   */
+  @Test
+  public void testRecoveredStateSurvivesPowerFailure() {
+    for (int run = 0; run < CRASHES; run++) {
+      UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(3000L + run);
+      FakeDisk disk = emptyDisk();
+      crash(disk, new StorageModel(), random);
+      disk.failAfter(Long.MAX_VALUE);
+      StorageEvent.Recovered found = recoverState(disk, FOLDER);
+      disk.crash(random);
+      assertEquals(recoverState(disk, FOLDER), found, "run " + run);
+    }
+  }
+
   private int crash(FakeDisk disk, StorageModel model, UniformRandomProvider random) {
     events.clear();
     int acknowledged = 0;
