A damaged log is set aside, and its replica joins again

Cause: recovery rejects such a log, rightly, and the exception ended the process, which found the same log again.

So the storage now renames the group's folder to damaged-GROUP, logs an error with file, offset and reason, and starts empty: a new instance number, whose votes and acknowledgements don't count until the leader has readmitted it and it has caught up. The whole folder is renamed, in one step, since a part that stays behind could look like a shorter log. One such folder a group; a small log that is damaged again doesn't replace it.

A replica without its log must not help to found the group a second time. The folder's name is the durable evidence: from then on each start reports the event LogSetAside, and such a replica never reports an empty disk and never founds. If that happens to all voters at once they wait, with an error at each start, for an operator.

Newer layouts aren't damage and still end the start. Files and folders that aren't the storage's no longer count as data: a new volume with lost+found only was refused at each start.

Tests changed: a missing instance-id was expected to end the start; it is now expected to set the logs aside. Tests of what recovery rejects ask the log and not the storage, which would set it aside. The disk of the tests renames folders, and what is there after a power failure counts as durable.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupBootstrap.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/GroupBootstrap.java
@@ -22,7 +22,7 @@
  * <p>An empty disk may be a wiped one. A wiped voter that bootstrapped the group again would
  * discard the entries on the other voters, so the first voter in the settings bootstraps the group
  * only after each other voter has reported an empty disk. A voter that is down therefore delays the
- * bootstrap.
+ * bootstrap. A replica whose damaged log was set aside isn't empty: it only ever requests to join.
  */
 final class GroupBootstrap {
 
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/RaftGroup.java
@@ -97,7 +97,9 @@
   }
 
   void onStorage(StorageEvent event, EventContext context) {
-    if (event instanceof StorageEvent.Recovered stored) {
+    if (event instanceof StorageEvent.LogSetAside) {
+      replica.markLogSetAside();
+    } else if (event instanceof StorageEvent.Recovered stored) {
       recover(stored, context);
     } else if (event instanceof StorageEvent.Persisted persisted) {
       replica.durability.persisted(persisted.sequence(), replica.term(), context);
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replica.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/consensus/Replica.java
@@ -36,6 +36,7 @@
   private Role role = Role.FOLLOWER;
   private long commitIndex;
   private boolean failed;
+  private boolean logSetAside;
   private @Nullable Snapshot snapshot;
   private Instant lastContact = Instant.EPOCH;
   private Instant electionDeadline = Instant.EPOCH;
@@ -101,9 +102,19 @@
     return members.latest().votes(self());
   }
 
-  /** Returns whether no term and no entry was ever stored. */
+  /**
+   * Returns whether no term and no entry was ever stored.
+   *
+   * <p>False if a damaged log was set aside: if those of all voters were, a group that was
+   * bootstrapped again would hide what they contain.
+   */
   boolean isEmpty() {
-    return term == 0 && log.lastIndex() == 0;
+    return term == 0 && log.lastIndex() == 0 && !logSetAside;
+  }
+
+  /** Records that a damaged log of this replica was set aside. */
+  void markLogSetAside() {
+    logSetAside = true;
   }
 
   /**
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/event/StorageEvent.java
@@ -13,9 +13,18 @@
   /** Returns the group that the data belongs to. */
   GroupId group();
 
+  /**
+   * A damaged log of a group was set aside at this start or an earlier one, so that an empty state
+   * isn't that of a new disk: what the group has accepted may be in the damaged log only. Submitted
+   * once, before the {@link Recovered} of the group.
+   *
+   * @param group group that the log belongs to
+   */
+  record LogSetAside(GroupId group) implements StorageEvent {}
+
   /**
    * The content of the data folder at the start; submitted once for each group, before any other
-   * storage event of that group.
+   * storage event of that group except {@link LogSetAside}.
    *
    * @param group group that the state belongs to
    * @param hardState newest hard state, or null if the disk is empty
--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/message/RaftMessage.java
@@ -141,7 +141,8 @@
    * @param group the group
    * @param askedBy {@code instance} of the request
    * @param instance random number that identifies the answering replica's disk
-   * @param empty whether the answering replica has neither seen a term nor stored an entry
+   * @param empty whether the answering replica has neither seen a term nor stored an entry, and no
+   *     damaged log of it was set aside
    */
   record FoundingResponse(GroupId group, long askedBy, long instance, boolean empty)
       implements RaftMessage {}
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/AutomaticMembershipTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/AutomaticMembershipTest.java
@@ -84,6 +84,57 @@
     assertEquals(cluster.status("node-1").members(), Members.NONE);
   }
 
+  /**
+   * Guards against lost changes when a voter's damaged log was set aside: it must vote again only
+   * once it has copied the entries that it had acknowledged.
+   */
+  @Test
+  public void voterWhoseLogWasSetAsideVotesAgainAfterCatchingUp() {
+    for (String damaged : List.of("node-1", "node-2")) {
+      TestCluster cluster = cluster(5);
+      cluster.write(cluster.awaitLeader(), "before-", 30);
+      cluster.network.crashAndSetLogsAside(damaged);
+      cluster.network.start(damaged);
+      assertTrue(cluster.awaitVoters(3), cluster.statuses());
+      cluster.assertNothingLost();
+    }
+  }
+
+  /**
+   * Guards against a second group that hides lost changes: the logs of all voters are damaged at
+   * once, and each starts empty while it may still found the group, also after another restart.
+   */
+  @Test
+  public void groupIsNotBootstrappedAgainOnceItsLogsWereSetAside() {
+    TestCluster cluster = cluster(6);
+    cluster.write(cluster.awaitLeader(), "before-", 5);
+    cluster.daemons.keySet().forEach(cluster.network::crashAndSetLogsAside);
+    assertNotBootstrapped(cluster);
+    cluster.daemons.keySet().forEach(cluster.network::crash);
+    assertNotBootstrapped(cluster);
+  }
+
+  /**
+   * Guards against a second group that hides lost changes: the first voter's disk is wiped, and the
+   * log of one of the others is damaged and set aside.
+   */
+  @Test
+  public void wipedVoterDoesNotBootstrapBesideLogThatWasSetAside() {
+    TestCluster cluster = cluster(7);
+    cluster.write(cluster.awaitLeader(), "before-", 5);
+    cluster.network.crashAndWipe("node-1");
+    cluster.network.crashAndWipe("node-2");
+    cluster.network.crashAndSetLogsAside("node-3");
+    assertNotBootstrapped(cluster);
+  }
+
+  private static void assertNotBootstrapped(TestCluster cluster) {
+    cluster.daemons.keySet().forEach(cluster.network::start);
+    cluster.network.run(Duration.ofSeconds(20));
+    assertNull(cluster.leader(), cluster.statuses());
+    assertEquals(cluster.status("node-1").members(), Members.NONE);
+  }
+
   /** A fourth control VM replicates the log as a learner while no voter is missing. */
   @Test
   public void spareControlVmDoesNotVote() {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/SimulatedDisk.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/testing/SimulatedDisk.java
@@ -24,6 +24,7 @@
   private @Nullable HardState hardState;
   private @Nullable Snapshot snapshot;
   private long lastIndex;
+  private boolean setAside;
 
   SimulatedDisk(GroupId group) {
     this.group = group;
@@ -73,6 +74,20 @@
     unsynced.clear();
   }
 
+  /** Makes the disk empty after its damaged log was set aside. */
+  void setLogAside() {
+    unsynced.clear();
+    entries.clear();
+    hardState = null;
+    snapshot = null;
+    lastIndex = 0;
+    setAside = true;
+  }
+
+  boolean isLogSetAside() {
+    return setAside;
+  }
+
   int unsynced() {
     return unsynced.size();
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DataFolder.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DataFolder.java
@@ -4,6 +4,11 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.skylarkfork.core.command.GroupId;
 
 /** Holds the lock and the instance id of a data folder. */
 final class DataFolder implements Closeable {
@@ -11,17 +16,21 @@
   private static final String LOCK = "lock";
   private static final String INSTANCE = "instance-id";
   private static final String TEMPORARY = "new-instance-id";
+  private static final Pattern GROUP_FOLDER = groupFolder();
 
   private final Closeable lock;
   private final String instanceId;
   private final boolean firstStart;
 
   /**
-   * Locks the folder and reads its instance id, or writes a new id if the folder is empty.
+   * Locks the folder and reads its instance id, or writes a new id if there is none.
    *
-   * @throws StorageException if the folder is missing, locked, or holds data without an instance id
+   * <p>The id is durable before the first log is created. Logs without an id are therefore what is
+   * left of a damaged folder, which may lack others, so they are set aside.
+   *
+   * @throws StorageException if the folder is missing or locked
    */
-  DataFolder(StorageSettings settings, Disk disk) throws IOException {
+  DataFolder(StorageSettings settings, SetAsideLogs setAside, Disk disk) throws IOException {
     Path folder = settings.folder();
     if (!disk.exists(folder)) {
       // Creating the folder would hide a volume that isn't mounted, and the node would start empty.
@@ -30,23 +39,25 @@
     }
     lock = disk.lock(folder.resolve(LOCK));
     try {
-      firstStart = !disk.exists(folder.resolve(INSTANCE));
-      instanceId =
-          firstStart
-              ? writeInstanceId(settings, disk)
-              : readInstanceId(folder.resolve(INSTANCE), disk);
+      String stored = storedId(folder.resolve(INSTANCE), disk);
+      List<GroupId> logs = stored.isEmpty() ? logsIn(folder, disk) : List.of();
+      for (GroupId group : logs) {
+        setAside.setAside(group, folder.resolve(INSTANCE) + " is missing or empty");
+      }
+      firstStart = stored.isEmpty() && logs.isEmpty();
+      instanceId = stored.isEmpty() ? writeInstanceId(settings, disk) : stored;
     } catch (IOException | RuntimeException e) {
       lock.close();
       throw e;
     }
   }
 
-  /** Returns the id that was written when the folder was empty. */
+  /** Returns the id of the folder. */
   String instanceId() {
     return instanceId;
   }
 
-  /** Returns whether the folder was empty when it was opened. */
+  /** Returns whether the folder had neither an id nor a log when it was opened. */
   boolean firstStart() {
     return firstStart;
   }
@@ -56,22 +67,32 @@
     lock.close();
   }
 
-  private static String readInstanceId(Path file, Disk disk) throws IOException {
-    String id = new String(disk.read(file), StandardCharsets.UTF_8).strip();
-    if (id.isEmpty()) {
-      throw new StorageException(StorageException.Kind.CORRUPT, file + " is empty", null);
-    }
-    return id;
+  private static String storedId(Path file, Disk disk) throws IOException {
+    return disk.exists(file) ? new String(disk.read(file), StandardCharsets.UTF_8).strip() : "";
   }
 
-  private static String writeInstanceId(StorageSettings settings, Disk disk) throws IOException {
-    Path folder = settings.folder();
+  private static List<GroupId> logsIn(Path folder, Disk disk) throws IOException {
+    List<GroupId> groups = new ArrayList<>();
     for (String name : disk.names(folder)) {
-      if (!name.equals(LOCK) && !name.equals(TEMPORARY)) {
-        throw new StorageException(
-            StorageException.Kind.CORRUPT, folder + " has data but no file " + INSTANCE, null);
+      Matcher parts = GROUP_FOLDER.matcher(name);
+      if (parts.matches()) {
+        groups.add(new GroupId(parts.group(1), Integer.parseInt(parts.group(2))));
       }
     }
+    return groups;
+  }
+
+  /** Returns the pattern of the folder names of all groups; other names aren't the storage's. */
+  private static Pattern groupFolder() {
+    List<String> names = new ArrayList<>();
+    for (GroupId group : List.of(GroupId.CONFIGURATION, GroupId.LEDGER, GroupId.RELAY)) {
+      names.add(group.name());
+    }
+    return Pattern.compile("(" + String.join("|", names) + ")-(\\d{1,9})");
+  }
+
+  private static String writeInstanceId(StorageSettings settings, Disk disk) throws IOException {
+    Path folder = settings.folder();
     Path temporary = folder.resolve(TEMPORARY);
     if (disk.exists(temporary)) {
       disk.delete(temporary);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Disk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Disk.java
@@ -29,10 +29,13 @@
   /** Truncates a file to a size in bytes and syncs it. */
   void truncate(Path file, long size) throws IOException;
 
-  /** Renames a file atomically and replaces an existing file of the new name. */
+  /**
+   * Renames a file or a folder atomically; replaces an existing file, but no folder, of the new
+   * name.
+   */
   void rename(Path from, Path to) throws IOException;
 
-  /** Deletes a file. */
+  /** Deletes a file or an empty folder. */
   void delete(Path file) throws IOException;
 
   /** Creates a folder unless it exists. */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -27,6 +27,9 @@
 /**
  * Stores the logs and snapshots of the groups in a data folder.
  *
+ * <p>A log that is damaged at the start is set aside, see {@link SetAsideLogs}, and its replica
+ * starts with an empty one.
+ *
  * <p>One thread does all writes. The thread takes all queued effects, writes those of each group as
  * one record, syncs once per group and then acknowledges the group's last sequence number. A failed
  * write or sync stops the group permanently: after a failed sync the operating system may have
@@ -46,6 +49,7 @@
   private final Disk disk;
   private final Consumer<Event> events;
   private final DataFolder folder;
+  private final SetAsideLogs setAside;
   private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
   private final Map<GroupId, GroupLog> logs = new HashMap<>();
   private final Set<GroupId> failed = new HashSet<>();
@@ -60,7 +64,7 @@
    * @param codec encodes and decodes the records
    * @param disk file operations
    * @param events receives the results, on the storage's thread
-   * @throws StorageException if the folder is missing, locked or damaged
+   * @throws StorageException if the folder is missing, locked or can't be read
    */
   public DiskStorage(
       StorageSettings settings, BinaryCodec codec, Disk disk, Consumer<Event> events) {
@@ -68,8 +72,9 @@
     this.codec = codec;
     this.disk = disk;
     this.events = events;
+    this.setAside = new SetAsideLogs(settings.folder(), disk);
     try {
-      folder = new DataFolder(settings, disk);
+      folder = new DataFolder(settings, setAside, disk);
     } catch (IOException e) {
       throw inputOutput(settings.folder() + ": " + e, e);
     }
@@ -87,7 +92,7 @@
     return folder.instanceId();
   }
 
-  /** Returns whether the data folder was empty when the storage opened it. */
+  /** Returns whether the data folder had neither an id nor a log when the storage opened it. */
   public boolean firstStart() {
     return folder.firstStart();
   }
@@ -189,12 +194,14 @@
   }
 
   private void recoverLog(Recover recover) {
-    GroupLog log = new GroupLog(recover.group(), settings, codec, disk);
     try {
-      StorageEvent.Recovered recovered = log.recover();
-      logs.put(recover.group(), log);
+      StorageEvent.Recovered recovered = recoverOrSetAside(recover.group());
       Logger.info(
           "storage: {} recovered with {} entries", recover.group(), recovered.entries().size());
+      if (setAside.contains(recover.group())) {
+        logReplicaWithoutLog(recovered);
+        events.accept(new StorageEvent.LogSetAside(recover.group()));
+      }
       events.accept(recovered);
       recover.done().complete(null);
     } catch (IOException | RuntimeException e) {
@@ -202,6 +209,40 @@
     }
   }
 
+  /**
+   * Recovers a log. One that is damaged is set aside and replaced by an empty one, so that the
+   * replica joins its group again as if it had lost its disk; it must not end the process, which
+   * would find the same log at each start.
+   */
+  private StorageEvent.Recovered recoverOrSetAside(GroupId group) throws IOException {
+    GroupLog log = new GroupLog(group, settings, codec, disk);
+    try {
+      StorageEvent.Recovered recovered = log.recover();
+      logs.put(group, log);
+      return recovered;
+    } catch (StorageException e) {
+      if (e.kind() != StorageException.Kind.CORRUPT) {
+        throw e;
+      }
+      setAside.setAside(group, String.valueOf(e.getMessage()));
+    }
+    GroupLog empty = new GroupLog(group, settings, codec, disk);
+    StorageEvent.Recovered recovered = empty.recover();
+    logs.put(group, empty);
+    return recovered;
+  }
+
+  private void logReplicaWithoutLog(StorageEvent.Recovered recovered) {
+    boolean empty = recovered.entries().isEmpty() && recovered.snapshot() == null;
+    if (empty) {
+      Logger.error(
+          "storage: {} has no log since it was damaged; it waits for a leader among the other"
+              + " voters and never founds the group; {} has the damaged log",
+          recovered.group(),
+          setAside.folder(recovered.group()));
+    }
+  }
+
   private void writeBatch(GroupId group, @Nullable List<StorageEffect.Persist> batch) {
     if (batch == null) {
       return;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Storage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Storage.java
@@ -7,8 +7,9 @@
 public interface Storage extends AutoCloseable {
 
   /**
-   * Reads the stored state of a group and reports it as a {@code StorageEvent.Recovered}. Must be
-   * called once for each group, before its first effect.
+   * Reads the stored state of a group and reports it as a {@code StorageEvent.Recovered}, after a
+   * {@code StorageEvent.LogSetAside} if a damaged log was ever set aside. Must be called once for
+   * each group, before its first effect.
    *
    * @throws StorageException if the stored data can't be used
    */
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/StorageException.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/StorageException.java
@@ -15,8 +15,8 @@
     LOCKED("stop the other process, or configure another data folder for this one"),
     /** Stored bytes were changed after they were synced. */
     CORRUPT(
-        "don't delete single files: move the whole data folder away, start with an empty one and"
-            + " let this node join again as a learner"),
+        "don't delete single files: this node sets the whole log aside and joins again as a"
+            + " learner, which takes a majority of the other voters"),
     /** The data was written by a newer version. */
     NEWER_FORMAT("start the version that wrote the data folder, or a later one"),
     /** A write, a sync or a read failed. */
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -16,6 +17,7 @@
 
   private Map<Path, Content> current = new HashMap<>();
   private final Map<Path, Content> durable = new HashMap<>();
+  private final Map<Path, Path> unsyncedFolderNames = new LinkedHashMap<>();
   private long operationsLeft = Long.MAX_VALUE;
   private boolean nextSyncFails;
   private final Map<Path, Long> writes = new HashMap<>();
@@ -51,6 +53,9 @@
       current = new HashMap<>(durable);
     }
     current.values().forEach(content -> content.crash(random));
+    durable.clear();
+    durable.putAll(current);
+    unsyncedFolderNames.clear();
     operationsLeft = Long.MAX_VALUE;
   }
 
@@ -110,7 +115,12 @@
   @Override
   public synchronized void rename(Path from, Path to) throws IOException {
     countOperation();
+    boolean folder = current.keySet().stream().anyMatch(file -> isBelow(file, from));
     current.put(to, current.remove(from));
+    if (folder) {
+      moveChildren(current, from, to);
+      unsyncedFolderNames.put(from, to);
+    }
   }
 
   @Override
@@ -128,6 +138,8 @@
   @Override
   public synchronized void syncFolder(Path folder) throws IOException {
     countOperation();
+    unsyncedFolderNames.forEach((from, to) -> moveChildren(durable, from, to));
+    unsyncedFolderNames.clear();
     durable.keySet().removeIf(file -> folder.equals(file.getParent()));
     current.forEach(
         (file, content) -> {
@@ -142,6 +154,18 @@
     return () -> {};
   }
 
+  private static void moveChildren(Map<Path, Content> files, Path from, Path to) {
+    for (Path file : List.copyOf(files.keySet())) {
+      if (isBelow(file, from)) {
+        files.put(to.resolve(from.relativize(file)), files.remove(file));
+      }
+    }
+  }
+
+  private static boolean isBelow(Path file, Path folder) {
+    return file.startsWith(folder) && !file.equals(folder);
+  }
+
   private void countOperation() throws IOException {
     if (operationsLeft <= 0) {
       throw new IOException("No space left on device");
