--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -24,6 +24,9 @@
 /**
  * Stores the logs and snapshots of the groups in a data folder.
  *
+ * <p>A log that is damaged at the start is set aside, see {@link SetAsideLogs}, and its replica
+ * starts with an empty one.
+ *
  * <p>One thread does all writes. The thread takes all queued effects, writes those of each group as
  * one record, syncs once per group and then acknowledges the group's last sequence number. What the
  * disk refuses is retried until the disk accepts it; other groups go on in the meantime.
@@ -36,6 +39,7 @@
   private final BinaryCodec codec;
   private final Disk disk;
   private final Consumer<Event> events;
+  private final SetAsideLogs setAside;
   private final DiskRetry folderRetry;
   private final long openingSince = System.nanoTime();
   private final CompletableFuture<Void> firstAttempt = new CompletableFuture<>();
@@ -57,7 +61,7 @@
    * @param codec encodes and decodes the records
    * @param disk file operations
    * @param events receives the results, on the storage's thread
-   * @throws StorageException if the folder is missing, locked or damaged
+   * @throws StorageException if the folder is missing, locked or can't be read
    */
   public DiskStorage(
       StorageSettings settings, BinaryCodec codec, Disk disk, Consumer<Event> events) {
@@ -66,6 +70,7 @@
     this.disk = disk;
     this.events = events;
     this.folderRetry = new DiskRetry("the start with " + settings.folder());
+    this.setAside = new SetAsideLogs(settings.folder(), disk);
     thread = new Thread(this::run, "storage");
     thread.start();
     try {
@@ -91,7 +96,7 @@
   }
 
   /**
-   * Returns whether the data folder was empty when the storage opened it.
+   * Returns whether the data folder had neither an id nor a log when the storage opened it.
    *
    * @throws IllegalStateException if the disk has refused to open the folder so far
    */
@@ -163,6 +168,9 @@
       tryToOpenFolder(System.nanoTime());
       stopped = takeJobs();
       runGroups(System.nanoTime());
+      if (queue.isEmpty()) {
+        groups.values().forEach(GroupStorage::markSynced);
+      }
     }
     closeFiles();
   }
@@ -172,7 +180,7 @@
       return;
     }
     try {
-      folder = new DataFolder(settings, disk);
+      folder = new DataFolder(settings, setAside, disk);
       folderRetry.succeeded(now);
       firstAttempt.complete(null);
     } catch (IOException refused) {
@@ -251,7 +259,9 @@
   private GroupStorage group(GroupId group) {
     return groups.computeIfAbsent(
         group,
-        id -> new GroupStorage(id, () -> new GroupLog(id, settings, codec, disk), this::report));
+        id ->
+            new GroupStorage(
+                id, () -> new GroupLog(id, settings, codec, disk), setAside, this::report));
   }
 
   private void report(StorageEvent event) {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
@@ -28,6 +28,7 @@
 
   private final GroupId group;
   private final Supplier<GroupLog> logs;
+  private final SetAsideLogs setAside;
   private final Consumer<StorageEvent> events;
   private final DiskRetry retry;
   private final Deque<StorageEffect> pending = new ArrayDeque<>();
@@ -40,11 +41,17 @@
    *
    * @param group the group
    * @param logs makes a log, which isn't recovered, for each attempt to recover it
+   * @param setAside takes a log that is damaged
    * @param events receives the results
    */
-  GroupStorage(GroupId group, Supplier<GroupLog> logs, Consumer<StorageEvent> events) {
+  GroupStorage(
+      GroupId group,
+      Supplier<GroupLog> logs,
+      SetAsideLogs setAside,
+      Consumer<StorageEvent> events) {
     this.group = group;
     this.logs = logs;
+    this.setAside = setAside;
     this.events = events;
     this.retry = new DiskRetry("operations of " + group);
   }
@@ -83,6 +90,13 @@
     }
   }
 
+  /** Marks the last record as synced; under load the next record proves that instead. */
+  void markSynced() {
+    if (!failed && log != null && pending.isEmpty()) {
+      log.markSynced();
+    }
+  }
+
   private boolean recoverLog(CompletableFuture<Void> firstAttempt, long now) {
     GroupLog opened = logs.get();
     try {
@@ -90,14 +104,18 @@
       log = opened;
       recovery = null;
       retry.succeeded(now);
-      Logger.info("storage: {} recovered with {} entries", group, recovered.entries().size());
-      events.accept(recovered);
+      report(recovered);
       firstAttempt.complete(null);
       return true;
     } catch (IOException refused) {
       retry.failed(refused, now);
       closeRefused(opened);
       firstAttempt.complete(null);
+    } catch (StorageException e) {
+      closeRefused(opened);
+      return e.kind() == StorageException.Kind.CORRUPT
+          ? recoverWithoutLog(firstAttempt, e, now)
+          : failRecovery(e);
     } catch (RuntimeException e) {
       closeRefused(opened);
       fail(e);
@@ -105,6 +123,47 @@
     return false;
   }
 
+  private boolean failRecovery(StorageException failure) {
+    fail(failure);
+    return false;
+  }
+
+  /**
+   * Sets a damaged log aside and recovers an empty one, so that the replica joins its group again
+   * as if it had lost its disk; the damage must not end the process, which would find the same log
+   * at each start.
+   */
+  private boolean recoverWithoutLog(
+      CompletableFuture<Void> firstAttempt, StorageException damage, long now) {
+    try {
+      setAside.setAside(group, String.valueOf(damage.getMessage()));
+    } catch (IOException refused) {
+      retry.failed(refused, now);
+      firstAttempt.complete(null);
+      return false;
+    }
+    return recoverLog(firstAttempt, now);
+  }
+
+  private void report(StorageEvent.Recovered recovered) {
+    Logger.info("storage: {} recovered with {} entries", group, recovered.entries().size());
+    if (setAside.contains(group)) {
+      logReplicaWithoutLog(recovered);
+      events.accept(new StorageEvent.LogSetAside(group));
+    }
+    events.accept(recovered);
+  }
+
+  private void logReplicaWithoutLog(StorageEvent.Recovered recovered) {
+    if (recovered.entries().isEmpty() && recovered.snapshot() == null) {
+      Logger.error(
+          "storage: {} has no log since it was damaged; it waits for a leader among the other"
+              + " voters and never founds the group; {} has the damaged log",
+          group,
+          setAside.folder(group));
+    }
+  }
+
   private void closeRefused(GroupLog opened) {
     try {
       opened.close();
