--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/consensus/ConsensusPartTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import org.skylarkfork.core.command.CommandResult;
 import org.skylarkfork.core.command.GroupCommand;
 import org.skylarkfork.core.command.LedgerResult;
@@ -172,6 +173,35 @@
     assertEquals(cluster.leader(), null);
   }
 
+  // Guards against a voter that stays away, where operators manage the members, until one of them
+  // replaces its damaged log.
+  @Test
+  public void voterWhoseLogWasSetAsideReturnsWithoutOperator() {
+    TestCluster cluster = cluster(7, 3, 40);
+    cluster.write("node-2", "before-", 60);
+    for (String damaged : List.copyOf(cluster.daemons.keySet())) {
+      cluster.network.crashAndSetLogsAside(damaged);
+      cluster.network.start(damaged);
+      cluster.awaitLeader();
+      assertTrue(
+          cluster.network.runUntil(Duration.ofSeconds(30), () -> isRepaired(cluster, damaged)),
+          cluster.statuses());
+      cluster.assertNothingLost();
+    }
+  }
+
+  // Guards against a group that starts again from nothing: its only voter's log was damaged, and
+  // nobody else has what was accepted.
+  @Test
+  public void onlyVoterWhoseLogWasSetAsideWaitsForOperator() {
+    TestCluster cluster = cluster(8, 1, 40);
+    cluster.write("node-1", "before-", 5);
+    cluster.network.crashAndSetLogsAside("node-1");
+    cluster.network.start("node-1");
+    cluster.network.run(Duration.ofSeconds(20));
+    assertEquals(cluster.leader(), null);
+  }
+
   // Guards against lost changes when all processes restart from their disks after 500 changes, with
   // snapshots and without. Every answered change must be present.
   @Test(dataProvider = "thresholds")
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DataFolder.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DataFolder.java
@@ -6,8 +6,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.skylarkfork.core.command.GroupId;
 
 /** Holds the lock and the instance id of a data folder. */
@@ -16,7 +14,7 @@
   private static final String LOCK = "lock";
   private static final String INSTANCE = "instance-id";
   private static final String TEMPORARY = "new-instance-id";
-  private static final Pattern GROUP_FOLDER = groupFolder();
+  private static final int MAX_SHARD_DIGITS = 9;
 
   private final Closeable lock;
   private final String instanceId;
@@ -71,24 +69,27 @@
     return disk.exists(file) ? new String(disk.read(file), StandardCharsets.UTF_8).strip() : "";
   }
 
+  /** Returns the groups whose logs are in the folder; other names aren't the storage's. */
   private static List<GroupId> logsIn(Path folder, Disk disk) throws IOException {
     List<GroupId> groups = new ArrayList<>();
     for (String name : disk.names(folder)) {
-      Matcher parts = GROUP_FOLDER.matcher(name);
-      if (parts.matches()) {
-        groups.add(new GroupId(parts.group(1), Integer.parseInt(parts.group(2))));
+      for (GroupId known : List.of(GroupId.CONFIGURATION, GroupId.LEDGER, GroupId.RELAY)) {
+        String shard = name.startsWith(known.name() + "-") ? shardIn(name, known) : "";
+        if (isNumber(shard)) {
+          groups.add(new GroupId(known.name(), Integer.parseInt(shard)));
+        }
       }
     }
     return groups;
   }
 
-  /** Returns the pattern of the folder names of all groups; other names aren't the storage's. */
-  private static Pattern groupFolder() {
-    List<String> names = new ArrayList<>();
-    for (GroupId group : List.of(GroupId.CONFIGURATION, GroupId.LEDGER, GroupId.RELAY)) {
-      names.add(group.name());
-    }
-    return Pattern.compile("(" + String.join("|", names) + ")-(\\d{1,9})");
+  private static String shardIn(String name, GroupId group) {
+    return name.substring(group.name().length() + 1);
+  }
+
+  private static boolean isNumber(String text) {
+    boolean digits = text.chars().allMatch(character -> character >= '0' && character <= '9');
+    return digits && !text.isEmpty() && text.length() <= MAX_SHARD_DIGITS;
   }
 
   private static String writeInstanceId(StorageSettings settings, Disk disk) throws IOException {
