Numbers of configurations that can't be meant are refused

Heartbeats keep their rules: an upstream that is refused would be lost to callers.

The valid configurations of the test next to it are drawn part by part with the same choices, since a whole draw is hardly ever valid now: the loop didn't end within nine minutes.

--- a/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayConfigurationValidator.java
+++ b/skylarkfork-core/src/main/java/org/skylarkfork/core/relay/RelayConfigurationValidator.java
@@ -36,10 +36,43 @@
       } else if (!names.add(service.name())) {
         problems.add("service " + service.name() + " stands twice; drop one");
       }
+      checkCapacity(service, problems);
     }
     return names;
   }
 
+  private static void checkCapacity(RelayService service, List<String> problems) {
+    String name = "service " + service.name();
+    if (service.maxConnections() < 1) {
+      problems.add(name + ": allow at least one connection to an upstream");
+    }
+    if (service.cold().millis() < 0 || !isAmount(service.cold().perSecond())) {
+      problems.add(name + ": set the time and the rate of its cold start to 0 or more");
+    }
+    EngineProfile engine = service.engine();
+    if (engine != null) {
+      checkEngine(name, engine, problems);
+    }
+  }
+
+  private static void checkEngine(String name, EngineProfile engine, List<String> problems) {
+    if (engine.slots() < 1) {
+      problems.add(name + ": give its engines at least one slot");
+    }
+    if (engine.memoryTokens() < 0) {
+      problems.add(name + ": set the memory of its engines to 0 or more");
+    }
+    for (ModelPrice model : engine.models()) {
+      if (!isAmount(model.cost())) {
+        problems.add(name + ": set the cost of " + model.name() + " to 0 or more");
+      }
+    }
+  }
+
+  private static boolean isAmount(double number) {
+    return number >= 0 && number <= Double.MAX_VALUE;
+  }
+
   private static void checkRoutes(
       RelayConfiguration configuration, Set<String> services, List<String> problems) {
     Set<String> hostsAndPrefixes = new HashSet<>();
@@ -63,6 +96,9 @@
     if (route.maxAttempts() < 1) {
       problems.add(name + ": allow at least one attempt");
     }
+    if (route.objectiveMillis() < 0 || route.pauseMillis() < 0) {
+      problems.add(name + ": set its objectives to 0 or more");
+    }
     long weights = 0;
     for (WeightedService target : route.services()) {
       if (!services.contains(target.service())) {
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/ExtremeValuesTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/ExtremeValuesTest.java
@@ -1,6 +1,9 @@
 package org.skylarkfork.core.relay;
 
+import static org.testng.Assert.assertEquals;
+
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -124,14 +127,67 @@
         });
   }
 
+  /**
+   * All daemons must keep running with a configuration that was stored before such numbers were
+   * refused.
+   */
+  @Test
+  public void storedConfigurationsWithExtremeNumbersHaltNoDaemon() {
+    long[] lastNumber = {1};
+    runSeeds(
+        (run, random) ->
+            run.network.inject(
+                randomElement(run.controls, random),
+                new RelayEvent.CommandAsked(
+                    ++lastNumber[0],
+                    new RelayCommand.PutConfiguration(
+                        withExtremeLimits(extremeConfiguration(++lastNumber[0], random), random),
+                        new byte[0]),
+                    900)));
+  }
+
+  private static RelayConfiguration withExtremeLimits(
+      RelayConfiguration configuration, UniformRandomProvider random) {
+    return new RelayConfiguration(
+        configuration.version(),
+        configuration.routes(),
+        configuration.services(),
+        configuration.teams(),
+        new RelayLimits(
+            randomInt(random), randomInt(random), randomInt(random), randomInt(random)));
+  }
+
+  /**
+   * Returns a configuration with extreme numbers that is valid. Its parts are drawn one by one,
+   * since hardly any configuration is valid whose parts are drawn together.
+   */
   private static RelayConfiguration validExtremeConfiguration(
       long version, UniformRandomProvider random) {
-    while (true) {
-      RelayConfiguration candidate = extremeConfiguration(version, random);
-      if (RelayConfigurationValidator.problems(candidate).isEmpty()) {
-        return candidate;
+    RelayConfiguration usual = RelayFixture.configuration(version, "key");
+    RelayConfiguration extreme = extremeConfiguration(version, random);
+    while (!isValid(List.of(), extreme)) {
+      extreme = extremeConfiguration(version, random);
+    }
+    List<RelayRoute> routes = new ArrayList<>();
+    for (RelayRoute route : usual.routes()) {
+      RelayRoute candidate = withExtremeNumbers(route, random);
+      while (!isValid(List.of(candidate), extreme)) {
+        candidate = withExtremeNumbers(route, random);
       }
+      routes.add(candidate);
     }
+    RelayConfiguration valid = withRoutes(routes, extreme);
+    assertEquals(RelayConfigurationValidator.problems(valid), List.of());
+    return valid;
+  }
+
+  private static boolean isValid(List<RelayRoute> routes, RelayConfiguration others) {
+    return RelayConfigurationValidator.problems(withRoutes(routes, others)).isEmpty();
+  }
+
+  private static RelayConfiguration withRoutes(List<RelayRoute> routes, RelayConfiguration others) {
+    return new RelayConfiguration(
+        others.version(), routes, others.services(), others.teams(), others.limits());
   }
 
   private static RelayConfiguration extremeConfiguration(
--- a/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RouteTableTest.java
+++ b/skylarkfork-core/src/test/java/org/skylarkfork/core/relay/RouteTableTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNull;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
 /** Tests {@link RouteTable} and {@link RelayConfigurationValidator}. */
@@ -82,6 +83,32 @@
     assertEquals(limitProblems(new RelayLimits(1, 1, 1, Integer.MAX_VALUE)), 0);
   }
 
+  /** Guards against services whose upstreams can never be sent a request. */
+  @Test
+  public void capacitiesThatCannotBeMeantAreProblems() {
+    List<ModelPrice> free = List.of(new ModelPrice("small", 0));
+    ColdStart never = ColdStart.NONE;
+    assertEquals(serviceProblems(1, new EngineProfile(1, 0, free), never), 0);
+    assertEquals(serviceProblems(0, null, never), 1);
+    assertEquals(serviceProblems(-1, null, never), 1);
+    assertEquals(serviceProblems(1, new EngineProfile(0, 0, free), never), 1);
+    assertEquals(serviceProblems(1, new EngineProfile(1, -1, free), never), 1);
+    assertEquals(serviceProblems(1, null, new ColdStart(-1, 0)), 1);
+    for (double amount : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+      List<ModelPrice> odd = List.of(new ModelPrice("small", amount));
+      assertEquals(serviceProblems(1, new EngineProfile(1, 0, odd), never), 1);
+      assertEquals(serviceProblems(1, null, new ColdStart(1, amount)), 1);
+    }
+  }
+
+  private static int serviceProblems(
+      int maxConnections, @Nullable EngineProfile engine, ColdStart cold) {
+    RelayService service = new RelayService("s", "/", maxConnections, engine, cold);
+    return RelayConfigurationValidator.problems(
+            new RelayConfiguration(1, List.of(), List.of(service), List.of(), RelayLimits.DEFAULT))
+        .size();
+  }
+
   private static int limitProblems(RelayLimits limits) {
     return RelayConfigurationValidator.problems(
             new RelayConfiguration(1, List.of(), List.of(), List.of(), limits))
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayAdmin.java
@@ -202,6 +202,9 @@
   private CompletableFuture<HttpReply> beginRollOut(
       String service, HttpCall call, ControlCalls control) {
     RollOutOrder order = body(call, RollOutOrder.class);
+    if (order.deadlineMillis() < 0) {
+      return completed(error(BAD_REQUEST, "the deadline is negative; send one from 0"));
+    }
     return submit(
         control, new RelayCommand.BeginRollOut(service, order.target(), order.deadlineMillis()));
   }
