The other program's listeners wait for a port that is in use, too

The callers' and admin listeners of the daemon, and those of the stand-ins and examples, were bound once by Reactor Netty: a port in use for a moment ended the process.

Evidence, portInUseForOneMomentIsBoundOnceItIsReleased, before the fix: AdminServerTest and BoundServerTest "Expected TimeoutException to be thrown, but ExecutionException was thrown", caused by "ChannelBindException: Failed to bind on [127.0.0.1:42327]". Both pass after it.

Why it works: HttpServerBinding binds all servers of Reactor Netty and retries by the same BindRetry as the others: the same wait, the same lines.

Seen once beside it: BoundServerTest.connectionsAreCutOnceThePortIsClosed failed with "Expected IOException to be thrown, but nothing was thrown".

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/http/Replies.java
@@ -21,6 +21,7 @@
 import org.skylarkfork.core.error.ErrorKind;
 import org.skylarkfork.core.error.RoutingError;
 import org.skylarkfork.core.request.RunState;
+import org.skylarkfork.runtime.startup.HttpServerBinding;
 import org.tinylog.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -61,24 +62,23 @@
   DisposableServer bind(
       HttpSettings settings,
       BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
-    return HttpServer.create()
-        .host(settings.host())
-        .port(settings.port())
-        .httpRequestDecoder(
-            decoder ->
-                decoder
-                    .maxInitialLineLength(settings.maxLineBytes())
-                    .maxHeaderSize(settings.maxHeaderBytes()))
-        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-        .doOnChannelInit(
-            (observer, channel, remote) -> {
-              connections.add(channel);
-              closeLongestIdle(channel);
-              guard(channel.pipeline(), settings.bodyTimeout());
-            })
-        .idleTimeout(settings.idleTimeout())
-        .handle(handler)
-        .bindNow();
+    HttpServer server =
+        HttpServer.create()
+            .httpRequestDecoder(
+                decoder ->
+                    decoder
+                        .maxInitialLineLength(settings.maxLineBytes())
+                        .maxHeaderSize(settings.maxHeaderBytes()))
+            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .doOnChannelInit(
+                (observer, channel, remote) -> {
+                  connections.add(channel);
+                  closeLongestIdle(channel);
+                  guard(channel.pipeline(), settings.bodyTimeout());
+                })
+            .idleTimeout(settings.idleTimeout())
+            .handle(handler);
+    return HttpServerBinding.bind(server, settings.host(), settings.port());
   }
 
   /**
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/http/AdminServerTest.java
@@ -1,11 +1,13 @@
 package org.skylarkfork.runtime.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -14,7 +16,11 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.skylarkfork.core.Reducer;
 import org.skylarkfork.core.configuration.ConfigurationChange;
 import org.skylarkfork.core.effect.OperatorEffect;
@@ -43,22 +49,14 @@
   @BeforeMethod
   public void open() {
     events.clear();
-    InstantSource clock = InstantSource.system();
     AtomicInteger ids = new AtomicInteger();
     loop =
         new ReducerLoop(
-            clock, effect -> server.execute((OperatorEffect) effect), Journal.NONE, failure -> {});
-    server =
-        new AdminServer(
-            HttpSettings.usual("127.0.0.1", 0),
-            loop,
-            new Operators(),
-            new EdgeFixture.Queries(),
-            new Metrics(),
-            clock,
-            () -> "call-" + ids.incrementAndGet(),
-            new ObjectMapper(),
-            new Codec());
+            InstantSource.system(),
+            effect -> server.execute((OperatorEffect) effect),
+            Journal.NONE,
+            failure -> {});
+    server = server(0, () -> "call-" + ids.incrementAndGet());
     loop.start(
         new Reducer(
             List.of(
@@ -73,6 +71,19 @@
     address = server.start();
   }
 
+  private AdminServer server(int port, Supplier<String> ids) {
+    return new AdminServer(
+        HttpSettings.usual("127.0.0.1", port),
+        loop,
+        new Operators(),
+        new EdgeFixture.Queries(),
+        new Metrics(),
+        InstantSource.system(),
+        ids,
+        new ObjectMapper(),
+        new Codec());
+  }
+
   /** Closes it. */
   @AfterMethod
   public void close() {
@@ -142,6 +153,22 @@
     assertTrue(events.isEmpty(), events.toString());
   }
 
+  /** Guards against a daemon that ends because one of its ports is in use for a moment. */
+  @Test(timeOut = 60_000)
+  public void portInUseForOneMomentIsBoundOnceItIsReleased() throws Exception {
+    try (ServerSocket used = new ServerSocket(0, 1, address.getAddress())) {
+      AdminServer second = server(used.getLocalPort(), () -> "call");
+      FutureTask<InetSocketAddress> starting = new FutureTask<>(second::start);
+      Thread thread = new Thread(starting, "starting");
+      thread.setDaemon(true);
+      thread.start();
+      assertThrows(TimeoutException.class, () -> starting.get(1, TimeUnit.SECONDS));
+      used.close();
+      assertEquals(starting.get().getPort(), used.getLocalPort());
+      second.close();
+    }
+  }
+
   @Test
   public void takesChange() throws IOException {
     String headers =
--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/BoundServer.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/BoundServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.function.Consumer;
+import org.skylarkfork.runtime.startup.HttpServerBinding;
 import reactor.netty.DisposableServer;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpResources;
@@ -43,16 +44,13 @@
     // Closes also what joins it later: a connection that was accepted may be registered after the
     // others were cut.
     ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-    DisposableServer server =
+    HttpServer server =
         HttpServer.create()
-            .host(host)
-            .port(port)
             .runOn(loops)
             .channelGroup(connections)
             .doOnChannelInit((observer, channel, remote) -> addSecondAnswers(channel.pipeline()))
-            .route(routes)
-            .bindNow();
-    return new BoundServer(connections, server);
+            .route(routes);
+    return new BoundServer(connections, HttpServerBinding.bind(server, host, port));
   }
 
   private static void addSecondAnswers(ChannelPipeline pipeline) {
--- a/skylarkfork-standin/src/test/java/org/skylarkfork/standin/http/BoundServerTest.java
+++ b/skylarkfork-standin/src/test/java/org/skylarkfork/standin/http/BoundServerTest.java
@@ -1,13 +1,19 @@
 package org.skylarkfork.standin.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -43,6 +49,24 @@
     connectionLoop.shutdownGracefully();
   }
 
+  /** Guards against an example that ends because its port is in use for a moment. */
+  @Test(timeOut = 60_000)
+  public void portInUseForOneMomentIsBoundOnceItIsReleased() throws Exception {
+    try (ServerSocket used = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      int port = used.getLocalPort();
+      FutureTask<BoundServer> binding =
+          new FutureTask<>(() -> BoundServer.bind("127.0.0.1", port, routes -> {}));
+      Thread thread = new Thread(binding, "binding");
+      thread.setDaemon(true);
+      thread.start();
+      assertThrows(TimeoutException.class, () -> binding.get(1, TimeUnit.SECONDS));
+      used.close();
+      try (BoundServer bound = binding.get()) {
+        assertEquals(bound.address(), "127.0.0.1:" + port);
+      }
+    }
+  }
+
   /** Event loops that a test can hold up one by one. */
   private record TwoLoops(EventLoopGroup port, EventLoopGroup connections)
       implements LoopResources {
