An error that nothing catches ends the process with its reason, or only its own thread

What operators saw: a start that met an error (a class that is missing, a stack that is too small) left a process with open listeners that neither served nor ended, in both programs; a thread that ended so left a process of no use (storage), or settings that no longer reload.

Cause: both starts caught exceptions only, and the storage's thread keeps the JVM alive. Threads had no handler for what they don't catch.

The starts catch errors too, and end with 1. DaemonProcess handles what a thread doesn't catch: for an EssentialThread (storage, reducer) the process ends with 1 and the failure, for any other one the failure is told on standard output and the process goes on. Reading settings again survives an error.

Essential threads are tested by DaemonProcessTest only, which calls the handler; no process was made to lose its storage thread.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/CommandLine.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/CommandLine.java
@@ -87,7 +87,7 @@
     } catch (SettingsException wrong) {
       wrong.problems().forEach(System.err::println);
       process.startFailed("node: " + name + " can't start, since its settings are wrong", wrong);
-    } catch (Exception failure) {
+    } catch (Exception | Error failure) {
       process.startFailed("node: " + name + " can't start", failure);
     }
   }
@@ -118,7 +118,7 @@
   private static int call(Callable<Integer> command) {
     try {
       return command.call();
-    } catch (Exception failure) {
+    } catch (Exception | Error failure) {
       System.err.println(failure.getMessage() == null ? failure.toString() : failure.getMessage());
       return ExitCode.FAILURE;
     }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
@@ -3,14 +3,17 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.File;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -114,6 +117,24 @@
     }
   }
 
+  /** Guards against a process that neither serves nor ends, after an error: a missing class. */
+  @Test
+  public void errorInTheStartEndsTheProcess() throws Exception {
+    Path data = Files.createDirectory(folder.resolve("data"));
+    String control = "controlPort: " + freePort() + "\ndataFolder: " + data + "\n";
+    Files.writeString(settings, relay("127.0.0.1:1") + control);
+    String classPath =
+        Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+            .filter(part -> !part.contains("commons-rng-simple"))
+            .collect(Collectors.joining(File.pathSeparator));
+    List<String> arguments = List.of("relay", "--settings", settings.toString());
+    try (StartedProcess process = StartedProcess.start(arguments, classPath)) {
+      assertEquals(process.awaitEnd(), 1, process.log());
+      assertTrue(process.log().contains("node: relay can't start"), process.log());
+      assertTrue(process.log().contains("NoClassDefFoundError"), process.log());
+    }
+  }
+
   private static String text(List<String> command, String seed) throws Exception {
     return switch (command.get(0)) {
       case "relay" -> relay(seed);
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
@@ -33,6 +33,16 @@
    * @param arguments its command line
    */
   static StartedProcess start(String... arguments) throws IOException {
+    return start(List.of(arguments), System.getProperty("java.class.path"));
+  }
+
+  /**
+   * Starts the program.
+   *
+   * @param arguments its command line
+   * @param classPath its class path
+   */
+  static StartedProcess start(List<String> arguments, String classPath) throws IOException {
     List<String> command =
         new ArrayList<>(
             List.of(
@@ -43,9 +53,9 @@
                 "-Djava.net.preferIPv4Stack=true",
                 "-Dtinylog.level=info",
                 "-cp",
-                System.getProperty("java.class.path"),
+                classPath,
                 Skylarkfork.class.getName()));
-    command.addAll(List.of(arguments));
+    command.addAll(arguments);
     return new StartedProcess(new ProcessBuilder(command).redirectErrorStream(true).start());
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
@@ -15,6 +15,7 @@
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.skylarkfork.runtime.startup.EssentialThread;
 
 /**
  * The thread that applies events to the reducer, one after the other, and hands the effects on.
@@ -57,7 +58,7 @@
    * @param reducer what decides; touched by the thread only from now on
    */
   public void start(Reducer reducer) {
-    Thread started = new Thread(() -> run(reducer), "reducer");
+    Thread started = new EssentialThread(() -> run(reducer), "reducer");
     started.setDaemon(true);
     started.start();
     thread = started;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/SettingsReloader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/SettingsReloader.java
@@ -73,8 +73,9 @@
       }
       lastText = text;
       apply(parser.parse(text));
-    } catch (IOException | RuntimeException malformed) {
-      Logger.warn("node: changed settings can't be read: {}", malformed.getMessage());
+    } catch (IOException | RuntimeException | Error malformed) {
+      // An error, such as of a text that is nested too deeply, must not end the thread.
+      Logger.warn("node: changed settings can't be read: {}", malformed.toString());
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
@@ -6,7 +6,7 @@
 import sun.misc.SignalHandler;
 
 /**
- * The process of a daemon: its signals and its end.
+ * The process of a daemon: its signals, the failures that nothing catches, and its end.
  *
  * <p>SIGTERM and SIGINT stop the daemon, with status 0, whether it is started or not. SIGHUP
  * reloads the settings; one that arrives during the start is remembered until the daemon is
@@ -39,8 +39,8 @@
   }
 
   /**
-   * Handles the signals of this process from now on. A program calls it before everything else,
-   * since a signal that arrives earlier ends the process.
+   * Handles the signals and uncaught failures of this process from now on. A program calls it
+   * before everything else, since a signal that arrives earlier ends the process.
    */
   public static DaemonProcess begin() {
     DaemonProcess process = new DaemonProcess(ProcessEnd.ofThisProcess());
@@ -48,6 +48,7 @@
     for (String name : new String[] {"HUP", "TERM", "INT"}) {
       Signal.handle(new Signal(name), handlers);
     }
+    Thread.setDefaultUncaughtExceptionHandler(handlers);
     return process;
   }
 
@@ -154,8 +155,23 @@
     }
   }
 
-  /** Passes signals on; a class, since lambdas are slow to link so early. */
-  private static final class Handlers implements SignalHandler {
+  /**
+   * Acts on a failure that has ended a thread.
+   *
+   * @param thread the thread
+   * @param failure what it didn't catch
+   */
+  void threadFailed(Thread thread, Throwable failure) {
+    String reason = "node: a thread ended by a failure thread=" + thread.getName();
+    if (thread instanceof EssentialThread) {
+      end.failed(reason, failure);
+    } else {
+      end.report(reason, failure);
+    }
+  }
+
+  /** Passes signals and failures on; a class, since lambdas are slow to link so early. */
+  private static final class Handlers implements SignalHandler, Thread.UncaughtExceptionHandler {
 
     private final DaemonProcess process;
 
@@ -172,6 +188,11 @@
       }
     }
 
+    @Override
+    public void uncaughtException(Thread thread, Throwable failure) {
+      process.threadFailed(thread, failure);
+    }
+
     /** Returns a thread that keeps the JVM from ending when main returns before the stop does. */
     private Thread stopThread(String signal) {
       Thread thread = new Thread(() -> process.terminate(signal), "stop");
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -22,6 +22,7 @@
 import org.skylarkfork.core.event.StorageEvent;
 import org.skylarkfork.runtime.codec.BinaryCodec;
 import org.skylarkfork.runtime.packed.Packing;
+import org.skylarkfork.runtime.startup.EssentialThread;
 import org.tinylog.Logger;
 
 /**
@@ -73,7 +74,7 @@
     } catch (IOException e) {
       throw inputOutput(settings.folder() + ": " + e, e);
     }
-    thread = new Thread(this::run, "storage");
+    thread = new EssentialThread(this::run, "storage");
     thread.start();
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/DaemonProcessTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/DaemonProcessTest.java
@@ -106,4 +106,22 @@
     assertEquals(calls, List.of("halt 1"));
     assertTrue(text().contains("NoClassDefFoundError: stop"), text());
   }
+
+  /** Guards against a process that lives on, of no use, after a thread that it needs has ended. */
+  @Test
+  public void failureOfEssentialThreadEndsTheProcess() {
+    process.threadFailed(new EssentialThread(() -> {}, "storage"), new StackOverflowError("deep"));
+    assertEquals(calls, List.of("halt 1"));
+    assertTrue(text().contains("thread=storage status=1"), text());
+    assertTrue(text().contains("StackOverflowError: deep"), text());
+  }
+
+  /** Guards against a thread that ends without a line, and against one that ends the others. */
+  @Test
+  public void failureOfOtherThreadIsTold() {
+    process.threadFailed(new Thread("settings"), new NoClassDefFoundError("late"));
+    assertEquals(calls, List.of());
+    assertTrue(text().contains("thread=settings"), text());
+    assertTrue(text().contains("NoClassDefFoundError: late"), text());
+  }
 }
