Settings that can't be read at the start are read again for 5 s

What operators saw: a start at the moment in which its settings were being written (missing, empty or cut) ended with 1.

Cause: they were read once. SettingsFile reads them every 50 ms for 5 s, logs the first failure, and then ends the start as before, with the last one. Stand-ins still read theirs once.

Evidence: with a limit of no time, which is what the code before did, StartFailuresTest.settingsThatAreBeingWrittenAreAwaited: "the process ended before it read ... the document is no object"; missingSettingsEndTheProcess: no line of the wait; SignalsTest.emptySettingsAreAwaited: "ended without 'node: the settings can't be read yet', status 1". All pass now, with the other tests of both classes.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -12,6 +13,8 @@
 import org.skylarkfork.runtime.settings.DaemonSettings;
 import org.skylarkfork.runtime.settings.DaemonSettingsCheck;
 import org.skylarkfork.runtime.startup.DaemonProcess;
+import org.skylarkfork.runtime.startup.SettingsFile;
+import org.skylarkfork.runtime.startup.SettingsParser;
 import org.skylarkfork.runtime.transport.PeerFilter;
 import org.tinylog.Logger;
 
@@ -26,8 +29,9 @@
   private String settings;
 
   @Override
-  public int serve(DaemonProcess process) throws InterruptedException {
-    DaemonSettings read = DaemonSettingsCheck.reader().read(Path.of(settings));
+  public int serve(DaemonProcess process) throws IOException, InterruptedException {
+    SettingsParser<DaemonSettings> parser = text -> DaemonSettingsCheck.reader().read(text);
+    DaemonSettings read = new SettingsFile<>(Path.of(settings), parser).read();
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
     DaemonNode node =
         new DaemonNode(
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.skylarkfork.runtime.codec.Codec;
@@ -14,6 +15,7 @@
 import org.skylarkfork.runtime.relay.SettingsReloader;
 import org.skylarkfork.runtime.settings.RelayFileSettings;
 import org.skylarkfork.runtime.startup.DaemonProcess;
+import org.skylarkfork.runtime.startup.SettingsFile;
 
 /** Runs one daemon of the relay until it is told to stop. */
 @Command(name = "relay", description = "Runs one daemon of the relay; SIGTERM stops it gracefully.")
@@ -24,9 +26,9 @@
   private String settings;
 
   @Override
-  public int serve(DaemonProcess process) throws InterruptedException {
+  public int serve(DaemonProcess process) throws IOException, InterruptedException {
     Path file = Path.of(settings);
-    RelaySettings read = parse(file);
+    RelaySettings read = new SettingsFile<>(file, RelayCommand::parse).read();
     RelayNode node =
         new RelayNode(
             read,
@@ -42,10 +44,6 @@
     return ExitCode.SUCCESS;
   }
 
-  private static RelaySettings parse(Path file) {
-    return RelayFileSettings.reader().read(file).toRelay();
-  }
-
   private static RelaySettings parse(String text) {
     return RelayFileSettings.reader().read(text).toRelay();
   }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
@@ -117,6 +118,20 @@
     }
   }
 
+  /** Guards against a process that ends since its settings are being rewritten just then. */
+  @Test
+  public void emptySettingsAreAwaited() throws Exception {
+    HeldFile empty = new HeldFile(settings);
+    try (StartedProcess process = start(List.of("relay"))) {
+      OutputStream read = empty.awaitReader(process);
+      Path complete = Files.writeString(folder.resolve("complete"), relay("127.0.0.1:1"));
+      Files.move(complete, settings, StandardCopyOption.ATOMIC_MOVE);
+      read.close();
+      process.awaitText("node: the settings can't be read yet");
+      process.awaitText("node: started");
+    }
+  }
+
   /** Guards against a process that neither serves nor ends, after an error: a missing class. */
   @Test
   public void errorInTheStartEndsTheProcess() throws Exception {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/SettingsReloader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/SettingsReloader.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkfork.runtime.startup.DaemonProcess;
+import org.skylarkfork.runtime.startup.SettingsParser;
 import org.tinylog.Logger;
 
 /**
@@ -20,7 +21,7 @@
   private static final long POLL_INTERVAL_SECONDS = 2;
 
   private final Path file;
-  private final SettingsParser parser;
+  private final SettingsParser<RelaySettings> parser;
   private final Consumer<List<String>> onSeeds;
   private RelaySettings currentSettings;
   private String lastText = "";
@@ -34,7 +35,10 @@
    * @param onSeeds receives the peer names of the control VMs when they have changed
    */
   public SettingsReloader(
-      Path file, SettingsParser parser, RelaySettings settings, Consumer<List<String>> onSeeds) {
+      Path file,
+      SettingsParser<RelaySettings> parser,
+      RelaySettings settings,
+      Consumer<List<String>> onSeeds) {
     this.file = file;
     this.parser = parser;
     this.currentSettings = settings;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/SettingsParser.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/SettingsParser.java
@@ -1,9 +1,13 @@
-package org.skylarkfork.runtime.relay;
+package org.skylarkfork.runtime.startup;
 
 import java.io.IOException;
 
-/** Parses the settings file of a relay daemon. */
-public interface SettingsParser {
+/**
+ * Parses a settings file.
+ *
+ * @param <T> the settings
+ */
+public interface SettingsParser<T> {
 
   /**
    * Parses a text.
@@ -12,5 +16,5 @@
    * @throws IOException if the text is malformed or lacks a value
    * @throws RuntimeException if a value can't be used
    */
-  RelaySettings parse(String text) throws IOException;
+  T parse(String text) throws IOException;
 }
