--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -19,6 +19,7 @@
 import org.skylarkfork.core.event.StorageEvent;
 import org.skylarkfork.runtime.codec.BinaryCodec;
 import org.skylarkfork.runtime.packed.Packing;
+import org.skylarkfork.runtime.startup.EssentialThread;
 import org.tinylog.Logger;
 
 /**
@@ -71,7 +72,7 @@
     this.events = events;
     this.folderRetry = new DiskRetry("the start with " + settings.folder());
     this.setAside = new SetAsideLogs(settings.folder(), disk);
-    thread = new Thread(this::run, "storage");
+    thread = new EssentialThread(this::run, "storage");
     thread.start();
     try {
       join(firstAttempt, "start with " + settings.folder());
