Relay metric of damaged logs in the data folder

The metric relay_logs_set_aside tells of it after the line of the start has scrolled away. The daemon program logs it only.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -167,6 +167,9 @@
     this.status = new RelayStatus(metrics, transport, loop::now);
     this.peers = new AddressedPeers(transport);
     this.storage = openStorage(settings.dataFolder());
+    if (storage != null) {
+      status.showStorage(storage);
+    }
   }
 
   private TransportSettings transportSettings() {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayStatus.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayStatus.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.relay.BackedOffUpstream;
 import org.skylarkfork.core.relay.RelayEntryPart;
+import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.trace.Metrics;
 import org.skylarkfork.runtime.transport.PeerTransport;
 
@@ -18,6 +19,7 @@
   private final EntryStatusPages pages = new EntryStatusPages(this::metricsText, this::backoffs);
   private @Nullable RelayEntryPart entry;
   private @Nullable EntryGauges gauges;
+  private @Nullable DiskStorage storage;
 
   /**
    * Creates the pages of a daemon that isn't an entry.
@@ -38,6 +40,11 @@
     gauges = entryGauges;
   }
 
+  /** Shows the state of a control VM's data folder as well. */
+  void showStorage(DiskStorage dataFolder) {
+    storage = dataFolder;
+  }
+
   HttpReply answer(HttpCall call) {
     return pages.answer(call);
   }
@@ -47,6 +54,10 @@
     if (entryGauges != null) {
       entryGauges.refresh(metrics, now.get());
     }
+    DiskStorage dataFolder = storage;
+    if (dataFolder != null) {
+      metrics.set("relay_logs_set_aside", "", dataFolder.logsSetAside());
+    }
     Runtime memory = Runtime.getRuntime();
     metrics.set("relay_heap_bytes", "", memory.totalMemory() - memory.freeMemory());
     metrics.set("relay_forwarded_connections", "", transport.forwardedConnections());
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -54,6 +54,7 @@
   private final Map<GroupId, GroupLog> logs = new HashMap<>();
   private final Set<GroupId> failed = new HashSet<>();
   private final LongAdder syncs = new LongAdder();
+  private final LongAdder logsSetAside = new LongAdder();
   private final Thread thread;
   private volatile boolean closing;
 
@@ -102,6 +103,11 @@
     return syncs.sum();
   }
 
+  /** Returns the number of recovered groups whose damaged log is kept in the data folder. */
+  public long logsSetAside() {
+    return logsSetAside.sum();
+  }
+
   /** Returns the number of jobs in the queue. */
   public int queuedEffects() {
     return queue.size();
@@ -199,6 +205,7 @@
       Logger.info(
           "storage: {} recovered with {} entries", recover.group(), recovered.entries().size());
       if (setAside.contains(recover.group())) {
+        logsSetAside.increment();
         logReplicaWithoutLog(recovered);
         events.accept(new StorageEvent.LogSetAside(recover.group()));
       }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/DamagedLogNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/DamagedLogNodeTest.java
@@ -139,6 +139,14 @@
         HttpResponse.BodyHandlers.ofString());
   }
 
+  private String metrics(int vm) throws Exception {
+    RelayNode node = nodes.get(vm);
+    assertTrue(node != null && node.metricsAddress() != null, "started");
+    URI uri = URI.create("http://127.0.0.1:" + node.metricsAddress().getPort() + "/metrics");
+    HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
   private RelayAdmin.Group group(int vm) throws Exception {
     return codec.fromJson(call(vm, "GET", "group", "").body(), RelayAdmin.Group.class);
   }
@@ -218,6 +226,7 @@
       await(this::allVote, "three voters again");
       assertTrue(group(damaged).instance() != instance, "a new voter");
       assertTrue(Files.exists(folders.get(damaged).resolve("damaged-relay-0")));
+      assertTrue(metrics(damaged).contains("relay_logs_set_aside{kind=\"\"} 1.0"), "metrics");
       assertEquals(version(damaged), 2L * damaged + 1);
       putConfiguration(damaged, 2L * damaged + 2);
     }
