--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/RecordReader.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/RecordReader.java
@@ -24,6 +24,7 @@
 
   private final Path file;
   private final byte[] bytes;
+  private final ByteBuffer buffer;
   private final int firstWriteBytes;
   private final int markBytes;
   private int offset;
@@ -43,20 +44,21 @@
   RecordReader(Path file, byte[] bytes, long header, int firstWriteBytes, int markBytes) {
     this.file = file;
     this.bytes = bytes;
+    this.buffer = ByteBuffer.wrap(bytes);
     this.firstWriteBytes = firstWriteBytes;
     this.markBytes = markBytes;
     if (bytes.length < RecordFormat.FILE_HEADER_BYTES) {
       stopAtTorn("no complete file header");
       return;
     }
-    long actualHeader = ByteBuffer.wrap(bytes).getLong();
+    long actualHeader = buffer.getLong(0);
     if (actualHeader >> VERSION_BITS == header >> VERSION_BITS && actualHeader > header) {
       throw new StorageException(
           StorageException.Kind.NEWER_FORMAT,
           file + " has layout " + (actualHeader & 0xffff),
           null);
     } else if (actualHeader != header) {
-      tornOrCorrupt("no file header");
+      stopAtFirstWrite("no file header");
     } else {
       offset = RecordFormat.FILE_HEADER_BYTES;
     }
@@ -97,25 +99,26 @@
         StorageException.Kind.CORRUPT, file + " at offset " + offset + ": " + problem, null);
   }
 
-  private void skipMarkOrStop(String damage) {
-    int mark = offset + markBytes;
-    if (markBytes > 0 && firstIntactAfter(offset) == mark) {
-      offset = mark;
-    } else {
-      tornOrCorrupt(damage);
+  private void stopAtFirstWrite(String damage) {
+    if (bytes.length > firstWriteBytes) {
+      throw corrupt(damage);
     }
+    stopAtTorn(damage);
   }
 
-  private void tornOrCorrupt(String damage) {
-    boolean first = offset <= RecordFormat.FILE_HEADER_BYTES;
-    boolean laterWrite =
-        first
-            ? bytes.length > firstWriteBytes
-            : continuesBehindRecord() || firstIntactAfter(offset) >= 0;
-    if (laterWrite) {
+  private void skipMarkOrStop(String damage) {
+    if (offset == RecordFormat.FILE_HEADER_BYTES) {
+      stopAtFirstWrite(damage);
+      return;
+    }
+    int intact = firstIntactAfter(offset);
+    if (markBytes > 0 && intact == offset + markBytes) {
+      offset = intact;
+    } else if (intact >= 0 || continuesBehindRecord()) {
       throw corrupt(damage);
+    } else {
+      stopAtTorn(damage);
     }
-    stopAtTorn(damage);
   }
 
   private void stopAtTorn(String damage) {
@@ -136,8 +139,11 @@
 
   /** Returns the offset of the first intact record after an offset, or -1 if there is none. */
   private int firstIntactAfter(int from) {
-    for (int at = from + 1; at < bytes.length; at++) {
-      if (damageAt(at) == null) {
+    int lastStart = bytes.length - RecordFormat.RECORD_HEADER_BYTES;
+    for (int at = from + 1; at < lastStart; at++) {
+      // Checked before the checksums, as the rest of the file may be long and is usually zeros.
+      int length = lengthAt(at);
+      if (length > 0 && length <= lastStart - at && damageAt(at) == null) {
         return at;
       }
     }
@@ -157,7 +163,7 @@
     if (length > bytes.length - start) {
       return "no complete record";
     }
-    int checksum = ByteBuffer.wrap(bytes).getInt(at + 2 * Integer.BYTES);
+    int checksum = buffer.getInt(at + 2 * Integer.BYTES);
     boolean intact = RecordFormat.checksum(bytes, start, length) == checksum;
     return intact ? null : "wrong checksum of a record";
   }
@@ -167,11 +173,11 @@
       return false;
     }
     int length = lengthAt(at);
-    int checksum = ByteBuffer.wrap(bytes).getInt(at + Integer.BYTES);
+    int checksum = buffer.getInt(at + Integer.BYTES);
     return length >= 0 && checksum == RecordFormat.lengthChecksum(length);
   }
 
   private int lengthAt(int at) {
-    return ByteBuffer.wrap(bytes).getInt(at);
+    return buffer.getInt(at);
   }
 }
