--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -47,6 +47,7 @@
   private final BlockingQueue<Job> queue = new LinkedBlockingQueue<>();
   private final Map<GroupId, GroupStorage> groups = new HashMap<>();
   private final LongAdder syncs = new LongAdder();
+  private final LongAdder logsSetAside = new LongAdder();
   private final Thread thread;
   private volatile @Nullable DataFolder folder;
   private @Nullable RuntimeException folderFailure;
@@ -118,6 +119,11 @@
     return syncs.sum();
   }
 
+  /** Returns the number of recovered groups whose damaged log is kept in the data folder. */
+  public long logsSetAside() {
+    return logsSetAside.sum();
+  }
+
   /** Returns the number of jobs in the queue. */
   public int queuedEffects() {
     return queue.size();
@@ -268,6 +274,8 @@
   private void report(StorageEvent event) {
     if (event instanceof StorageEvent.Persisted || event instanceof StorageEvent.SnapshotSaved) {
       syncs.increment();
+    } else if (event instanceof StorageEvent.LogSetAside) {
+      logsSetAside.increment();
     }
     events.accept(event);
   }
