A stand-in that has ended accepts no connection

BoundServerTest.connectionsAreCutOnceThePortIsClosed failed once: "Expected IOException to be thrown, but nothing was thrown". A caller that connects right after the server was closed is accepted by the kernel and never answered. Java closes a port that a selector watches only when that selector runs next, which may be after the close has completed.

Why it works: close waits for a task of the port's event loop that isn't due at once, which runs only after a select.

--- a/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/BoundServer.java
+++ b/skylarkfork-standin/src/main/java/org/skylarkfork/standin/http/BoundServer.java
@@ -1,9 +1,11 @@
 package org.skylarkfork.standin.http;
 
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkfork.runtime.startup.HttpServerBinding;
 import reactor.netty.DisposableServer;
@@ -18,6 +20,9 @@
 
   private static final String SECOND_ANSWERS = "standin.secondAnswers";
 
+  /** A task that isn't due at once runs only after a select. */
+  private static final long SELECT_DELAY_MILLIS = 1;
+
   private final ChannelGroup connections;
   private final DisposableServer server;
 
@@ -73,7 +78,19 @@
     // Until the port is closed, a caller whose connection was cut can connect again and is
     // answered.
     server.channel().close().awaitUninterruptibly();
+    awaitNextSelect();
     connections.close().awaitUninterruptibly();
     server.disposeNow();
   }
+
+  /**
+   * Waits until the event loop of the port selects again, which is when Java closes the port. Until
+   * then the kernel accepts connections that nobody answers.
+   */
+  private void awaitNextSelect() {
+    EventLoop loop = server.channel().eventLoop();
+    if (!loop.isShuttingDown()) {
+      loop.schedule(() -> {}, SELECT_DELAY_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+  }
 }
