A class archive that can't be recorded doesn't fail the build

Operators would see a build that fails, so that the system doesn't start at all: deploy/Rehearse.java ended with an exception if one of its daemons didn't answer within 100 tries, or couldn't use a port.

A recording is repeated at other ports, three times at most. Each answer is waited for by time (30 s) rather than by a number of tries, so that a busy machine has as long as it needs, and a daemon that has ended is noticed at once. An archive of an earlier build is deleted first: one of another jar is of no use to the daemons.

--- a/deploy/Rehearse.java
+++ b/deploy/Rehearse.java
@@ -23,6 +23,10 @@
  * that the archive holds what both do. With a recorded daemon that was alone, a restarted control
  * VM took 0.146 s of its processor between its start and its first messages to others, since a
  * hundred classes of connections to peers were missing.
+ *
+ * <p>The archive only makes starts faster. A recording that fails, because the machine is busy or
+ * its ports are in use, is repeated at another address; if none succeeds, a warning is printed and
+ * the build goes on without an archive.
  */
 public final class Rehearse {
 
@@ -34,7 +38,15 @@
   private static final int LISTS = 18083;
   private static final int PEERS = 18084;
   private static final int SERVER = 18087;
-  private static final int TRIES = 100;
+
+  /** Time in which a daemon has to answer, in seconds. */
+  private static final int ANSWER_SECONDS = 30;
+
+  private static final int MAX_RECORDINGS = 3;
+
+  /** Distance between the ports of two recordings. */
+  private static final int PORTS_APART = 20;
+
   private static final int REQUESTS = 20;
   private static final String SITE = "rehearsal.example";
 
@@ -52,26 +64,61 @@
           .connectTimeout(Duration.ofSeconds(2))
           .build();
   private final Process[] daemons = new Process[DAEMONS];
-  private final Path folder = WORK.resolve("run-" + ProcessHandle.current().pid());
+  private final int recording;
+  private final Path folder;
 
-  private Rehearse() {}
+  /**
+   * Creates a recording.
+   *
+   * @param recording its number, from 0, which gives it ports and a folder of its own
+   */
+  private Rehearse(int recording) {
+    this.recording = recording;
+    this.folder = WORK.resolve("run-" + ProcessHandle.current().pid() + "-" + recording);
+  }
 
-  public static void main(String[] arguments) throws Exception {
+  public static void main(String[] arguments) throws IOException, InterruptedException {
     Files.createDirectories(WORK);
+    // An archive of another jar would be of no use.
+    Files.deleteIfExists(ARCHIVE);
     // The client sets this header itself unless it is told otherwise.
     System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    for (int recording = 0; recording < MAX_RECORDINGS; recording++) {
+      if (new Rehearse(recording).succeeds()) {
+        return;
+      }
+    }
+    System.err.println(
+        "WARNING: no archive of classes was recorded in "
+            + MAX_RECORDINGS
+            + " tries; daemons run without it and take longer to start. See "
+            + WORK);
+  }
+
+  /** Returns whether the recording has written an archive. */
+  private boolean succeeds() throws InterruptedException {
+    try {
+      record();
+      if (Files.exists(ARCHIVE)) {
+        return true;
+      }
+      System.err.println("Recording " + recording + ": no archive was written");
+    } catch (IOException | RuntimeException failure) {
+      System.err.println("Recording " + recording + ": " + failure);
+    }
+    return false;
+  }
+
+  private void record() throws IOException, InterruptedException {
     HttpServer server = server();
     try {
-      new Rehearse().run();
+      run();
     } finally {
       server.stop(0);
     }
-    if (!Files.exists(ARCHIVE)) {
-      throw new IOException("no archive was written; see target/rehearsal");
-    }
   }
 
-  private void run() throws Exception {
+  private void run() throws IOException, InterruptedException {
     try {
       // The second run recovers what the first has stored, so that the archive holds that as well.
       for (int daemon = 0; daemon < DAEMONS; daemon++) {
@@ -92,7 +139,7 @@
   }
 
   /** Stops leaders until a daemon leads; the others come back, since two of three must be there. */
-  private void elect(int wanted) throws Exception {
+  private void elect(int wanted) throws IOException, InterruptedException {
     for (int election = 0; election < MOST_ELECTIONS; election++) {
       int leader = leader(wanted);
       if (leader == wanted) {
@@ -166,16 +213,21 @@
     }
   }
 
+  /** Returns the port of this recording for a port of the first one. */
+  private int listener(int first) {
+    return first + recording * PORTS_APART;
+  }
+
   private static Host host(int daemon) {
     return new Host(ProcessHandle.current().pid(), 61 + daemon);
   }
 
-  private static String settings(int daemon, boolean first, Path data) {
+  private String settings(int daemon, boolean first, Path data) {
     // JSON, as the deployment's template makes it, so that the archive holds what reads it.
     Host host = host(daemon);
     List<String> seeds = new ArrayList<>();
     for (int seed = 0; seed < DAEMONS; seed++) {
-      seeds.add("\"" + host(seed) + ":" + CONTROL + "\"");
+      seeds.add("\"" + host(seed) + ":" + listener(CONTROL) + "\"");
     }
     return String.join(
         "\n",
@@ -183,19 +235,20 @@
         "\"ip\": \"" + host + "\",",
         "\"zone\": \"a\",",
         "\"listen\": {",
-        "  \"front\": \"" + host + ":" + FRONT + "\",",
-        "  \"ready\": \"" + host + ":" + READY + "\",",
-        "  \"control\": \"" + host + ":" + CONTROL + "\",",
-        "  \"directory\": \"" + host + ":" + LISTS + "\"},",
-        "\"internal_port_range\": [" + PEERS + ", " + (PEERS + 2) + "],",
+        "  \"front\": \"" + host + ":" + listener(FRONT) + "\",",
+        "  \"ready\": \"" + host + ":" + listener(READY) + "\",",
+        "  \"control\": \"" + host + ":" + listener(CONTROL) + "\",",
+        "  \"directory\": \"" + host + ":" + listener(LISTS) + "\"},",
+        "\"internal_port_range\": [" + listener(PEERS) + ", " + listener(PEERS + 2) + "],",
         "\"seeds\": [" + String.join(", ", seeds) + "],",
         "\"bootstrap\": " + first + ",",
         "\"data_dir\": \"" + data + "\",",
         "\"bounds\": {\"grace_s\": 1, \"retry_budget_ratio\": 0.9}}");
   }
 
-  private static HttpServer server() throws IOException {
-    HttpServer server = HttpServer.create(new InetSocketAddress(host(0).toString(), SERVER), 0);
+  private HttpServer server() throws IOException {
+    InetSocketAddress address = new InetSocketAddress(host(0).toString(), listener(SERVER));
+    HttpServer server = HttpServer.create(address, 0);
     server.createContext(
         "/",
         exchange -> {
@@ -214,7 +267,7 @@
   }
 
   /** Calls a daemon as operators, upstreams and callers do. */
-  private void play(int daemon, int version) throws Exception {
+  private void play(int daemon, int version) throws IOException, InterruptedException {
     String configuration =
         "{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"host\":\"" + SITE + "\","
             + "\"path_prefix\":\"/a/\",\"kind\":\"streaming\",\"timeout_ms\":5000,"
@@ -222,7 +275,8 @@
             + "\"services\":[{\"name\":\"s\",\"health_path\":\"/h\",\"max_connections\":10}],"
             + "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}";
     String beat =
-        "{\"service\":\"s\",\"address\":\"" + host(0) + ":" + SERVER + "\",\"zone\":\"a\","
+        "{\"service\":\"s\",\"address\":\"" + host(0) + ":" + listener(SERVER) + "\","
+            + "\"zone\":\"a\","
             + "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"sequence\":" + version + "}";
     until(daemon, CONTROL, "POST", "/config/put", configuration);
     until(daemon, CONTROL, "POST", "/instances/i-1/heartbeat", beat);
@@ -236,20 +290,22 @@
   }
 
   private void until(int daemon, int port, String method, String path, String body)
-      throws Exception {
-    for (int tries = 0; tries < TRIES; tries++) {
+      throws IOException, InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(ANSWER_SECONDS);
+    while (System.nanoTime() < end && daemons[daemon].isAlive()) {
       if (send(daemon, port, method, path, body) == 200) {
         return;
       }
       TimeUnit.MILLISECONDS.sleep(100);
     }
-    throw new IOException("no answer to " + path + "; see " + log(daemon));
+    String why = daemons[daemon].isAlive() ? "no answer to " + path : "the daemon has ended";
+    throw new IOException(why + "; see " + log(daemon));
   }
 
   private int send(int daemon, int port, String method, String path, String body)
       throws InterruptedException {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + host(daemon) + ":" + port + path))
+        HttpRequest.newBuilder(URI.create("http://" + host(daemon) + ":" + listener(port) + path))
             .timeout(Duration.ofSeconds(5))
             .header("X-Request-Id", "rehearsal")
             .header("X-Deadline-Ms", "5000")
