--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -55,7 +56,7 @@
             4,
             true,
             AnswerFaults.DEFAULT);
-    try (SoakSystem system = new SoakSystem(settings, new RunWitness())) {
+    try (SoakSystem system = new SoakSystem(settings, new RunWitness(), new ArrayList<>())) {
       for (int port : system.controlPorts()) {
         assertTrue(port < 32_768, "ephemeral: " + port);
       }
@@ -84,10 +85,30 @@
    */
   @Test
   public void processThatDoesNotRunIsNotToldToStop() throws IOException, InterruptedException {
-    RelayProcess process = new RelayProcess("one", Files.createTempDirectory("soak"), "node: one");
+    RelayProcess process = process("node: one", new ArrayList<>());
     assertNull(process.terminate());
   }
 
+  private static RelayProcess process(String settings, List<String> findings) throws IOException {
+    return new RelayProcess(
+        "one", Files.createTempDirectory("soak"), settings, List.of(), findings);
+  }
+
+  /** Guards against a soak whose next restart covers a process that ended by itself. */
+  @Test
+  public void endThatNobodyAskedForIsFound() throws IOException, InterruptedException {
+    List<String> findings = new ArrayList<>();
+    RelayProcess process = process("nonsense: true", findings);
+    process.start();
+    process.awaitEnd();
+    process.start();
+    assertEquals(findings.size(), 1, findings.toString());
+    assertTrue(findings.get(0).startsWith("one ended by itself with 1;"), findings.get(0));
+    process.kill();
+    process.checkEnd();
+    assertEquals(findings.size(), 1, findings.toString());
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "", List.of());
   }
