--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/DamagedLogNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/DamagedLogNodeTest.java
@@ -141,8 +141,8 @@
 
   private String metrics(int vm) throws Exception {
     RelayNode node = nodes.get(vm);
-    assertTrue(node != null && node.metricsAddress() != null, "started");
-    URI uri = URI.create("http://127.0.0.1:" + node.metricsAddress().getPort() + "/metrics");
+    assertTrue(node != null, "started");
+    URI uri = URI.create("http://127.0.0.1:" + node.metricsAddress().join().getPort() + "/metrics");
     HttpRequest request = HttpRequest.newBuilder(uri).GET().build();
     return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
   }
