The soak notices processes that end by themselves, and signals, ports and torn logs are among its faults

Now an end without a kill or a SIGTERM is a finding with its status and the last lines of its log (without the frames of stack traces), checked before each start and kill and at the end. After a SIGTERM only 0 and 143 (what a JVM ends with whose shutdown hooks have run) are right.

New faults behind the same seeded draw: SIGHUP in series at any time, SIGHUP in series and SIGTERM at random moments of the first second of a restarted process, a torn record behind the log of a control VM that is down, and a port that another socket uses while its owner starts. Signals begin at the process's first line of log, since nothing that Java runs can handle one before its main method. Seeds mean other runs than before, and the draws of a seed still depend on how long the soak waited before.

Evidence: SoakRunTest.endThatNobodyAskedForIsFound.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakFaults.java
@@ -1,6 +1,9 @@
 package org.skylarkfork.daemon.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -16,7 +19,7 @@
 /** Injects faults into processes, connections and upstreams, in an order drawn from the seed. */
 final class SoakFaults {
 
-  private static final int KINDS = 11;
+  private static final int KINDS = 16;
 
   /** Timeout until the group tolerates the loss of a disk, once all processes run again. */
   private static final Duration LONGEST_REPAIR = Duration.ofSeconds(20);
@@ -25,6 +28,13 @@
 
   private static final long LONGEST_STOP_SECONDS = 20;
 
+  /** Longest series of signals, and the time in which they are sent, in milliseconds. */
+  private static final int MAX_SIGNALS = 5;
+
+  private static final long SIGNALS_MILLIS = 1000;
+  private static final long LOG_POLL_MILLIS = 5;
+  private static final int MAX_LOG_POLLS = 4000;
+
   private final SoakSystem system;
   private final UniformRandomProvider random;
   private final List<Thread> restarts = new CopyOnWriteArrayList<>();
@@ -85,6 +95,11 @@
       }
       case 8 -> disturb(system.callerProxies(), millis);
       case 9 -> disturb(system.upstreamProxies(), millis);
+      case 10 -> hangUp(pick(all()));
+      case 11 -> restartAndSignal(pick(all()), "HUP");
+      case 12 -> restartAndSignal(pick(all()), "TERM");
+      case 13 -> tearLog(pick(system.controls()), millis);
+      case 14 -> restartOnUsedPort(pick(all()));
       default -> upstream(millis);
     }
   }
@@ -118,7 +133,8 @@
             }));
   }
 
-  private void kill(List<RelayProcess> struck, long millis) throws InterruptedException {
+  private void kill(List<RelayProcess> struck, long millis)
+      throws IOException, InterruptedException {
     for (RelayProcess process : struck) {
       tell("kill " + process.name() + " for " + millis + " ms");
       process.kill();
@@ -150,6 +166,85 @@
     later(0, () -> awaitStop(process, told));
   }
 
+  /** Sends a series of SIGHUP to a process whose main method has begun. */
+  private void hangUp(RelayProcess process) {
+    int signals = 1 + random.nextInt(MAX_SIGNALS);
+    tell("hang up " + process.name() + " " + signals + " times");
+    for (int number = 0; number < signals; number++) {
+      later(random.nextLong(SIGNALS_MILLIS), () -> signalIfBegun(process, "HUP"));
+    }
+  }
+
+  /** Kills a process, and signals its successor at random moments from the first log line on. */
+  private void restartAndSignal(RelayProcess process, String signal)
+      throws IOException, InterruptedException {
+    long millis = random.nextLong(SIGNALS_MILLIS);
+    final int signals = signal.equals("TERM") ? 1 : 1 + random.nextInt(MAX_SIGNALS);
+    tell("restart " + process.name() + " and send " + signal + " " + millis + " ms after its log");
+    process.kill();
+    system.backoffs().onEntryDisturbed(process.name());
+    later(
+        0,
+        () -> {
+          system.startAll(List.of(process));
+          for (int number = 0; number < signals; number++) {
+            awaitLog(process, millis * (number + 1) / signals);
+            signalIfBegun(process, signal);
+          }
+        });
+  }
+
+  private void awaitLog(RelayProcess process, long millis) throws IOException {
+    try {
+      for (int polls = 0; polls < MAX_LOG_POLLS && !process.hasLogged(); polls++) {
+        TimeUnit.MILLISECONDS.sleep(LOG_POLL_MILLIS);
+      }
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void signalIfBegun(RelayProcess process, String signal) throws IOException {
+    try {
+      if (!process.hasLogged()) {
+        return;
+      }
+      if (signal.equals("TERM")) {
+        awaitStop(process, process.terminate());
+      } else {
+        process.signal(signal);
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void tearLog(RelayProcess process, long millis) throws IOException, InterruptedException {
+    tell("tear the log of " + process.name() + ", down for " + millis + " ms");
+    process.tearLog(random.nextDouble());
+    later(millis, () -> system.startAll(List.of(process)));
+  }
+
+  /** Kills a process, and starts it while another one uses a port of it. */
+  private void restartOnUsedPort(RelayProcess process) throws IOException, InterruptedException {
+    int port = process.ports().get(random.nextInt(process.ports().size()));
+    long millis = random.nextLong(SIGNALS_MILLIS);
+    tell("restart " + process.name() + " while port " + port + " is in use for " + millis + " ms");
+    process.kill();
+    system.backoffs().onEntryDisturbed(process.name());
+    later(
+        0,
+        () -> {
+          try (ServerSocket user = new ServerSocket()) {
+            user.setReuseAddress(true);
+            user.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            system.startAll(List.of(process));
+            awaitLog(process, millis);
+          }
+        });
+  }
+
   private void awaitStop(RelayProcess process, @Nullable Process told) throws IOException {
     try {
       if (told != null && !told.waitFor(LONGEST_STOP_SECONDS, TimeUnit.SECONDS)) {
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakRun.java
@@ -43,7 +43,7 @@
    * @throws IOException if a process can't be started
    */
   public SoakResult run() throws IOException, InterruptedException {
-    try (SoakSystem system = new SoakSystem(settings, runs)) {
+    try (SoakSystem system = new SoakSystem(settings, runs, findings)) {
       system.start();
       SoakOperator operator = new SoakOperator(system.controlPorts(), findings);
       SoakRollOut rollOut = new SoakRollOut(settings, operator, random);
@@ -66,6 +66,7 @@
       }
       over = true;
       beats.join();
+      system.checkEnds();
       List<String> broken = new ArrayList<>(findings);
       broken.addAll(new SoakChecker(answers, runs, operator.accepted()).findings());
       broken.addAll(system.backoffs().findings());
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/SoakSystem.java
@@ -31,8 +31,9 @@
    *
    * @param settings numbers of processes and upstreams
    * @param runs records the runs of each request
+   * @param findings receives each end of a process that nobody asked for
    */
-  SoakSystem(SoakSettings settings, RunWitness runs) throws IOException {
+  SoakSystem(SoakSettings settings, RunWitness runs, List<String> findings) throws IOException {
     ports = PortBlock.take();
     List<Integer> peers = new ArrayList<>();
     while (peers.size() < settings.controls() + settings.entries()) {
@@ -43,11 +44,12 @@
     for (int number = 0; number < settings.controls(); number++) {
       int port = ports.next();
       controlPorts.add(port);
-      controls.add(control(number, settings, peers.get(number), port, seeds));
+      controls.add(control(number, settings, peers.get(number), port, seeds, findings));
     }
     for (int number = 0; number < settings.entries(); number++) {
       int port = ports.next();
-      entries.add(entry(number, settings, peers.get(settings.controls() + number), port, seeds));
+      int peer = peers.get(settings.controls() + number);
+      entries.add(entry(number, settings, peer, port, seeds, findings));
       callerProxies.add(new LoopbackProxy(new InetSocketAddress(HOST, port)));
     }
     for (int number = 0; number < settings.upstreams(); number++) {
@@ -68,7 +70,12 @@
   }
 
   private static RelayProcess control(
-      int number, SoakSettings settings, int peer, int port, List<String> seeds)
+      int number,
+      SoakSettings settings,
+      int peer,
+      int port,
+      List<String> seeds,
+      List<String> findings)
       throws IOException {
     String name = "control-" + (number + 1);
     Path data = settings.folder().resolve(name);
@@ -81,15 +88,20 @@
             + "\nvoters: "
             + settings.controls()
             + "\n";
-    return new RelayProcess(name, settings.folder(), text);
+    return new RelayProcess(name, settings.folder(), text, List.of(peer, port), findings);
   }
 
   private static RelayProcess entry(
-      int number, SoakSettings settings, int peer, int port, List<String> seeds)
+      int number,
+      SoakSettings settings,
+      int peer,
+      int port,
+      List<String> seeds,
+      List<String> findings)
       throws IOException {
     String name = "entry-" + (number + 1);
     String text = common(name, peer, seeds) + "callerPort: " + port + "\nretryRatio: 0.9\n";
-    return new RelayProcess(name, settings.folder(), text);
+    return new RelayProcess(name, settings.folder(), text, List.of(peer, port), findings);
   }
 
   private static String common(String name, int peer, List<String> seeds) {
@@ -119,6 +131,16 @@
     }
   }
 
+  /** Records a finding for each process that has ended by itself. */
+  void checkEnds() throws IOException {
+    for (RelayProcess process : controls) {
+      process.checkEnd();
+    }
+    for (RelayProcess process : entries) {
+      process.checkEnd();
+    }
+  }
+
   List<RelayProcess> controls() {
     return controls;
   }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -5,9 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -55,7 +58,7 @@
             4,
             true,
             AnswerFaults.DEFAULT);
-    try (SoakSystem system = new SoakSystem(settings, new RunWitness())) {
+    try (SoakSystem system = new SoakSystem(settings, new RunWitness(), new ArrayList<>())) {
       for (int port : system.controlPorts()) {
         assertTrue(port < 32_768, "ephemeral: " + port);
       }
@@ -84,10 +87,49 @@
    */
   @Test
   public void processThatDoesNotRunIsNotToldToStop() throws IOException, InterruptedException {
-    RelayProcess process = new RelayProcess("one", Files.createTempDirectory("soak"), "node: one");
+    RelayProcess process = process("node: one", new ArrayList<>());
     assertNull(process.terminate());
   }
 
+  private static RelayProcess process(String settings, List<String> findings) throws IOException {
+    return new RelayProcess(
+        "one", Files.createTempDirectory("soak"), settings, List.of(), findings);
+  }
+
+  /** Guards against a soak whose next restart covers a process that ended by itself. */
+  @Test
+  public void endThatNobodyAskedForIsFound() throws IOException, InterruptedException {
+    List<String> findings = new ArrayList<>();
+    RelayProcess process = process("nonsense: true", findings);
+    process.start();
+    process.awaitEnd();
+    process.start();
+    assertEquals(findings.size(), 1, findings.toString());
+    assertTrue(findings.get(0).startsWith("one ended by itself with 1;"), findings.get(0));
+    process.kill();
+    process.checkEnd();
+    assertEquals(findings.size(), 1, findings.toString());
+  }
+
+  /**
+   * Guards against a soak that appends a second torn record to a log that wasn't recovered from the
+   * first: no loss of power leaves that, and the daemon rightly rejects it.
+   */
+  @Test
+  public void logIsTornOnceUntilItIsRecovered() throws IOException, InterruptedException {
+    Path folder = Files.createTempDirectory("soak");
+    RelayProcess process =
+        new RelayProcess("one", folder, "node: one", List.of(), new ArrayList<>());
+    Path log = folder.resolve("one").resolve("log-1");
+    ByteBuffer record = ByteBuffer.allocate(200).putLong(1).putInt(100);
+    Files.write(log, record.array());
+    process.tearLog(0.5);
+    long torn = Files.size(log);
+    assertEquals(torn, 200 + 56);
+    process.tearLog(0.9);
+    assertEquals(Files.size(log), torn);
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "", List.of());
   }
