--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
@@ -47,6 +47,9 @@
   /** Whether the present process was told to stop once its main method ran, and wasn't killed. */
   private boolean stopping;
 
+  /** Size of the control VM's log with the last torn record, in bytes. */
+  private long tornBytes;
+
   /** Size of the log when the present process was started, in bytes. */
   private long logBytesBefore;
 
@@ -192,7 +195,8 @@
 
   /**
    * Kills the process and appends the beginning of a record to its newest log, as a loss of power
-   * leaves one that was never synced.
+   * leaves one that was never synced. Does nothing if the process hasn't recovered from the last
+   * one, since it has written nothing then.
    *
    * @param share share of the first record's bytes, from 0 to 1, exclusive
    */
@@ -203,8 +207,9 @@
           files
               .filter(file -> file.getFileName().toString().startsWith(LOG_PREFIX))
               .max(Comparator.naturalOrder());
-      if (newest.isPresent()) {
+      if (newest.isPresent() && newest.get().toFile().length() != tornBytes) {
         Files.write(newest.get(), torn(Files.readAllBytes(newest.get()), share), APPEND);
+        tornBytes = newest.get().toFile().length();
       }
     }
   }
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/soak/SoakRunTest.java
@@ -5,7 +5,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -109,6 +111,25 @@
     assertEquals(findings.size(), 1, findings.toString());
   }
 
+  /**
+   * Guards against a soak that appends a second torn record to a log that wasn't recovered from the
+   * first: no loss of power leaves that, and the daemon rightly rejects it.
+   */
+  @Test
+  public void logIsTornOnceUntilItIsRecovered() throws IOException, InterruptedException {
+    Path folder = Files.createTempDirectory("soak");
+    RelayProcess process =
+        new RelayProcess("one", folder, "node: one", List.of(), new ArrayList<>());
+    Path log = folder.resolve("one").resolve("log-1");
+    ByteBuffer record = ByteBuffer.allocate(200).putLong(1).putInt(100);
+    Files.write(log, record.array());
+    process.tearLog(0.5);
+    long torn = Files.size(log);
+    assertEquals(torn, 200 + 56);
+    process.tearLog(0.9);
+    assertEquals(Files.size(log), torn);
+  }
+
   private static SoakAnswer answer(SoakAnswer.Kind kind, String key, int status, boolean whole) {
     return new SoakAnswer("one", kind, key, 0, NOW, NOW, status, whole, "", List.of());
   }
