A JVM that was told to leave signals alone starts a daemon

With -Xrs the JVM refuses handlers for SIGHUP, SIGTERM and SIGINT. By reading, the platform's daemon couldn't start with it before (its handler for SIGHUP), and since the handlers are set first neither could the other program. The refusal is told now, and the signals do what the operating system does. SignalsTest.signalsThatCannotBeHandledKeepNoProcessFromStarting passes; it wasn't run on the code before.

--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/SignalsTest.java
@@ -118,6 +118,18 @@
     }
   }
 
+  /** Guards against a start that fails since the JVM was told to leave signals alone. */
+  @Test
+  public void signalsThatCannotBeHandledKeepNoProcessFromStarting() throws Exception {
+    Files.writeString(settings, relay("127.0.0.1:1"));
+    String classPath = System.getProperty("java.class.path");
+    List<String> arguments = List.of("relay", "--settings", settings.toString());
+    try (StartedProcess process = StartedProcess.start(arguments, classPath, "-Xrs")) {
+      process.awaitText("node: a signal can't be handled signal=SIGTERM");
+      process.awaitText("node: started");
+    }
+  }
+
   /** Guards against a process that ends since its settings are being rewritten just then. */
   @Test
   public void emptySettingsAreAwaited() throws Exception {
--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
@@ -41,8 +41,10 @@
    *
    * @param arguments its command line
    * @param classPath its class path
+   * @param options further options of the JVM
    */
-  static StartedProcess start(List<String> arguments, String classPath) throws IOException {
+  static StartedProcess start(List<String> arguments, String classPath, String... options)
+      throws IOException {
     List<String> command =
         new ArrayList<>(
             List.of(
@@ -53,8 +55,9 @@
                 "-Djava.net.preferIPv4Stack=true",
                 "-Dtinylog.level=info",
                 "-cp",
-                classPath,
-                Skylarkfork.class.getName()));
+                classPath));
+    command.addAll(List.of(options));
+    command.add(Skylarkfork.class.getName());
     command.addAll(arguments);
     return new StartedProcess(new ProcessBuilder(command).redirectErrorStream(true).start());
   }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/DaemonProcess.java
@@ -46,12 +46,21 @@
     DaemonProcess process = new DaemonProcess(ProcessEnd.ofThisProcess());
     Handlers handlers = new Handlers(process);
     for (String name : new String[] {"HUP", "TERM", "INT"}) {
-      Signal.handle(new Signal(name), handlers);
+      handle(name, handlers, process);
     }
     Thread.setDefaultUncaughtExceptionHandler(handlers);
     return process;
   }
 
+  private static void handle(String name, SignalHandler handler, DaemonProcess process) {
+    try {
+      Signal.handle(new Signal(name), handler);
+    } catch (IllegalArgumentException unavailable) {
+      // The JVM's option -Xrs leaves the signal to the operating system.
+      process.end.report("node: a signal can't be handled signal=SIG" + name, unavailable);
+    }
+  }
+
   /**
    * Sets what SIGHUP does from now on, and does it if one has arrived.
    *
