A failure of the work after a tick doesn't end the ticks

What a caller would see: an entry that answers and decides nothing by time any more (leases, retries, time limits), with no line. Cause: the executor drops a periodic task that throws, and keeps the failure in a future that nobody reads. It was looked for beside the threads that end without a word; no such failure of the work itself (time limits of connections and calls) is known.

The work's failure is logged, the first of those in a row, and the ticks go on. Failures of a decision or an effect still go to the reducer's handler, as before.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -14,6 +14,7 @@
 import org.skylarkfork.core.effect.Effect;
 import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
+import org.tinylog.Logger;
 
 /**
  * Applies events to the reducer on the thread that also serves the connections.
@@ -32,6 +33,7 @@
   private @Nullable Reducer reducer;
   private boolean applying;
   private boolean failed;
+  private boolean afterTickFailed;
 
   /**
    * Makes a loop; {@link #start} runs it.
@@ -57,7 +59,8 @@
    *
    * @param started what decides; touched by the executor's thread only from now on
    * @param tick time between two ticks
-   * @param afterTick done after each tick, so that it needs no wake-up of its own
+   * @param afterTick done after each tick, so that it needs no wake-up of its own; a failure is
+   *     logged and ends nothing
    */
   public void start(Reducer started, Duration tick, Runnable afterTick) {
     executor.execute(
@@ -68,13 +71,29 @@
     executor.scheduleWithFixedDelay(
         () -> {
           submit(new LifecycleEvent.Tick());
-          afterTick.run();
+          runAfterTick(afterTick);
         },
         tick.toNanos(),
         tick.toNanos(),
         TimeUnit.NANOSECONDS);
   }
 
+  /**
+   * Does what follows a tick. The executor would drop a task that throws, and there would be no
+   * tick any more; of failures in a row the first is logged.
+   */
+  private void runAfterTick(Runnable afterTick) {
+    try {
+      afterTick.run();
+      afterTickFailed = false;
+    } catch (RuntimeException | Error failure) {
+      if (!afterTickFailed) {
+        Logger.error(failure, "loop: the work after a tick failed; ticks go on");
+      }
+      afterTickFailed = true;
+    }
+  }
+
   /**
    * Applies no event from now on; returns once the event in progress is done. Does nothing if the
    * executor is shutting down.
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/package-info.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/startup/package-info.java
@@ -1,4 +1,4 @@
-/** Tests of the early listeners. */
+/** Tests of the start and the end of a process. */
 @NullMarked
 package org.skylarkfork.runtime.startup;
 
