--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/EventLoopReducer.java
@@ -34,6 +34,7 @@
   private @Nullable Reducer reducer;
   private boolean applying;
   private boolean failed;
+  private boolean afterTickFailed;
 
   /**
    * Makes a loop; {@link #start} runs it.
@@ -59,7 +60,8 @@
    *
    * @param started what decides; touched by the executor's thread only from now on
    * @param tick time between two ticks
-   * @param afterTick done after each tick, so that it needs no wake-up of its own
+   * @param afterTick done after each tick, so that it needs no wake-up of its own; a failure is
+   *     logged and ends nothing
    */
   public void start(Reducer started, Duration tick, Runnable afterTick) {
     executor.execute(
@@ -77,12 +79,19 @@
         TimeUnit.NANOSECONDS);
   }
 
-  /** An exception would cancel all further ticks, and the daemon would live on without them. */
-  private static void runAfterTick(Runnable afterTick) {
+  /**
+   * Does what follows a tick. The executor would drop a task that throws, and there would be no
+   * tick any more; of failures in a row the first is logged.
+   */
+  private void runAfterTick(Runnable afterTick) {
     try {
       afterTick.run();
-    } catch (RuntimeException | LinkageError failure) {
-      Logger.error(failure, "reducer: event=periodic_task_failed");
+      afterTickFailed = false;
+    } catch (RuntimeException | Error failure) {
+      if (!afterTickFailed) {
+        Logger.error(failure, "loop: the work after a tick failed; ticks go on");
+      }
+      afterTickFailed = true;
     }
   }
 
