--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/soak/RelayProcess.java
@@ -13,7 +13,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.daemon.Skylarkfork;
 
@@ -23,8 +22,8 @@
   private static final List<String> OPTIONS =
       List.of("-Xmx48m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
-  /** Statuses after SIGTERM: the daemon's own, and that of a JVM whose shutdown hooks have run. */
-  private static final Set<Integer> STOPPED = Set.of(0, 143);
+  /** Status of a process that was told to stop. */
+  private static final int STOPPED = 0;
 
   private static final String LOG_PREFIX = "log-";
   private static final int FILE_HEADER_BYTES = Long.BYTES;
@@ -117,7 +116,7 @@
     int status = ended.exitValue();
     if (!ending) {
       findings.add(name + " ended by itself with " + status + "; its log ends: " + lastLines());
-    } else if (stopping && !STOPPED.contains(status)) {
+    } else if (stopping && status != STOPPED) {
       findings.add(name + " ended with " + status + " after SIGTERM; its log ends: " + lastLines());
     }
     process = null;
