A question that can't be answered fails alone, also if a class is missing

A daemon would halt because one page for operators, or a view of a call, needs a class that can't be loaded, such as after its jar was replaced. ReducerLoop.ask runs questions on the reducer's thread and caught RuntimeException only; a LinkageError left the loop and was given to onFailure.

Evidence: ReducerLoopTest.failedQuestionFailsOnlyItsAnswer failed before ("Expected ExecutionException to be thrown, but TimeoutException was thrown" after 20 s: the loop had ended) and passes now.

A question reads state and changes none, so its failure leaves nothing unknown; it fails the asker's future. Violated invariants and errors of the virtual machine still end the process.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ReducerLoop.java
@@ -99,7 +99,7 @@
   private <T> void answer(Function<Instant, T> question, CompletableFuture<T> answer) {
     try {
       answer.complete(question.apply(clock.instant()));
-    } catch (RuntimeException failure) {
+    } catch (RuntimeException | LinkageError failure) {
       answer.completeExceptionally(failure);
     }
   }
