A receiver that has ended doesn't end the storage's thread

Found by reading: a daemon that closes ends its event loop before its storage, and the loop then rejects results. The exception ended the storage's thread without a line of our log, with the data folder still locked in this process, and a caller of recover() waited for ever. A result that is rejected is now dropped with a line. A lock that the disk refuses with an error closes its file, too, so that retries don't use up descriptors (read, not run).

Evidence: testEndedReceiverDoesNotKeepFolderLocked. Before: it hung for more than nine minutes after "Exception in thread "storage" java.util.concurrent.RejectedExecutionException", until it was stopped by hand (it has a timeout of 20 s since). After: passes, with DiskStorageTest and RefusedWritesTest.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/DiskStorage.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
@@ -258,7 +259,11 @@
     if (event instanceof StorageEvent.Persisted || event instanceof StorageEvent.SnapshotSaved) {
       syncs.increment();
     }
-    events.accept(event);
+    try {
+      events.accept(event);
+    } catch (RejectedExecutionException ended) {
+      Logger.info("storage: a result of {} came after the end of its receiver", event.group());
+    }
   }
 
   private void closeFiles() {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -5,7 +5,6 @@
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,7 +12,6 @@
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.stream.Stream;
-import org.jspecify.annotations.Nullable;
 
 /** Implements {@link Disk} with the file system of the machine. */
 public final class FileDisk implements Disk {
@@ -81,19 +79,21 @@
   public Closeable lock(Path file) throws IOException {
     FileChannel channel =
         FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-    FileLock lock = tryLock(channel);
-    if (lock == null) {
+    if (!tryLock(channel)) {
       channel.close();
       throw new StorageException(StorageException.Kind.LOCKED, file + " is locked", null);
     }
     return channel;
   }
 
-  private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
+  private static boolean tryLock(FileChannel channel) throws IOException {
     try {
-      return channel.tryLock();
+      return channel.tryLock() != null;
     } catch (OverlappingFileLockException e) {
-      return null;
+      return false;
+    } catch (IOException refused) {
+      channel.close();
+      throw refused;
     }
   }
 
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/DiskStorageTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -350,6 +351,27 @@
     assertEquals(wiped.kind(), StorageException.Kind.CORRUPT);
   }
 
+  /**
+   * Guards against a data folder that stays locked, since the loop that takes the results ended
+   * before the storage, as it does when a daemon closes.
+   */
+  @Test(timeOut = 20_000)
+  public void testEndedReceiverDoesNotKeepFolderLocked() throws IOException {
+    Path folder = Files.createTempDirectory("storage");
+    StorageModel model = new StorageModel();
+    StorageSettings settings = new StorageSettings(folder, SMALL_SEGMENT, "id-1", LOCK_TIMEOUT);
+    try (DiskStorage storage =
+        new DiskStorage(settings, codec, new FileDisk(), DiskStorageTest::reject)) {
+      storage.recover(StorageModel.GROUP);
+      storage.execute(model.persist(null, 0, 1));
+    }
+    assertEquals(recoverState(new FileDisk(), folder), model.stateAfter(1));
+  }
+
+  private static void reject(Event event) {
+    throw new RejectedExecutionException("ended: " + event);
+  }
+
   @Test
   public void testGapInEntriesFailsGroup() {
     FakeDisk disk = emptyDisk();
