--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -1,11 +1,9 @@
 package org.skylarkfork.runtime.relay;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -16,7 +14,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.skylarkfork.core.Part;
 import org.skylarkfork.core.Reducer;
@@ -56,7 +53,6 @@
 import org.skylarkfork.runtime.loop.ContainedEffects;
 import org.skylarkfork.runtime.loop.EventLoopReducer;
 import org.skylarkfork.runtime.node.WireCodec;
-import org.skylarkfork.runtime.startup.BindRetry;
 import org.skylarkfork.runtime.startup.EarlyListeners;
 import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.storage.FileDisk;
@@ -270,28 +266,20 @@
     for (InetSocketAddress address : Arrays.asList(settings.control(), settings.lists())) {
       if (address != null) {
         boolean lookUps = address.equals(settings.lists());
-        endpoints
-            .open(
-                address,
-                null,
-                BindRetry.MAX_WAIT,
-                HttpEndpoint.MAX_DOCUMENT_BYTES,
-                lookUps ? descriptors.lookUps() : descriptors.mainListener(mainListeners()),
-                call -> controlDialect.answer(call, pendingCalls))
-            .addListener((Future<Channel> done) -> onControlListenerBound(address, done));
+        endpoints.openForControl(
+            address,
+            lookUps ? descriptors.lookUps() : descriptors.mainListener(mainListeners()),
+            call -> controlDialect.answer(call, pendingCalls),
+            bound -> onControlListenerBound(address, bound),
+            onFailure);
       }
     }
   }
 
-  private void onControlListenerBound(InetSocketAddress address, Future<Channel> bound) {
-    if (!bound.isSuccess()) {
-      Logger.error(bound.cause(), "node: cannot listen for control calls at {}", address);
-      if (!stopping) {
-        onFailure.accept(bound.cause());
-      }
-    } else if (address.equals(settings.control())) {
-      Logger.info("node: listens for control calls at {}", bound.getNow().localAddress());
-      controlAddress.complete((InetSocketAddress) bound.getNow().localAddress());
+  private void onControlListenerBound(InetSocketAddress address, InetSocketAddress bound) {
+    if (address.equals(settings.control())) {
+      Logger.info("node: listens for control calls at {}", bound);
+      controlAddress.complete(bound);
     }
   }
 
@@ -314,50 +302,6 @@
     return settings.caller() == null || settings.dataFolder() == null ? 1 : 2;
   }
 
-  /**
-   * Opens a listener of checks. The daemon doesn't wait for it and serves without it: ending the
-   * daemon would fail the requests that it serves, and hide the cause from its metrics' readers.
-   */
-  private void listenForChecks(
-      @Nullable InetSocketAddress address,
-      Function<HttpCall, HttpReply> handler,
-      Consumer<InetSocketAddress> onBound) {
-    if (address == null) {
-      return;
-    }
-    endpoints
-        .open(
-            address,
-            null,
-            BindRetry.UNLIMITED,
-            HttpEndpoint.MAX_QUERY_BYTES,
-            descriptors.checks(),
-            call -> CompletableFuture.completedFuture(handler.apply(call)))
-        .addListener((Future<Channel> done) -> onCheckListenerBound(address, done, onBound));
-  }
-
-  private void onCheckListenerBound(
-      InetSocketAddress address, Future<Channel> bound, Consumer<InetSocketAddress> onBound) {
-    if (bound.isSuccess()) {
-      onBound.accept((InetSocketAddress) bound.getNow().localAddress());
-    } else if (!stopping) {
-      Logger.error(bound.cause(), "node: cannot listen for checks at {}", address);
-    }
-  }
-
-  private void listenForLookUps(InetSocketAddress address, EntryDirectory directory) {
-    endpoints
-        .open(
-            address,
-            earlyListeners.take(address),
-            BindRetry.MAX_WAIT,
-            HttpEndpoint.MAX_QUERY_BYTES,
-            descriptors.lookUps(),
-            call ->
-                CompletableFuture.completedFuture(controlDialect.lookUpEntries(call, directory)))
-        .syncUninterruptibly();
-  }
-
   private void addEntry(List<Part> parts, InetSocketAddress caller) {
     VersionStatistics statistics = new VersionStatistics();
     EntryIdentity identity =
@@ -401,10 +345,16 @@
     callerServer = started;
     status.showEntry(entryPart, new EntryGauges(entryPart, requests, slotScheduler, started));
     callerAddress = started.start(caller, earlyListeners.take(caller));
-    listenForChecks(settings.ready(), call -> readiness(entryPart), bound -> {});
+    endpoints.openForChecks(
+        settings.ready(), descriptors.checks(), call -> readiness(entryPart), bound -> {});
     InetSocketAddress lists = settings.lists();
     if (lists != null && settings.dataFolder() == null) {
-      listenForLookUps(lists, entryPart::callerAddresses);
+      EntryDirectory directory = entryPart::callerAddresses;
+      endpoints.openForLookUps(
+          lists,
+          earlyListeners.take(lists),
+          descriptors.lookUps(),
+          call -> controlDialect.lookUpEntries(call, directory));
     }
   }
 
@@ -434,7 +384,8 @@
   }
 
   private void openMetrics() {
-    listenForChecks(settings.metrics(), status::answer, metricsAddress::complete);
+    endpoints.openForChecks(
+        settings.metrics(), descriptors.checks(), status::answer, metricsAddress::complete);
   }
 
   private void execute(Effect effect) {
@@ -528,6 +479,7 @@
     final RelayShutdown shutdown = new RelayShutdown(eventLoop, settings.grace());
     Logger.info("node: shutting down name={}", settings.name());
     stopping = true;
+    endpoints.stop();
     earlyListeners.close();
     loop.submit(new LifecycleEvent.StopRequested());
     if (started) {
