A mark that is lost with a failed sync stops no control VM

The mark behind a record is counted in the log's size but has no sync of its own. If the next append's sync fails and the operating system then drops the pages, a read returns zeros in its place, and the rewriting of the segment rejected the whole log, although each acknowledged record was there: the group stopped for good.

Only a mark at the very end may be missing; it is cut then.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupLog.java
@@ -170,19 +170,28 @@
     currentFile = disk.append(last.file());
   }
 
+  /**
+   * Reads the acknowledged records of a segment. A mark at the end may be lost with a failed sync,
+   * as it was never synced itself; it is cut then.
+   */
   private byte[] acknowledgedRecords(Segment segment) throws IOException {
-    byte[] content = disk.read(segment.file());
-    byte[] records = Arrays.copyOf(content, Math.toIntExact(segment.size()));
+    int size = Math.toIntExact(segment.size());
+    byte[] content = Arrays.copyOf(disk.read(segment.file()), size);
     RecordReader reader =
-        new RecordReader(segment.file(), records, RecordFormat.SEGMENT_HEADER, 0, syncMark.length);
+        new RecordReader(segment.file(), content, RecordFormat.SEGMENT_HEADER, 0, syncMark.length);
     byte[] payload = reader.next();
     while (payload != null) {
       payload = reader.next();
     }
-    if (content.length < records.length || reader.torn()) {
+    int lost = size - reader.offset();
+    if (lost > (marked ? syncMark.length : 0)) {
       throw reader.corrupt("acknowledged records are missing");
     }
-    return records;
+    if (lost > 0) {
+      segment.recordCut(lost);
+      marked = false;
+    }
+    return Arrays.copyOf(content, reader.offset());
   }
 
   private void deleteIfPresent(Path file) throws IOException {
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Segment.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Segment.java
@@ -44,6 +44,11 @@
     size += bytes;
   }
 
+  /** Records that a number of bytes at the end aren't used any more. */
+  void recordCut(int bytes) {
+    size -= bytes;
+  }
+
   long number() {
     return number;
   }
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/storage/FakeDisk.java
@@ -22,6 +22,7 @@
   private long operationsLeft = Long.MAX_VALUE;
   private boolean failed;
   private boolean nextSyncFails;
+  private boolean failedSyncEvicts;
   private final Map<Path, Long> writes = new HashMap<>();
   private Runnable beforeSync = () -> {};
 
@@ -43,6 +44,11 @@
     beforeSync = action;
   }
 
+  /** Lets reads return zeros for bytes that a failed sync has dropped. */
+  synchronized void evictAfterFailedSync() {
+    failedSyncEvicts = true;
+  }
+
   /** Returns the number of writes so far to the files in a folder. */
   synchronized long writes(Path folder) {
     return writes.entrySet().stream()
@@ -218,6 +224,13 @@
       lostTo = bytes.size();
     }
 
+    private void evictLost() {
+      byte[] all = bytes.toByteArray();
+      Arrays.fill(all, lostFrom, lostTo, (byte) 0);
+      bytes.reset();
+      bytes.writeBytes(all);
+    }
+
     private void forgetLostAfter(int size) {
       lostFrom = Math.min(lostFrom, size);
       lostTo = Math.min(lostTo, size);
@@ -300,6 +313,9 @@
         if (nextSyncFails) {
           nextSyncFails = false;
           content.loseUnsynced();
+          if (failedSyncEvicts) {
+            content.evictLost();
+          }
           throw new IOException("Input/output error");
         }
         content.markSynced();
