A pipelined request that can't be read ends its connection, not the answer before it

The end of an answer processes the request that waits behind it, inside the effect of that answer. If that throws, the effect is contained, but its exchange counts as completed already: the attempt is never reported as ended, and the caller's connection is neither answered nor closed.

Evidence: FailingEffectsNodeTest.pipelinedRequestThatCannotBeReadEndsItsConnection. Before: the first answer, then "Read timed out" after 10 s; now the connection is closed, as it is for such a request that comes alone.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallerConnection.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/CallerConnection.java
@@ -358,7 +358,19 @@
     processPipelined();
   }
 
+  /**
+   * Processes what arrived behind an answered request. A failure is this connection's alone: the
+   * caller of this method is about to record the end of the answer before.
+   */
   private void processPipelined() {
+    try {
+      processAllPipelined();
+    } catch (RuntimeException | Error failure) {
+      channel().pipeline().fireExceptionCaught(failure);
+    }
+  }
+
+  private void processAllPipelined() {
     HttpObject next = mayProcess() ? pipelined.poll() : null;
     while (next != null) {
       process(next);
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/FailingEffectsNodeTest.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/FailingEffectsNodeTest.java
@@ -133,6 +133,27 @@
     assertEquals(upstreams.get(0).connections(), 2);
   }
 
+  /**
+   * Guards against an answered request that never ends for the daemon, and a connection that is
+   * never closed, because the request behind it on the connection can't be read.
+   */
+  @Test
+  public void pipelinedRequestThatCannotBeReadEndsItsConnection() throws Exception {
+    serveWith(ANSWERS);
+    sendUntilServed("/lookup/x", "first");
+    String kept = request("/lookup/x", "kept", "key").replace("Connection: close\r\n", "");
+    String odd = request("/lookup/x", "odd", "key\r\n" + ThrowingDialect.UNREADABLE + ": 1");
+    try (Socket socket = new Socket(LOOPBACK, node().callerAddress().getPort())) {
+      socket.setSoTimeout(MAX_WAIT_MILLIS);
+      socket.getOutputStream().write((kept + odd).getBytes(StandardCharsets.ISO_8859_1));
+      byte[] answer = socket.getInputStream().readAllBytes();
+      String text = new String(answer, StandardCharsets.UTF_8);
+      assertTrue(text.startsWith("HTTP/1.1 200 "), text);
+      assertEquals(text.split("HTTP/1.1 ", -1).length - 1, 1, text);
+    }
+    assertServes();
+  }
+
   /** Returns the first line of the answer, or the empty text if the connection was closed. */
   private String statusLine(String request) throws IOException {
     assertNotNull(node().callerAddress());
--- a/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ThrowingDialect.java
+++ b/skylarkfork-runtime/src/test/java/org/skylarkfork/runtime/relay/ThrowingDialect.java
@@ -10,12 +10,15 @@
 import org.skylarkfork.core.relay.RelayRequest;
 import org.skylarkfork.core.relay.UpstreamNotice;
 
-/** The relay's own headers, but requests with one of them can't be sent to an upstream. */
+/** The relay's own headers, but requests with one of two can't be read, or can't be sent. */
 final class ThrowingDialect implements RelayDialect {
 
   /** Name of the header of requests that can't be sent. */
   static final String UNSENDABLE = "X-Unsendable";
 
+  /** Name of the header of requests that can't be read. */
+  static final String UNREADABLE = "X-Unreadable";
+
   private final RelayDialect headers = new RelayHeaders();
 
   @Override
@@ -29,6 +32,9 @@
   @Override
   public RelayRequest read(long number, HttpRequest head, long contentHash)
       throws MalformedHeaderException {
+    if (head.headers().contains(UNREADABLE)) {
+      throw new IllegalStateException("a head can't be read");
+    }
     return headers.read(number, head, contentHash);
   }
 
