A control VM whose stored data can't be continued ends with its reason

A replica whose acknowledged records can't be read back while it runs stopped voting and lived on, of no use, until somebody restarted it; the same damage at a start is set aside. The relay's daemon now ends, and its next start sets the log aside and joins again. It ends as well if its event loop has ended by itself, without which it serves nobody. Such ends, and a control port that can't be had, were told as "an invariant broke"; only a broken invariant is now.

--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/DaemonCommand.java
@@ -33,13 +33,7 @@
     SettingsParser<DaemonSettings> parser = text -> DaemonSettingsCheck.reader().read(text);
     DaemonSettings read = new SettingsFile<>(Path.of(settings), parser).read();
     MonotonicClock clock = new MonotonicClock(InstantSource.system(), System::nanoTime);
-    DaemonNode node =
-        new DaemonNode(
-            read,
-            clock,
-            PeerFilter.PASS_ALL,
-            failure ->
-                process.end().failed("node: the daemon halts, since an invariant broke", failure));
+    DaemonNode node = new DaemonNode(read, clock, PeerFilter.PASS_ALL, process.end()::halted);
     node.start();
     process.onStop(() -> stopGracefully(node, read));
     process.onHangUp(
--- a/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
+++ b/skylarkfork-daemon/src/main/java/org/skylarkfork/daemon/RelayCommand.java
@@ -35,8 +35,7 @@
             RelayClock.of(read),
             new RelayHeaders(),
             new RelayAdmin(new Codec()),
-            failure ->
-                process.end().failed("node: the daemon halts, since an invariant broke", failure));
+            process.end()::halted);
     process.onStop(node::stop);
     node.start();
     new SettingsReloader(file, RelayCommand::parse, read, node::reload).start(process);
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/relay/RelayNode.java
@@ -26,9 +26,11 @@
 import org.skylarkfork.core.effect.RelayEffect;
 import org.skylarkfork.core.effect.StorageEffect;
 import org.skylarkfork.core.effect.TraceEffect;
+import org.skylarkfork.core.event.Event;
 import org.skylarkfork.core.event.LifecycleEvent;
 import org.skylarkfork.core.event.PeerEvent;
 import org.skylarkfork.core.event.RelayEvent;
+import org.skylarkfork.core.event.StorageEvent;
 import org.skylarkfork.core.fairshare.FairShares;
 import org.skylarkfork.core.reachability.ConnectOutcome;
 import org.skylarkfork.core.relay.CallServiceDirectory;
@@ -56,6 +58,7 @@
 import org.skylarkfork.runtime.startup.EarlyListeners;
 import org.skylarkfork.runtime.storage.DiskStorage;
 import org.skylarkfork.runtime.storage.FileDisk;
+import org.skylarkfork.runtime.storage.StorageException;
 import org.skylarkfork.runtime.storage.StorageSettings;
 import org.skylarkfork.runtime.trace.BoundedLog;
 import org.skylarkfork.runtime.trace.Metrics;
@@ -104,6 +107,7 @@
   private final CompletableFuture<InetSocketAddress> metricsAddress = new CompletableFuture<>();
   private volatile boolean stopping;
   private volatile boolean started;
+  private volatile boolean closed;
 
   /** Creates a daemon without early listeners. */
   public RelayNode(
@@ -170,6 +174,7 @@
     this.transport = new PeerTransport(transportSettings(), codec, loop::submit, eventLoop);
     this.status = new RelayStatus(metrics, transport, loop::now);
     this.peers = new AddressedPeers(transport);
+    eventLoop.terminationFuture().addListener(done -> onEventLoopEnded());
     this.storage = openStorage(settings.dataFolder());
     if (storage != null) {
       status.showStorage(storage);
@@ -195,7 +200,26 @@
         new StorageSettings(folder, SEGMENT_BYTES, Long.toHexString(seed)),
         codec,
         new FileDisk(),
-        loop::submit);
+        this::onStorageEvent);
+  }
+
+  /**
+   * A control VM that can't continue its stored data is of no use; the next start sets the data
+   * aside and joins its group again.
+   */
+  private void onStorageEvent(Event event) {
+    loop.submit(event);
+    if (event instanceof StorageEvent.Failed failed) {
+      onFailure.accept(
+          new StorageException(
+              StorageException.Kind.CORRUPT, failed.group() + ": " + failed.detail(), null));
+    }
+  }
+
+  private void onEventLoopEnded() {
+    if (!closed) {
+      onFailure.accept(new IllegalStateException("the event loop has ended"));
+    }
   }
 
   /** Opens the listeners, recovers the stored state and starts the event loop. */
@@ -447,6 +471,7 @@
 
   /** Closes all connections and the storage immediately, without a graceful shutdown. */
   public void close() {
+    closed = true;
     earlyListeners.close();
     loop.stop();
     transport.close();
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/ProcessEnd.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/startup/ProcessEnd.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntConsumer;
 import org.jspecify.annotations.Nullable;
+import org.skylarkfork.core.InvariantViolation;
 import org.tinylog.provider.ProviderRegistry;
 
 /**
@@ -72,6 +73,16 @@
     end(FAILURE, "ERROR", reason, cause);
   }
 
+  /**
+   * Ends the process, since its daemon can't go on. Does nothing if the process is ending.
+   *
+   * @param cause the failure
+   */
+  public void halted(Throwable cause) {
+    String why = cause instanceof InvariantViolation ? "an invariant broke" : "it can't go on";
+    failed("node: the daemon halts, since " + why, cause);
+  }
+
   /**
    * Writes a line about a failure that the process survives.
    *
