An error ends no periodic check, and a failed outcome no process

Found by the review, by reading; no test of their own. An Error such as a missing class cancelled the check of silent connections and the reload of certificates for good, without a line. The outcome that a failed effect gets may meet the same fault, and ended the process then; it is logged instead.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ContainedEffects.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/loop/ContainedEffects.java
@@ -51,7 +51,19 @@
         throw failure;
       }
       record(effect, failure);
+      giveOutcome(effect, failure);
+    }
+  }
+
+  /** The outcome may meet the fault that the effect has met; then there is none. */
+  private void giveOutcome(Effect effect, Throwable failure) {
+    try {
       failures.onFailed(effect, failure);
+    } catch (RuntimeException | Error again) {
+      if (isFatal(again)) {
+        throw again;
+      }
+      Logger.error(again, "effects: event=no_outcome kind={}", effect.getClass().getSimpleName());
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/node/DaemonNode.java
@@ -237,6 +237,9 @@
       }
     } catch (TransportException unusable) {
       Logger.warn("peer: New certificates can't be used: {}.", unusable.getMessage());
+    } catch (RuntimeException | Error failure) {
+      // An exception would cancel all further reloads.
+      Logger.error(failure, "peer: The reload of certificates failed.");
     }
   }
 
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/transport/PeerTransport.java
@@ -421,7 +421,7 @@
       outgoing.values().forEach(peer -> peer.check(now));
       incoming.forEach(peer -> peer.check(now));
       forwarded.closeIdle(now);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       // An exception would cancel the periodic check, and silent connections would never be closed.
       Logger.error(e, "peer: the check of the connections failed");
     }
