A file whose presence can't be told isn't taken for a missing one

Found by the review, by reading; no test of its own. One failed look at the instance id would set whole logs aside, and one at a damaged log would hide that it was set aside. Such a failure counts as refused by the disk and is tried again.

--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Disk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/Disk.java
@@ -15,7 +15,7 @@
 public interface Disk {
 
   /** Returns whether the file or folder exists. */
-  boolean exists(Path path);
+  boolean exists(Path path) throws IOException;
 
   /** Returns the names in a folder, in natural order. */
   List<String> names(Path folder) throws IOException;
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/FileDisk.java
@@ -17,8 +17,12 @@
 public final class FileDisk implements Disk {
 
   @Override
-  public boolean exists(Path path) {
-    return Files.exists(path);
+  public boolean exists(Path path) throws IOException {
+    boolean exists = Files.exists(path);
+    if (!exists && !Files.notExists(path)) {
+      throw new IOException("it can't be told whether " + path + " exists");
+    }
+    return exists;
   }
 
   @Override
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/GroupStorage.java
@@ -100,11 +100,12 @@
   private boolean recoverLog(CompletableFuture<Void> firstAttempt, long now) {
     GroupLog opened = logs.get();
     try {
+      final boolean hasLogAside = setAside.contains(group);
       final StorageEvent.Recovered recovered = opened.recover();
       log = opened;
       recovery = null;
       retry.succeeded(now);
-      report(recovered);
+      report(recovered, hasLogAside);
       firstAttempt.complete(null);
       return true;
     } catch (IOException refused) {
@@ -145,9 +146,9 @@
     return recoverLog(firstAttempt, now);
   }
 
-  private void report(StorageEvent.Recovered recovered) {
+  private void report(StorageEvent.Recovered recovered, boolean hasLogAside) {
     Logger.info("storage: {} recovered with {} entries", group, recovered.entries().size());
-    if (setAside.contains(group)) {
+    if (hasLogAside) {
       logReplicaWithoutLog(recovered);
       events.accept(new StorageEvent.LogSetAside(group));
     }
--- a/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/SetAsideLogs.java
+++ b/skylarkfork-runtime/src/main/java/org/skylarkfork/runtime/storage/SetAsideLogs.java
@@ -33,7 +33,7 @@
   }
 
   /** Returns whether a damaged log of a group was set aside. */
-  boolean contains(GroupId group) {
+  boolean contains(GroupId group) throws IOException {
     return disk.exists(folder(group));
   }
 
