Tests of signals start their processes with the default action of SIGHUP

Trace: the test's JVM had SIGHUP among its ignored signals (SigIgn of its status ends in 1), a child inherits that, and a JVM whose parent ignores SIGHUP installs no handler. SignalsTest passes where SIGHUP isn't ignored. The processes are started by env with the default action now, whatever the script's own is; what the tests check is unchanged.

--- a/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
+++ b/skylarkfork-daemon/src/test/java/org/skylarkfork/daemon/StartedProcess.java
@@ -48,6 +48,9 @@
     List<String> command =
         new ArrayList<>(
             List.of(
+                // A script that runs the tests under nohup hands on an ignored SIGHUP.
+                "env",
+                "--default-signal=HUP",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx160m",
                 "-XX:+UseSerialGC",
