--- a/review/standins-2/EndlessChunks.java
+++ b/review/standins-2/EndlessChunks.java
@@ -21,7 +21,7 @@
   private static final int TIMEOUT_MILLIS = 1500;
   private static final int BOUND_MILLIS = 500;
   private static final int PATIENCE_MILLIS = 6000;
-  private static final int PER_SECOND = 30;
+  private static final int PER_SECOND = 60;
   private static final int SECONDS = 20;
   private static final int CHUNKS_IN_BLOCK = 8000;
 
--- a/review/standins-2/ForeignHeartbeat.java
+++ b/review/standins-2/ForeignHeartbeat.java
@@ -16,11 +16,11 @@
   private static final int SERVERS = 2;
   private static final int SLOTS = 6;
   private static final int PORT = 8080;
-  private static final int WORK_MILLIS = 20;
+  private static final int WORK_MILLIS = 60;
   private static final int DEADLINE_MILLIS = 1500;
-  private static final int REQUESTS = 500;
-  private static final int GAP_MILLIS = 25;
-  private static final int BEAT_AT = 100;
+  private static final int REQUESTS = 1500;
+  private static final int GAP_MILLIS = 8;
+  private static final int BEAT_AT = 300;
 
   private final Journal journal;
   private final boolean trouble;
