--- a/review/standins-2/PopularRequest.java
+++ b/review/standins-2/PopularRequest.java
@@ -188,8 +188,9 @@
         + "\"path_prefix\":\"/chat/\",\"kind\":\"streaming\",\"timeout_ms\":"
         + DEADLINE_MILLIS
         + ",\"target_latency_ms\":1000,\"priority\":2,\"service\":\"writers\",\"max_attempts\":3,"
-        + "\"public\":false,\"sticky_sessions\":false,\"stream_resume\":true,\"gap_target_ms\":800}],"
-        + "\"services\":[{\"name\":\"writers\",\"health_path\":\"/healthz\",\"max_connections\":360,"
+        + "\"public\":false,\"sticky_sessions\":false,\"stream_resume\":true,"
+        + "\"gap_target_ms\":800}],\"services\":[{\"name\":\"writers\","
+        + "\"health_path\":\"/healthz\",\"max_connections\":360,"
         + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":16384,"
         + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
         + "\"tenants\":[{\"name\":\"team-1\",\"api_keys\":[\"key-1\"]}]}";
--- a/review/standins-2/UnreadableTenants.java
+++ b/review/standins-2/UnreadableTenants.java
@@ -69,7 +69,7 @@
     boolean broken = acknowledged || foreign > 0;
     String verdict =
         "invalid configuration "
-            + (acknowledged ? "acknowledged" : "not acknowledged")
+            + (acknowledged ? "acknowledged" : trouble ? "not acknowledged" : "not sent")
             + "; "
             + foreign
             + " of "
@@ -106,7 +106,8 @@
         + "\"host\":\"desk.example\",\"path_prefix\":\"/look/\",\"kind\":\"idempotent\","
         + "\"timeout_ms\":1500,\"target_latency_ms\":300,\"priority\":1,\"service\":\"lookup\","
         + "\"max_attempts\":2,\"public\":false}],\"services\":[{\"name\":\"lookup\","
-        + "\"health_path\":\"/healthz\",\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+        + "\"health_path\":\"/healthz\",\"max_connections\":100,"
+        + "\"protocol\":\"h1\",\"tls\":false}],"
         + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":"
         + tenants
