--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -34,7 +34,7 @@
       boolean trouble = !"0".equals(System.getenv("TROUBLE"));
       journal.add(trouble ? "with the disruption" : "without the disruption");
       status = body.run(journal, trouble) ? BROKEN : 0;
-    } catch (Exception failure) {
+    } catch (Exception | Error failure) {
       System.err.println("the case couldn't run: " + failure);
     }
     System.exit(status);
